--- /dev/null
+++ b/internal/agent/heartbeat.go
@@ -0,0 +1,195 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/link"
+	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/pkg/bundle"
+	"savoryhoist.example/savoryhoist/pkg/lease"
+)
+
+// callTimeout bounds a heartbeat.
+const callTimeout = 2 * time.Second
+
+// skipFailed is how long an entry that did not answer is not asked.
+const skipFailed = time.Second
+
+func (a *Agent) beat(ctx context.Context) {
+	for {
+		a.round(ctx)
+		if !pause(ctx, a.settings.HeartbeatEvery) {
+			return
+		}
+	}
+}
+
+// round asks the worker, tells the entries, and does what they answer.
+func (a *Agent) round(ctx context.Context) {
+	a.tasksMu.Lock()
+	defer a.tasksMu.Unlock()
+	listing, err := a.worker.List(ctx)
+	if err != nil {
+		a.log.Warn().Err(err).Msg("the worker does not answer")
+		a.tell(ctx, a.heartbeat(nil))
+		return
+	}
+	clock := workerClock{read: time.Now(), uptime: time.Duration(listing.UptimeMS) * time.Millisecond}
+	a.observe(ctx, &listing)
+	answers := a.tell(ctx, a.heartbeat(&listing))
+	for _, answer := range answers {
+		a.follow(ctx, clock, answer)
+	}
+	a.renew(ctx, clock, &listing)
+}
+
+// answer is one entry's reading and when it began at the latest.
+type answer struct {
+	entry   string
+	began   time.Time
+	reading *link.Reading
+}
+
+// tell sends the heartbeat to every entry at once and returns the answers.
+func (a *Agent) tell(ctx context.Context, h link.Heartbeat) []answer {
+	entries, primary := a.targets(time.Now())
+	out := make([]answer, len(entries))
+	var group sync.WaitGroup
+	for i, address := range entries {
+		group.Go(func() {
+			own := h
+			own.Primary = address == primary
+			out[i] = a.tellOne(ctx, address, &own)
+		})
+	}
+	group.Wait()
+	answers := out[:0]
+	for _, o := range out {
+		if o.reading != nil {
+			answers = append(answers, o)
+		}
+	}
+	a.choosePrimary(answers, primary)
+	a.updateBundle(ctx, answers)
+	return answers
+}
+
+func (a *Agent) tellOne(ctx context.Context, address string, h *link.Heartbeat) answer {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := time.Now()
+	reading := new(link.Reading)
+	if err := a.client.Call(ctx, address, link.PathHeartbeat, h, reading); err != nil {
+		a.log.Warn().Err(err).Str("entry", address).Msg("heartbeat failed")
+		a.noteFailure(address)
+		return answer{}
+	}
+	age := time.Duration(reading.AgeMS) * time.Millisecond
+	return answer{entry: address, began: lease.ReadingBegan(asked, age), reading: reading}
+}
+
+// targets returns the entries to tell and the one that records reports.
+func (a *Agent) targets(now time.Time) ([]string, string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []string
+	for _, e := range a.entries {
+		if now.Sub(a.failedAt[e]) > skipFailed {
+			out = append(out, e)
+		}
+	}
+	if len(out) == 0 {
+		out = a.settings.Entries
+	}
+	primary := out[0]
+	if slices.Contains(out, a.primary) {
+		primary = a.primary
+	}
+	return out, primary
+}
+
+// choosePrimary keeps the primary that was asked if it answered, and learns the entries to tell.
+func (a *Agent) choosePrimary(answers []answer, asked string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.primary = ""
+	known := slices.Clone(a.settings.Entries)
+	for _, o := range answers {
+		if o.reading.Leaving {
+			continue
+		}
+		if a.primary == "" || o.entry == asked {
+			a.primary = o.entry
+		}
+		known = append(known, o.reading.Entries...)
+	}
+	slices.Sort(known)
+	a.entries = slices.Compact(known)
+}
+
+func (a *Agent) noteFailure(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failedAt[address] = time.Now()
+}
+
+// updateBundle fetches the bundle if an entry has another one in force.
+func (a *Agent) updateBundle(ctx context.Context, answers []answer) {
+	for _, o := range answers {
+		a.mu.Lock()
+		same := o.reading.Bundle == "" || o.reading.Bundle == a.chain.Digest()
+		a.mu.Unlock()
+		if same {
+			continue
+		}
+		var reply link.BundleReply
+		if err := a.client.Call(ctx, o.entry, link.PathBundle, &link.BundleQuery{}, &reply); err != nil {
+			a.log.Warn().Err(err).Str("entry", o.entry).Msg("fetching the bundle failed")
+			continue
+		}
+		a.offerBundle(reply.Signed)
+	}
+}
+
+func (a *Agent) offerBundle(data []byte) {
+	signed, err := bundle.DecodeSigned(data)
+	if err == nil {
+		a.mu.Lock()
+		err = a.chain.Offer(signed)
+		a.mu.Unlock()
+	}
+	if err != nil {
+		a.log.Warn().Err(err).Str("decision", "refuse-bundle").Msg("")
+		return
+	}
+	a.log.Info().Str("decision", "accept-bundle").Uint64("version", a.chain.Version()).Str("digest", a.chain.Digest()).Msg("")
+}
+
+// heartbeat says what the agent knows; a nil listing means that the worker did not answer.
+func (a *Agent) heartbeat(listing *platform.Listing) link.Heartbeat {
+	h := link.Heartbeat{
+		Worker: a.settings.Name, Rack: a.settings.Rack, Service: a.settings.Service, Address: a.Address(),
+		Incarnation: a.incarnation, Ready: listing != nil && a.ledger.Ready(),
+		Total: a.ledger.Total(), Free: a.ledger.Free(),
+	}
+	a.mu.Lock()
+	h.InFlight, h.Leaving, h.Bundle = a.inFlight, a.leaving, a.chain.Digest()
+	if s, ok := a.service(); ok {
+		h.Slots = s.Slots
+	}
+	a.mu.Unlock()
+	if listing != nil {
+		h.Tasks = a.tasks.reports(listing)
+	}
+	return h
+}
+
+func (a *Agent) service() (*bundle.Service, bool) {
+	if d := a.chain.Document(); d != nil {
+		return d.Service(a.settings.Service)
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/command/bundle_publish.go
@@ -0,0 +1,25 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+)
+
+func bundlePublishCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "publish",
+		Usage:     "publish a signed bundle and say whether it came in force",
+		ArgsUsage: "file",
+		Flags:     []cli.Flag{entryFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			data, err := readArgument(cmd, "the signed bundle")
+			if err != nil {
+				return err
+			}
+			return call(ctx, cmd, http.MethodPost, "/bundles", bytes.NewReader(data), nil)
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/dev.go
@@ -0,0 +1,209 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	_ "embed"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+
+	"savoryhoist.example/savoryhoist/internal/agent"
+	"savoryhoist.example/savoryhoist/internal/entry"
+	"savoryhoist.example/savoryhoist/internal/link"
+	"savoryhoist.example/savoryhoist/internal/standin"
+	"savoryhoist.example/savoryhoist/pkg/bundle"
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// Sizes of the embedded mode.
+const (
+	devDataCentre = "dc-1"
+	devAgents     = 3
+	devSlots      = 8
+	devService    = "planner"
+	devValid      = 24 * time.Hour
+	devDrain      = 200 * time.Millisecond
+	devHeartbeat  = 200 * time.Millisecond
+)
+
+//go:embed dev.yaml
+var devDocument []byte
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "run an entry, three agents and stand-ins of the platform in one process, kept in memory",
+		Flags: []cli.Flag{
+			text("listen", "127.0.0.1:8080", "callers' door, IP and port"),
+			text("log-level", "info", "least level of log lines"),
+		},
+		Action: runDev,
+	}
+}
+
+// devSite is the embedded mode's processes and stand-ins.
+type devSite struct {
+	group     sync.WaitGroup
+	level     log.Level
+	authority *link.Authority
+	roots     bundle.Operators
+	signed    *bundle.Signed
+	servers   []*http.Server
+}
+
+func runDev(ctx context.Context, cmd *cli.Command) error {
+	c := &checker{cmd: cmd}
+	listen := c.address("listen")
+	c.logger()
+	if c.err != nil {
+		return c.err
+	}
+	s := &devSite{level: log.ParseLevel(cmd.String("log-level"))}
+	if err := s.prepare(time.Now()); err != nil {
+		return err
+	}
+	err := s.run(ctx, cmd, listen)
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.group.Wait()
+	return err
+}
+
+// prepare makes keys and signs the first bundle.
+func (s *devSite) prepare(now time.Time) error {
+	authority, err := link.NewAuthority(now, devValid)
+	if err != nil {
+		return err
+	}
+	private, public, err := bundle.GenerateKey(rand.Reader)
+	if err != nil {
+		return err
+	}
+	s.authority = authority
+	s.roots = bundle.Operators{Threshold: 1, Keys: []bundle.Key{{Name: "dev", Public: public}}}
+	d, err := bundle.ParseTemplate(devDocument, s.roots)
+	if err != nil {
+		return err
+	}
+	content, err := bundle.Format(d)
+	if err != nil {
+		return err
+	}
+	s.signed = bundle.NewSigned(content)
+	s.signed.Sign("dev", private)
+	return nil
+}
+
+func (s *devSite) run(ctx context.Context, cmd *cli.Command, listen string) error {
+	logURL, err := s.host(new(standin.Log).Handler())
+	if err != nil {
+		return err
+	}
+	id, err := s.identity(link.RoleEntry, "entry-1")
+	if err != nil {
+		return err
+	}
+	e, err := entry.New(time.Now(), entry.Settings{
+		Name: "entry-1", DataCentre: devDataCentre, Listen: listen, PeerListen: "127.0.0.1:0",
+		LogURL: logURL, Roots: s.roots, DrainAfter: devDrain, Open: true,
+	}, id, newLogger(s.level, "entry-1"))
+	if err != nil {
+		return err
+	}
+	live, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	entryContext, stopEntry := context.WithCancel(live)
+	defer stopEntry()
+	var entryGroup sync.WaitGroup
+	entryGroup.Go(func() { _ = e.Run(entryContext) })
+	for i := range devAgents {
+		if err := s.startAgent(ctx, i, e.PeerAddress()); err != nil {
+			return err
+		}
+	}
+	if err := s.publish(ctx, "http://"+e.Address()); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(cmd.Root().Writer, "ready at http://%s\n", e.Address())
+	<-ctx.Done()
+	stopEntry()
+	entryGroup.Wait()
+	return nil
+}
+
+func (s *devSite) identity(role link.Role, name string) (*link.Identity, error) {
+	certificate, key, err := s.authority.Issue(time.Now(), devValid, link.NewPeer(role, devDataCentre, name))
+	if err != nil {
+		return nil, err
+	}
+	id := new(link.Identity)
+	return id, id.Load(certificate, key, s.authority.PEM())
+}
+
+// host serves a stand-in and returns its URL.
+func (s *devSite) host(handler http.Handler) (string, error) {
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout}
+	s.servers = append(s.servers, server)
+	s.group.Go(func() { _ = server.Serve(ln) })
+	return "http://" + ln.Addr().String(), nil
+}
+
+func (s *devSite) startAgent(ctx context.Context, i int, entryAddress string) error {
+	name := fmt.Sprintf("worker-%d", i+1)
+	size := worker.Resources{MilliCPU: 16000, MemoryMB: 60 << 10, Accelerators: 2}
+	workerURL, err := s.host(standin.NewWorker(size, time.Now).Handler())
+	if err != nil {
+		return err
+	}
+	runnerURL, err := s.host(standin.NewRunner(devSlots).Handler())
+	if err != nil {
+		return err
+	}
+	id, err := s.identity(link.RoleAgent, name)
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(time.Now(), agent.Settings{
+		Name: name, DataCentre: devDataCentre, Rack: fmt.Sprintf("rack-%d", i+1), Service: devService,
+		Listen: "127.0.0.1:0", RunnerURL: runnerURL, WorkerURL: workerURL, Entries: []string{entryAddress},
+		HeartbeatEvery: devHeartbeat, DrainAfter: devDrain, Roots: s.roots,
+	}, id, newLogger(s.level, name))
+	if err != nil {
+		return err
+	}
+	s.group.Go(func() { _ = a.Run(ctx) })
+	return nil
+}
+
+func (s *devSite) publish(ctx context.Context, base string) error {
+	data, err := s.signed.Encode()
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/bundles", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("publishing the first bundle: status %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/entry.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"savoryhoist.example/savoryhoist/internal/entry"
+	"savoryhoist.example/savoryhoist/internal/link"
+)
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run an entry: the callers' door, router and scheduler",
+		Flags: append(processFlags(),
+			text("listen", "127.0.0.1:8080", "callers' door, IP and port"),
+			text("peer-listen", "127.0.0.1:8443", "where agents and entries reach this entry, IP and port"),
+			text("log-url", "", "URL of the platform's log service"),
+			&cli.BoolFlag{Name: "open", Usage: "let callers in without a token, by the " + entry.HeaderTeam + " header", Sources: env("open")},
+		),
+		Action: runEntry,
+	}
+}
+
+func runEntry(ctx context.Context, cmd *cli.Command) error {
+	c := &checker{cmd: cmd}
+	s := entry.Settings{
+		Name: c.required("name"), DataCentre: c.required("data-centre"),
+		Listen: c.address("listen"), PeerListen: c.address("peer-listen"), LogURL: c.url("log-url"),
+		Roots: c.operators(), DrainAfter: c.positive("drain-after"), Open: cmd.Bool("open"),
+	}
+	id := c.identity(link.RoleEntry)
+	logger := c.logger()
+	if c.err != nil {
+		return c.err
+	}
+	e, err := entry.New(time.Now(), s, id, logger)
+	if err != nil {
+		return err
+	}
+	return e.Run(ctx)
+}
--- /dev/null
+++ b/internal/command/job.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/urfave/cli/v3"
+)
+
+func jobCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "job",
+		Usage: "submit, show, list and cancel jobs",
+		Commands: []*cli.Command{
+			jobSubmitCommand(),
+			jobShowCommand(),
+			jobListCommand(),
+			jobCancelCommand(),
+		},
+	}
+}
+
+func jobSubmitCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "submit",
+		Usage:     "submit the job described by a JSON file",
+		ArgsUsage: "file",
+		Flags:     append(teamFlags(), text("idempotency-key", "", "submissions under the same key are one job")),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			data, err := readArgument(cmd, "the job's JSON file")
+			if err != nil {
+				return err
+			}
+			h := teamHeader(cmd)
+			if key := cmd.String("idempotency-key"); key != "" {
+				h.Set("Idempotency-Key", key)
+			}
+			return call(ctx, cmd, http.MethodPost, "/jobs", bytes.NewReader(data), h)
+		},
+	}
+}
+
+func jobShowCommand() *cli.Command {
+	return &cli.Command{
+		Name: "show", Usage: "show a job and its tasks", ArgsUsage: "id", Flags: teamFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error { return callJob(ctx, cmd, http.MethodGet) },
+	}
+}
+
+func jobCancelCommand() *cli.Command {
+	return &cli.Command{
+		Name: "cancel", Usage: "cancel a job", ArgsUsage: "id", Flags: teamFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error { return callJob(ctx, cmd, http.MethodDelete) },
+	}
+}
+
+func jobListCommand() *cli.Command {
+	return &cli.Command{
+		Name: "list", Usage: "list the team's jobs", Flags: teamFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return call(ctx, cmd, http.MethodGet, "/jobs", nil, teamHeader(cmd))
+		},
+	}
+}
+
+func callJob(ctx context.Context, cmd *cli.Command, method string) error {
+	id, err := argument(cmd, "the job's id")
+	if err != nil {
+		return err
+	}
+	return call(ctx, cmd, method, "/jobs/"+url.PathEscape(id), nil, teamHeader(cmd))
+}
--- /dev/null
+++ b/internal/command/site_test.go
@@ -0,0 +1,239 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/link"
+	"savoryhoist.example/savoryhoist/internal/standin"
+	"savoryhoist.example/savoryhoist/pkg/bundle"
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// readyWithin bounds how long a test waits for something that must happen.
+const readyWithin = time.Minute
+
+// site is a small site of real processes with stand-ins in the test's process.
+type site struct {
+	t         *testing.T
+	folder    string
+	binary    string
+	authority *link.Authority
+	operators string
+	log       *standin.Log
+	logURL    string
+	workers   []*standin.Worker
+	runners   []*standin.Runner
+	processes []*process
+	entryURLs []string
+	peers     []string
+}
+
+// process is one real process and how to start it again.
+type process struct {
+	name     string
+	args     []string
+	readyURL string
+	cmd      *exec.Cmd
+}
+
+func newSite(t *testing.T, entries, agents int) *site {
+	t.Helper()
+	s := &site{t: t, folder: t.TempDir(), log: new(standin.Log)}
+	s.binary = filepath.Join(s.folder, "savoryhoist")
+	if out, err := exec.Command("go", "build", "-o", s.binary, "../..").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	s.logURL = s.host(s.log.Handler())
+	var err error
+	s.authority, err = link.NewAuthority(time.Now(), time.Hour)
+	s.must(err)
+	s.must(os.WriteFile(s.path("authority.pem"), s.authority.PEM(), publicMode))
+	private, public, err := bundle.GenerateKey(rand.Reader)
+	s.must(err)
+	s.operators = "alice=" + public
+	for i := range entries {
+		s.addEntry(i)
+	}
+	for i := range agents {
+		s.addAgent(i)
+	}
+	t.Cleanup(s.stopAll)
+	for _, p := range s.processes {
+		s.start(p)
+	}
+	s.publish(private)
+	for _, p := range s.processes {
+		s.awaitReady(p)
+	}
+	return s
+}
+
+func (s *site) must(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) path(name string) string { return filepath.Join(s.folder, name) }
+
+func (s *site) host(h http.Handler) string {
+	server := httptest.NewServer(h)
+	s.t.Cleanup(server.Close)
+	return server.URL
+}
+
+func (s *site) freeAddress() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s.must(err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func (s *site) common(role link.Role, name string) []string {
+	certificate, key, err := s.authority.Issue(time.Now(), time.Hour, link.NewPeer(role, "dc-1", name))
+	s.must(err)
+	s.must(os.WriteFile(s.path(name+".pem"), certificate, publicMode))
+	s.must(os.WriteFile(s.path(name+"-key.pem"), key, secretMode))
+	return []string{
+		string(role), "--name", name, "--data-centre", "dc-1", "--operators", s.operators, "--drain-after", "700ms",
+		"--certificate", s.path(name + ".pem"), "--key", s.path(name + "-key.pem"), "--authorities", s.path("authority.pem"),
+	}
+}
+
+func (s *site) addEntry(i int) {
+	name := fmt.Sprintf("entry-%d", i+1)
+	door, peer := s.freeAddress(), s.freeAddress()
+	s.entryURLs = append(s.entryURLs, "http://"+door)
+	s.peers = append(s.peers, peer)
+	args := append(s.common(link.RoleEntry, name), "--open", "--log-url", s.logURL, "--listen", door, "--peer-listen", peer)
+	s.processes = append(s.processes, &process{name: name, args: args, readyURL: "http://" + door + "/readyz"})
+}
+
+func (s *site) addAgent(i int) {
+	name := fmt.Sprintf("worker-%d", i+1)
+	w := standin.NewWorker(worker.Resources{MilliCPU: 16000, MemoryMB: 60 << 10, Accelerators: 2}, time.Now)
+	r := standin.NewRunner(8)
+	s.workers = append(s.workers, w)
+	s.runners = append(s.runners, r)
+	admin := s.freeAddress()
+	args := append(s.common(link.RoleAgent, name), "--service", "planner", "--listen", s.freeAddress(), "--admin-listen", admin,
+		"--runner-url", s.host(r.Handler()), "--worker-url", s.host(w.Handler()),
+		"--entries", strings.Join(s.peers, ","), "--heartbeat-every", "200ms")
+	s.processes = append(s.processes, &process{name: name, args: args, readyURL: "http://" + admin + "/readyz"})
+}
+
+func (s *site) start(p *process) {
+	f, err := os.OpenFile(s.path(p.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, publicMode)
+	s.must(err)
+	p.cmd = exec.Command(s.binary, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	s.must(p.cmd.Start())
+	s.must(f.Close())
+}
+
+// stop ends a process as a planned stop and checks that it exits cleanly.
+func (s *site) stop(p *process) {
+	s.must(p.cmd.Process.Signal(syscall.SIGTERM))
+	if err := p.cmd.Wait(); err != nil {
+		s.t.Errorf("%s after SIGTERM: got %v, want a clean exit", p.name, err)
+	}
+	p.cmd = nil
+}
+
+func (s *site) stopAll() {
+	for _, p := range s.processes {
+		if p.cmd != nil && p.cmd.Process != nil {
+			_ = p.cmd.Process.Kill()
+			_ = p.cmd.Wait()
+		}
+		if s.t.Failed() {
+			data, _ := os.ReadFile(s.path(p.name + ".log"))
+			s.t.Logf("%s:\n%s", p.name, tailOf(data))
+		}
+	}
+}
+
+func tailOf(data []byte) []byte {
+	const most = 4000
+	if len(data) > most {
+		return data[len(data)-most:]
+	}
+	return data
+}
+
+func (s *site) awaitReady(p *process) {
+	s.t.Helper()
+	s.eventually(p.name+" ready", func() bool { return isOK(p.readyURL) })
+}
+
+func isOK(url string) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (s *site) eventually(what string, fn func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if fn() {
+			return
+		}
+	}
+	s.t.Fatalf("%s: not within %s", what, readyWithin)
+}
+
+func (s *site) publish(key []byte) {
+	roots, err := bundle.ParseRoots(s.operators, 1)
+	s.must(err)
+	d, err := bundle.ParseTemplate(devDocument, roots)
+	s.must(err)
+	content, err := bundle.Format(d)
+	s.must(err)
+	signed := bundle.NewSigned(content)
+	signed.Sign("alice", key)
+	data, err := signed.Encode()
+	s.must(err)
+	s.eventually("first bundle in force", func() bool {
+		resp, err := http.Post(s.entryURLs[0]+"/bundles", "application/cbor", bytes.NewReader(data))
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// balancer stands for the platform's balancer: it knows which entries are ready.
+func (s *site) balancer(ctx context.Context) func() string {
+	next := make(chan string)
+	go func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			url := s.entryURLs[i%len(s.entryURLs)]
+			if !isOK(url + "/readyz") {
+				continue
+			}
+			select {
+			case next <- url:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return func() string { return <-next }
+}
--- /dev/null
+++ b/internal/entry/door.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/metrics"
+	"savoryhoist.example/savoryhoist/internal/problem"
+	"savoryhoist.example/savoryhoist/pkg/bundle"
+)
+
+// HeaderTeam names the caller's team at a door that needs no token.
+const HeaderTeam = "Savoryhoist-Team"
+
+func (e *Entry) doorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/services/{service}/", e.serveRequest)
+	mux.HandleFunc("POST /jobs", e.serveSubmit)
+	mux.HandleFunc("GET /jobs", e.serveJobs)
+	mux.HandleFunc("GET /jobs/{id}", e.serveJob)
+	mux.HandleFunc("DELETE /jobs/{id}", e.serveCancel)
+	mux.HandleFunc("POST /bundles", e.servePublish)
+	mux.HandleFunc("GET /bundles/current", e.serveBundle)
+	mux.HandleFunc("GET /status", e.serveStatus)
+	mux.Handle("GET /metrics", metrics.Handler(e.registry))
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.Ready(time.Now()) {
+			problem.New(http.StatusServiceUnavailable, "", "no bundle in force, or leaving").Write(w)
+		}
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		problem.New(http.StatusNotFound, "path", "nothing is served at "+r.URL.Path).Write(w)
+	})
+	return mux
+}
+
+// team returns the caller's team, or writes a refusal.
+func (e *Entry) team(w http.ResponseWriter, r *http.Request, d *bundle.Document) (*bundle.Team, bool) {
+	if e.settings.Open {
+		if t, ok := d.Team(r.Header.Get(HeaderTeam)); ok {
+			return t, true
+		}
+		problem.New(http.StatusForbidden, HeaderTeam, "want the name of a team in the bundle").Write(w)
+		return nil, false
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		sum := sha256.Sum256([]byte(token))
+		if t, ok := d.TeamByTokenDigest(hex.EncodeToString(sum[:])); ok {
+			return t, true
+		}
+	}
+	problem.New(http.StatusUnauthorized, "Authorization", "want a bearer token of a team in the bundle").Write(w)
+	return nil, false
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,206 @@
+// Package entry is the callers' door: it routes interactive requests, accepts,
+// schedules and reports jobs, and relays what the log says to the agents.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"savoryhoist.example/savoryhoist/internal/link"
+	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/pkg/bundle"
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// Streams of the log service.
+const (
+	StreamBundles = "bundles"
+	StreamMembers = "members"
+	streamJobs    = "jobs-"
+)
+
+// JobsStream returns the stream of a data centre's jobs.
+func JobsStream(dataCentre string) string { return streamJobs + dataCentre }
+
+// Settings configure an entry.
+type Settings struct {
+	Name       string
+	DataCentre string
+	// Listen is the callers' door, IP and port.
+	Listen string
+	// PeerListen is where agents and entries reach this one, IP and port.
+	PeerListen string
+	LogURL     string
+	Roots      bundle.Operators
+	// DrainAfter is how long the entry goes on answering after it has said that it leaves.
+	DrainAfter time.Duration
+	// Open lets callers in without a token, as the team named in a header.
+	Open bool
+}
+
+// Entry is one running entry.
+type Entry struct {
+	settings Settings
+	id       *link.Identity
+	agents   *link.Client
+	log      *log.Logger
+	logPort  record.Log
+	registry gometrics.Registry
+	door     *http.Server
+	doorLn   net.Listener
+	peers    *link.Server
+	writer   *platform.Writer
+	bundles  *platform.Writer
+	members  *platform.Writer
+	name     string
+	leaving  atomic.Bool
+
+	// Lock order: jobs.mu, routes.mu, bundleMu, memberMu. No lock is held
+	// during a call to another process.
+	jobs     jobs
+	routes   routes
+	bundleMu sync.Mutex
+	chain    *bundle.Chain
+	memberMu sync.Mutex
+	known    map[string]member
+}
+
+// appendEvery is the least time between two appends to one stream.
+const appendEvery = 20 * time.Millisecond
+
+// New returns an entry that is bound to its addresses but does not run yet.
+func New(now time.Time, s Settings, id *link.Identity, logger *log.Logger) (*Entry, error) {
+	port := platform.NewLog(&http.Client{}, s.LogURL)
+	name := incarnationName(s.Name, now)
+	e := &Entry{
+		settings: s,
+		id:       id,
+		agents:   link.NewClient(id, link.RoleAgent, link.RoleEntry),
+		log:      logger,
+		logPort:  port,
+		registry: gometrics.NewRegistry(),
+		writer:   platform.NewWriter(port, JobsStream(s.DataCentre), name, appendEvery),
+		bundles:  platform.NewWriter(port, StreamBundles, name, appendEvery),
+		members:  platform.NewWriter(port, StreamMembers, name, appendEvery),
+		name:     name,
+		chain:    bundle.NewChain(s.Roots),
+		known:    make(map[string]member),
+	}
+	e.jobs.born = now
+	e.routes.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name)))) //nolint:gosec // load balancing only
+	var err error
+	if e.doorLn, err = new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen); err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	e.door = &http.Server{Handler: e.doorHandler(), ReadHeaderTimeout: headerTimeout}
+	if e.peers, err = link.Listen(s.PeerListen, id, e.peerHandler(), link.RoleAgent, link.RoleEntry); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// headerTimeout bounds how long a caller takes to send a request's headers.
+const headerTimeout = 10 * time.Second
+
+// Address returns the callers' door.
+func (e *Entry) Address() string { return e.doorLn.Addr().String() }
+
+// PeerAddress returns where agents and entries reach this one.
+func (e *Entry) PeerAddress() string { return e.peers.Address() }
+
+// flushTime bounds how long a leaving entry tries to append what is queued.
+const flushTime = 3 * time.Second
+
+// Run serves until ctx ends, then drains.
+func (e *Entry) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	live, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	for _, w := range []*platform.Writer{e.writer, e.bundles, e.members} {
+		group.Go(func() { w.Run(live, flushTime) })
+	}
+	for _, t := range e.tails() {
+		group.Go(func() { t.Run(live) })
+	}
+	group.Go(func() { e.serve("peers over TCP", e.peers.ServeTCP) })
+	group.Go(func() { e.serve("peers over QUIC", e.peers.ServeQUIC) })
+	group.Go(func() { e.serve("callers", func() error { return e.door.Serve(e.doorLn) }) })
+	group.Go(func() { e.schedule(live) })
+	group.Go(func() { e.announce(live) })
+	e.log.Info().Str("address", e.Address()).Str("peer-address", e.PeerAddress()).Msg("entry started")
+	<-ctx.Done()
+	e.drain(live)
+	stop()
+	group.Wait()
+	return e.agents.Close()
+}
+
+func (e *Entry) serve(what string, fn func() error) {
+	if err := fn(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		e.log.Error().Err(err).Msg("serving " + what + " failed")
+	}
+}
+
+// drain makes the entry unready, waits until balancer and agents know, and
+// ends after the requests in flight.
+func (e *Entry) drain(ctx context.Context) {
+	e.leaving.Store(true)
+	e.log.Info().Msg("entry is leaving")
+	e.tellMembers(ctx, true)
+	pause(ctx, e.settings.DrainAfter)
+	if err := e.door.Shutdown(ctx); err != nil {
+		e.log.Warn().Err(err).Msg("shutdown of the callers' door")
+	}
+	if err := e.peers.Shutdown(ctx); err != nil {
+		e.log.Warn().Err(err).Msg("shutdown of the peers' door")
+	}
+}
+
+// Times after its start at which an entry counts as ready.
+const (
+	// warmUp lets every agent be heard, so that requests do not crowd on the first.
+	warmUp = 1500 * time.Millisecond
+	// readyAnyway is when an entry is ready even without an endpoint for some service.
+	readyAnyway = 10 * time.Second
+)
+
+// Ready reports whether the entry can serve callers: a bundle is in force, the
+// jobs stream has been read, and the endpoints of every service are known.
+func (e *Entry) Ready(now time.Time) bool {
+	e.jobs.mu.Lock()
+	caughtUp := !e.jobs.began.IsZero()
+	age := now.Sub(e.jobs.born)
+	e.jobs.mu.Unlock()
+	d := e.document()
+	if !caughtUp || d == nil || e.leaving.Load() {
+		return false
+	}
+	return age > readyAnyway || (age > warmUp && e.routes.covers(d))
+}
+
+func (e *Entry) document() *bundle.Document {
+	e.bundleMu.Lock()
+	defer e.bundleMu.Unlock()
+	return e.chain.Document()
+}
+
+// pause waits for d and reports whether ctx is still live.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/member.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// Times of membership.
+const (
+	// announceEvery is how often an entry refreshes its membership record.
+	announceEvery = time.Minute
+	// forgetMemberAfter is how long an entry without a refresh counts as a member.
+	forgetMemberAfter = 3 * announceEvery
+)
+
+// member is what the members stream says about one entry.
+type member struct {
+	record record.Member
+	seen   time.Time
+}
+
+func (e *Entry) announce(ctx context.Context) {
+	for {
+		e.tellMembers(ctx, false)
+		if !pause(ctx, announceEvery) {
+			return
+		}
+	}
+}
+
+func (e *Entry) tellMembers(ctx context.Context, leaving bool) {
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
+	m := &record.Member{
+		Name: e.settings.Name, DataCentre: e.settings.DataCentre, Address: e.PeerAddress(),
+		Incarnation: uint64(e.jobs.born.UnixNano()), Leaving: leaving,
+	}
+	if err := e.members.Append(ctx, m); err != nil {
+		e.log.Warn().Err(err).Msg("membership record not appended yet")
+	}
+}
+
+func (e *Entry) deliverMembers(records []record.Record, _ uint64, began time.Time) {
+	e.memberMu.Lock()
+	defer e.memberMu.Unlock()
+	for _, r := range records {
+		m, ok := r.Message().(*record.Member)
+		if !ok || m.Incarnation < e.known[m.Name].record.Incarnation {
+			continue
+		}
+		e.known[m.Name] = member{record: *m, seen: began}
+	}
+}
+
+// neighbours returns the entries of this data centre, sorted by name.
+func (e *Entry) neighbours(now time.Time) []record.Member {
+	e.memberMu.Lock()
+	defer e.memberMu.Unlock()
+	var out []record.Member
+	for _, m := range e.known {
+		if m.record.DataCentre == e.settings.DataCentre && !m.record.Leaving && now.Sub(m.seen) < forgetMemberAfter {
+			out = append(out, m.record)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
+	return out
+}
+
+// rank returns this entry's place among neighbours for a job by rendezvous
+// hashing: the entry of rank 0 schedules it, the others take over one by one.
+func rank(self, job string, neighbours []record.Member) int {
+	own := weight(self, job)
+	n := 0
+	for _, m := range neighbours {
+		if m.Name != self && weight(m.Name, job) > own {
+			n++
+		}
+	}
+	return n
+}
+
+func weight(name, job string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(name)
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(job)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/link/client.go
@@ -0,0 +1,119 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// ErrCall means that a call between processes failed.
+var ErrCall = errors.New("the call to the peer failed")
+
+// maxMessage bounds a message between processes, in bytes.
+const maxMessage = 16 << 20
+
+// maxIdlePerPeer is the number of idle TCP connections kept to one peer.
+const maxIdlePerPeer = 64
+
+// Client calls peers.
+type Client struct {
+	control  http.RoundTripper
+	requests *http.Transport
+	quic     *http3.Transport
+}
+
+// NewClient returns a client that accepts peers with a certificate of one of roles.
+func NewClient(id *Identity, roles ...Role) *Client {
+	q := &http3.Transport{TLSClientConfig: id.clientTLS(nil, roles), QUICConfig: quicConfig()}
+	t := &http.Transport{
+		TLSClientConfig:     id.clientTLS([]string{"http/1.1"}, roles),
+		DialContext:         (&net.Dialer{Timeout: handshakeTimeout}).DialContext,
+		TLSHandshakeTimeout: handshakeTimeout,
+		MaxIdleConnsPerHost: maxIdlePerPeer,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	return &Client{control: q, requests: t, quic: q}
+}
+
+// Requests returns the transport for callers' requests: pooled TCP.
+func (c *Client) Requests() http.RoundTripper { return c.requests }
+
+// Control returns the transport for messages between processes: QUIC.
+func (c *Client) Control() http.RoundTripper { return c.control }
+
+// Close closes all connections.
+func (c *Client) Close() error {
+	c.requests.CloseIdleConnections()
+	return c.quic.Close()
+}
+
+// Call sends one message to path at the peer's address and reads the reply into out.
+func (c *Client) Call(ctx context.Context, address, path string, in, out any) error {
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := c.control.RoundTrip(req)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "call %s%s", address, path), ErrCall)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	if err != nil {
+		return errors.Mark(err, ErrCall)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Wrapf(ErrCall, "%s%s: status %d: %s", address, path, resp.StatusCode, data)
+	}
+	return errors.Mark(cbor.Unmarshal(data, out), ErrCall)
+}
+
+// Handle returns a handler for messages of type In answered by fn.
+func Handle[In, Out any](fn func(ctx context.Context, peer Peer, in *In) (*Out, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		peer, err := PeerOfRequest(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusForbidden)
+			return
+		}
+		in := new(In)
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
+		if err == nil {
+			err = cbor.Unmarshal(data, in)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out, err := fn(r.Context(), peer, in)
+		if err != nil {
+			http.Error(w, err.Error(), statusOf(err))
+			return
+		}
+		reply, err := cbor.Marshal(out)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(reply)
+	})
+}
+
+func statusOf(err error) int {
+	if errors.Is(err, ErrPeer) {
+		return http.StatusForbidden
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/link/messages.go
@@ -0,0 +1,120 @@
+package link
+
+import (
+	"savoryhoist.example/savoryhoist/pkg/record"
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// Paths of the calls between processes.
+const (
+	// PathHeartbeat takes a Heartbeat and returns a Reading; at an entry.
+	PathHeartbeat = "/peer/heartbeat"
+	// PathBundle takes a BundleQuery and returns a BundleReply; at an entry.
+	PathBundle = "/peer/bundle"
+	// PathFate takes a FateQuery and returns a FateReply; at an agent.
+	PathFate = "/peer/fate"
+	// PathRequests is the prefix of callers' requests; at an agent.
+	PathRequests = "/requests/"
+)
+
+// Headers of callers' requests between entry and agent, and of the answers.
+const (
+	HeaderRequest  = "Savoryhoist-Request-Id"
+	HeaderAttempt  = "Savoryhoist-Attempt"
+	HeaderClass    = "Savoryhoist-Class"
+	HeaderDeadline = "Savoryhoist-Deadline"
+	HeaderRepeat   = "Savoryhoist-Repeat"
+	HeaderOutcome  = "Savoryhoist-Outcome"
+)
+
+// Heartbeat is what an agent says about its endpoint and worker.
+type Heartbeat struct {
+	Worker      string           `cbor:"1,keyasint"`
+	Rack        string           `cbor:"2,keyasint,omitempty"`
+	Service     string           `cbor:"3,keyasint,omitempty"`
+	Address     string           `cbor:"4,keyasint"`
+	Incarnation uint64           `cbor:"5,keyasint"`
+	Slots       int              `cbor:"6,keyasint,omitempty"`
+	InFlight    int              `cbor:"7,keyasint,omitempty"`
+	Leaving     bool             `cbor:"8,keyasint,omitempty"`
+	Ready       bool             `cbor:"9,keyasint,omitempty"`
+	Total       worker.Resources `cbor:"10,keyasint"`
+	Free        worker.Resources `cbor:"11,keyasint"`
+	Tasks       []TaskReport     `cbor:"12,keyasint,omitempty"`
+	// Primary asks this entry to record the reports in the log.
+	Primary bool   `cbor:"13,keyasint,omitempty"`
+	Bundle  string `cbor:"14,keyasint,omitempty"`
+}
+
+// TaskState is what an agent reports about a task.
+type TaskState uint8
+
+// The states reported.
+const (
+	TaskRuns TaskState = iota + 1
+	TaskSucceeded
+	TaskFailed
+	// TaskStopped tasks no longer run and can be started elsewhere.
+	TaskStopped
+)
+
+// TaskReport is an agent's word on one task.
+type TaskReport struct {
+	_      struct{} `cbor:",toarray"`
+	Hold   record.Hold
+	State  TaskState
+	Ref    string
+	Detail string
+}
+
+// Order tells an agent to start a task.
+type Order struct {
+	Hold       record.Hold `cbor:"1,keyasint"`
+	Spec       record.Spec `cbor:"2,keyasint"`
+	Checkpoint string      `cbor:"3,keyasint,omitempty"`
+	// Started orders were reported as started before.
+	Started bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Stop tells an agent to end a task.
+type Stop struct {
+	_    struct{} `cbor:",toarray"`
+	Hold record.Hold
+	// Settled stops need no report: the log knows the task's end already.
+	Settled bool
+}
+
+// Reading is what the log said about an agent's worker when a read began that
+// is AgeMS old. A reported task that is named in neither list stays as it is.
+type Reading struct {
+	AgeMS int64 `cbor:"1,keyasint"`
+	// Next is the position before which the log has been read.
+	Next   record.Position `cbor:"2,keyasint"`
+	Start  []Order         `cbor:"3,keyasint,omitempty"`
+	Stop   []Stop          `cbor:"4,keyasint,omitempty"`
+	Bundle string          `cbor:"5,keyasint,omitempty"`
+	// Entries are the addresses of the data centre's entries.
+	Entries []string `cbor:"6,keyasint,omitempty"`
+	// Leaving entries should not be asked again.
+	Leaving bool `cbor:"7,keyasint,omitempty"`
+}
+
+// BundleQuery asks for the bundle in force.
+type BundleQuery struct{}
+
+// BundleReply carries the signed bundle in force; empty if there is none.
+type BundleReply struct {
+	Signed []byte `cbor:"1,keyasint,omitempty"`
+}
+
+// FateQuery asks what became of an attempt.
+type FateQuery struct {
+	Request     string `cbor:"1,keyasint"`
+	Attempt     uint32 `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"`
+}
+
+// FateReply says what became of an attempt.
+type FateReply struct {
+	Fate string `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,86 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// Timeouts of connections between processes.
+const (
+	idleTimeout      = 15 * time.Second
+	keepAlivePeriod  = 5 * time.Second
+	handshakeTimeout = 2 * time.Second
+)
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlivePeriod,
+		HandshakeIdleTimeout: handshakeTimeout,
+	}
+}
+
+// Server serves one handler over QUIC and over TCP at the same port.
+type Server struct {
+	tcp  *http.Server
+	quic *http3.Server
+	udp  net.PacketConn
+	ln   net.Listener
+}
+
+// Listen binds address, an IP and port, for both transports. Peers must show
+// a certificate of one of roles.
+func Listen(address string, id *Identity, handler http.Handler, roles ...Role) (*Server, error) {
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	udp, err := new(net.ListenConfig).ListenPacket(context.Background(), "udp", ln.Addr().String())
+	if err != nil {
+		_ = ln.Close()
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	return &Server{
+		ln: tls.NewListener(ln, id.serverTLS([]string{"http/1.1"}, roles)), udp: udp,
+		tcp:  &http.Server{Handler: handler, ReadHeaderTimeout: idleTimeout, IdleTimeout: time.Minute},
+		quic: &http3.Server{Handler: handler, QUICConfig: quicConfig(), TLSConfig: http3.ConfigureTLSConfig(id.serverTLS(nil, roles))},
+	}, nil
+}
+
+// Address returns the IP and port that the server is bound to.
+func (s *Server) Address() string { return s.ln.Addr().String() }
+
+// ServeTCP serves until Shutdown.
+func (s *Server) ServeTCP() error { return ignoreClosed(s.tcp.Serve(s.ln)) }
+
+// ServeQUIC serves until Shutdown.
+func (s *Server) ServeQUIC() error { return ignoreClosed(s.quic.Serve(s.udp)) }
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, quic.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown ends both transports after the requests in flight, or when ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.tcp.Shutdown(ctx)
+	err = errors.CombineErrors(err, s.quic.Shutdown(ctx))
+	return errors.CombineErrors(err, s.udp.Close())
+}
+
+// PeerOfRequest returns who sent r.
+func PeerOfRequest(r *http.Request) (Peer, error) {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return Peer{}, errors.Wrap(ErrPeer, "no certificate")
+	}
+	return PeerOf(r.TLS.PeerCertificates[0])
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,59 @@
+// Package metrics serves a go-metrics registry in the text format that common
+// collectors read.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// prefix starts the name of every metric.
+const prefix = "savoryhoist_"
+
+// quantiles are the parts of a distribution that are served.
+var quantiles = []float64{0.5, 0.99, 0.999}
+
+// Handler serves the metrics of registry.
+func Handler(registry gometrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		Write(w, registry)
+	})
+}
+
+// Write writes the metrics of registry in order of their names.
+func Write(w io.Writer, registry gometrics.Registry) {
+	all := make(map[string]any)
+	names := []string{}
+	registry.Each(func(name string, m any) {
+		all[name] = m
+		names = append(names, name)
+	})
+	sort.Strings(names)
+	for _, name := range names {
+		writeOne(w, prefix+strings.ReplaceAll(name, "-", "_"), all[name])
+	}
+}
+
+func writeOne(w io.Writer, name string, metric any) {
+	switch m := metric.(type) {
+	case gometrics.Counter:
+		_, _ = fmt.Fprintf(w, "# TYPE %s counter\n%s %d\n", name, name, m.Count())
+	case gometrics.Gauge:
+		_, _ = fmt.Fprintf(w, "# TYPE %s gauge\n%s %d\n", name, name, m.Value())
+	case gometrics.GaugeFloat64:
+		_, _ = fmt.Fprintf(w, "# TYPE %s gauge\n%s %g\n", name, name, m.Value())
+	case gometrics.Timer:
+		s := m.Snapshot()
+		_, _ = fmt.Fprintf(w, "# TYPE %s_seconds summary\n", name)
+		for i, v := range s.Percentiles(quantiles) {
+			_, _ = fmt.Fprintf(w, "%s_seconds{quantile=\"%g\"} %g\n", name, quantiles[i], v/1e9)
+		}
+		_, _ = fmt.Fprintf(w, "%s_seconds_count %d\n%s_seconds_sum %g\n", name, s.Count(), name, float64(s.Sum())/1e9)
+	}
+}
--- /dev/null
+++ b/internal/platform/log.go
@@ -0,0 +1,109 @@
+// Package platform speaks to the services that the platform provides: the
+// append-only log and the workers.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// LogPage is the JSON form of a read's result.
+type LogPage struct {
+	First   uint64     `json:"first"`
+	Next    uint64     `json:"next"`
+	Batches []LogBatch `json:"batches"`
+}
+
+// LogBatch is the JSON form of one batch.
+type LogBatch struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// LogOffset is the JSON form of an append's result.
+type LogOffset struct {
+	Offset uint64 `json:"offset"`
+}
+
+// RecordsPath returns the path of a stream's records at the log service.
+func RecordsPath(stream string) string { return "/streams/" + url.PathEscape(stream) + "/records" }
+
+// NewLog returns the log port for the service at base.
+func NewLog(client *http.Client, base string) record.Log {
+	l := logClient{client: client, base: base}
+	return record.Log{Append: l.append, Read: l.read}
+}
+
+type logClient struct {
+	client *http.Client
+	base   string
+}
+
+func (l *logClient) append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.base+RecordsPath(stream), bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "append to the log"), record.ErrUnknown)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	defer drain(resp.Body)
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return 0, errors.Wrapf(record.ErrUnavailable, "append to %s", stream)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, errors.Wrapf(record.ErrUnknown, "append to %s: status %d", stream, resp.StatusCode)
+	}
+	var out LogOffset
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "read the append's reply"), record.ErrUnknown)
+	}
+	return out.Offset, nil
+}
+
+func (l *logClient) read(ctx context.Context, stream string, from uint64, wait time.Duration) (record.Page, error) {
+	q := url.Values{"from": {strconv.FormatUint(from, 10)}, "wait": {wait.String()}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.base+RecordsPath(stream)+"?"+q.Encode(), nil)
+	if err != nil {
+		return record.Page{}, err
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return record.Page{}, errors.Mark(errors.Wrap(err, "read the log"), record.ErrUnavailable)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	defer drain(resp.Body)
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
+		return record.Page{}, errors.Wrapf(record.ErrUnavailable, "read %s: status %d", stream, resp.StatusCode)
+	}
+	var in LogPage
+	if err := json.NewDecoder(resp.Body).Decode(&in); err != nil {
+		return record.Page{}, errors.Mark(errors.Wrap(err, "read the log"), record.ErrUnavailable)
+	}
+	page := record.Page{First: in.First, Next: in.Next}
+	if resp.StatusCode == http.StatusGone {
+		return page, errors.Wrapf(record.ErrExpired, "stream %s offset %d, first kept %d", stream, from, in.First)
+	}
+	for _, b := range in.Batches {
+		page.Batches = append(page.Batches, record.RawBatch{Offset: b.Offset, Data: b.Data})
+	}
+	return page, nil
+}
+
+// maxDrain bounds what is read from a reply that nobody wants, in bytes.
+const maxDrain = 64 << 10
+
+// drain reads a short rest, so that the connection can be used again.
+func drain(body io.Reader) { _, _ = io.CopyN(io.Discard, body, maxDrain) }
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,283 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// TaskPayload tells the stand-in worker how a task behaves. It is the JSON
+// form of a job's payload.
+type TaskPayload struct {
+	RunMS int64 `json:"run-ms"`
+	Fail  bool  `json:"fail"`
+}
+
+// defaultRun is how long a task without a payload runs.
+const defaultRun = 100 * time.Millisecond
+
+// Run is one stretch of a task's execution, for checks after a test.
+type Run struct {
+	Key   string
+	Epoch uint64
+	Ended platform.TaskState
+}
+
+// Worker is an in-memory worker that runs tasks under leases. Progress is
+// computed from the clock when the worker is asked.
+type Worker struct {
+	total worker.Resources
+	now   func() time.Time
+
+	mu       sync.Mutex
+	born     time.Time
+	restarts int
+	tasks    map[string]*task
+	runs     []Run
+	overfull bool
+	failAll  bool
+}
+
+type task struct {
+	order   platform.StartOrder
+	state   platform.TaskState
+	need    time.Duration
+	done    time.Duration
+	saved   time.Duration
+	seen    time.Time
+	percent int64
+	fail    bool
+}
+
+// NewWorker returns a worker of size total; now is its clock.
+func NewWorker(total worker.Resources, now func() time.Time) *Worker {
+	return &Worker{total: total, now: now, born: now(), tasks: make(map[string]*task)}
+}
+
+// LoseVM drops every task, as when the VM is replaced.
+func (w *Worker) LoseVM() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.restarts++
+	w.born = w.now()
+	w.tasks = make(map[string]*task)
+}
+
+// FailAll makes every task that starts from now on fail at once.
+func (w *Worker) FailAll(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failAll = on
+}
+
+// Runs returns every start so far.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Run(nil), w.runs...)
+}
+
+// Overfull reports whether running tasks ever exceeded the worker's size.
+func (w *Worker) Overfull() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.overfull
+}
+
+// Handler serves the worker over HTTP.
+func (w *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /tasks", w.serveList)
+	mux.HandleFunc("POST /tasks", w.serveStart)
+	mux.HandleFunc("POST /renew", w.serveRenew)
+	mux.HandleFunc("POST /tasks/{key}/checkpoint", w.serveCheckpoint)
+	mux.HandleFunc("POST /tasks/{key}/throttle", w.serveThrottle)
+	mux.HandleFunc("POST /tasks/{key}/stop", w.serveStop)
+	mux.HandleFunc("DELETE /tasks/{key}", w.serveRemove)
+	mux.HandleFunc("GET /usage", w.serveUsage)
+	mux.HandleFunc("GET /runs", func(rw http.ResponseWriter, _ *http.Request) { writeJSON(rw, http.StatusOK, w.Runs()) })
+	return mux
+}
+
+func (w *Worker) serveList(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress()
+	out := platform.Listing{
+		Incarnation: fmt.Sprintf("%d", w.restarts),
+		UptimeMS:    w.uptime().Milliseconds(),
+		Total:       w.total,
+	}
+	for _, t := range w.tasks {
+		out.Tasks = append(out.Tasks, t.view())
+	}
+	writeJSON(rw, http.StatusOK, out)
+}
+
+func (t *task) view() platform.WorkerTask {
+	v := t.order.WorkerTask
+	v.State = t.state
+	return v
+}
+
+func (w *Worker) serveStart(rw http.ResponseWriter, r *http.Request) {
+	var order platform.StartOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress()
+	key := platform.TaskKey(order.Hold())
+	if _, ok := w.tasks[key]; ok {
+		return
+	}
+	w.tasks[key] = w.newTask(order)
+	w.runs = append(w.runs, Run{Key: key, Epoch: order.Epoch})
+	w.checkSize()
+}
+
+func (w *Worker) newTask(order platform.StartOrder) *task {
+	p := TaskPayload{RunMS: defaultRun.Milliseconds()}
+	if len(order.Payload) > 0 {
+		_ = json.Unmarshal(order.Payload, &p)
+	}
+	t := &task{
+		order: order, state: platform.TaskRunning, seen: w.now(), percent: 100,
+		need: time.Duration(p.RunMS) * time.Millisecond, fail: p.Fail || w.failAll,
+	}
+	var ms int64
+	if _, err := fmt.Sscanf(order.Ref, "done-ms=%d", &ms); err == nil {
+		t.done = time.Duration(ms) * time.Millisecond
+	}
+	if w.failAll {
+		t.need = 0
+	}
+	return t
+}
+
+func (w *Worker) checkSize() {
+	var sum worker.Resources
+	for _, t := range w.tasks {
+		if !t.state.Ended() {
+			sum = sum.Plus(t.order.Size)
+		}
+	}
+	if !sum.Fits(w.total) {
+		w.overfull = true
+	}
+}
+
+func (w *Worker) uptime() time.Duration { return w.now().Sub(w.born) }
+
+// progress brings every task up to the present, leases included.
+func (w *Worker) progress() {
+	now := w.now()
+	for _, t := range w.tasks {
+		if t.state.Ended() {
+			continue
+		}
+		until := w.born.Add(time.Duration(t.order.UntilMS) * time.Millisecond)
+		end := now
+		t.state = platform.TaskRunning
+		if until.Before(now) {
+			end = until
+			t.state = platform.TaskHeld
+		}
+		if end.After(t.seen) {
+			t.done += end.Sub(t.seen) * time.Duration(t.percent) / 100
+		}
+		t.seen = now
+		if t.done >= t.need {
+			t.state = platform.TaskSucceeded
+			if t.fail {
+				t.state = platform.TaskFailed
+				t.order.Detail = "the task failed"
+			}
+		}
+	}
+}
+
+func (w *Worker) serveRenew(rw http.ResponseWriter, r *http.Request) {
+	var renewals []platform.Renewal
+	if err := json.NewDecoder(r.Body).Decode(&renewals); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress()
+	for _, n := range renewals {
+		if t, ok := w.tasks[n.Key]; ok && n.UntilMS > t.order.UntilMS {
+			t.order.UntilMS = n.UntilMS
+		}
+	}
+}
+
+func (w *Worker) withTask(rw http.ResponseWriter, r *http.Request, fn func(key string, t *task)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress()
+	key := r.PathValue("key")
+	t, ok := w.tasks[key]
+	if !ok {
+		http.Error(rw, "no such task", http.StatusNotFound)
+		return
+	}
+	fn(key, t)
+}
+
+func (w *Worker) serveCheckpoint(rw http.ResponseWriter, r *http.Request) {
+	w.withTask(rw, r, func(_ string, t *task) {
+		t.saved = t.done
+		t.order.Ref = fmt.Sprintf("done-ms=%d", t.saved.Milliseconds())
+		writeJSON(rw, http.StatusOK, t.view())
+	})
+}
+
+func (w *Worker) serveThrottle(rw http.ResponseWriter, r *http.Request) {
+	var percent int64
+	if err := json.NewDecoder(r.Body).Decode(&percent); err != nil || percent < 0 || percent > 100 {
+		http.Error(rw, "want a percentage", http.StatusBadRequest)
+		return
+	}
+	w.withTask(rw, r, func(_ string, t *task) { t.percent = percent })
+}
+
+func (w *Worker) serveStop(rw http.ResponseWriter, r *http.Request) {
+	w.withTask(rw, r, func(_ string, t *task) {
+		if !t.state.Ended() {
+			t.state = platform.TaskStopped
+		}
+	})
+}
+
+func (w *Worker) serveRemove(rw http.ResponseWriter, r *http.Request) {
+	w.withTask(rw, r, func(key string, t *task) {
+		if !t.state.Ended() {
+			http.Error(rw, "the task has not ended", http.StatusConflict)
+			return
+		}
+		delete(w.tasks, key)
+	})
+}
+
+func (w *Worker) serveUsage(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress()
+	out := platform.Usage{Tasks: make(map[string]worker.Resources)}
+	for k, t := range w.tasks {
+		if t.state == platform.TaskRunning {
+			out.Tasks[k] = t.order.Size
+			out.Used = out.Used.Plus(t.order.Size)
+		}
+	}
+	writeJSON(rw, http.StatusOK, out)
+}
--- /dev/null
+++ b/pkg/bundle/bundle.go
@@ -0,0 +1,151 @@
+// Package bundle defines the configuration bundle: its format, checks,
+// signatures, and the rule by which one bundle follows another.
+package bundle
+
+import (
+	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// Document is the content of a bundle.
+type Document struct {
+	// Version counts up from bundle to bundle.
+	Version uint64 `yaml:"version" json:"version"`
+	// Parent is the digest of the bundle that this one follows; empty for the first.
+	Parent       string       `yaml:"parent,omitempty" json:"parent,omitempty"`
+	Operators    Operators    `yaml:"operators"        json:"operators"`
+	Services     []Service    `yaml:"services"         json:"services"`
+	BatchClasses []BatchClass `yaml:"batch-classes"    json:"batch-classes"`
+	Teams        []Team       `yaml:"teams"            json:"teams"`
+}
+
+// Operators says who may sign the next bundle.
+type Operators struct {
+	// Threshold is the number of distinct operators that must sign.
+	Threshold int   `yaml:"threshold" json:"threshold"`
+	Keys      []Key `yaml:"keys"      json:"keys"`
+}
+
+// Key is an operator's ed25519 public key.
+type Key struct {
+	Name string `yaml:"name" json:"name"`
+	// Public is the key in standard base64.
+	Public string `yaml:"public-key" json:"public-key"`
+}
+
+// Service is a latency-critical service.
+type Service struct {
+	Name    string         `yaml:"name"    json:"name"`
+	Classes []RequestClass `yaml:"classes" json:"classes"`
+	// Slots is the number of requests that an endpoint works on at once.
+	Slots int `yaml:"slots" json:"slots"`
+	// Connections is the most connections that an endpoint accepts.
+	Connections int `yaml:"connections" json:"connections"`
+	// BodyLimit is the largest request body in bytes.
+	BodyLimit int64 `yaml:"body-limit" json:"body-limit"`
+	// Objective is the tail latency that the service should meet at the 99th percentile.
+	Objective Duration `yaml:"objective" json:"objective"`
+}
+
+// RequestClass is a class of requests of one service.
+type RequestClass struct {
+	Name string `yaml:"name" json:"name"`
+	// Priority is from 0 to 9; the lowest is shed first.
+	Priority int `yaml:"priority" json:"priority"`
+	// Deadline is used for requests that name none.
+	Deadline Duration `yaml:"deadline" json:"deadline"`
+	// Expected is the declared service time.
+	Expected Duration `yaml:"expected" json:"expected"`
+}
+
+// BatchClass is a class of jobs.
+type BatchClass struct {
+	Name     string `yaml:"name"     json:"name"`
+	Priority int    `yaml:"priority" json:"priority"`
+	// TakeoverAfter is how long a lost worker's task is left alone before it is started elsewhere.
+	TakeoverAfter Duration `yaml:"takeover-after" json:"takeover-after"`
+	// MaxAttempts is the number of failed runs after which a task is parked.
+	MaxAttempts int `yaml:"max-attempts" json:"max-attempts"`
+	// Urgent jobs go before all others.
+	Urgent bool `yaml:"urgent,omitempty" json:"urgent,omitempty"`
+}
+
+// Team is a caller with a share of the workers.
+type Team struct {
+	Name  string           `yaml:"name"  json:"name"`
+	Quota worker.Resources `yaml:"quota" json:"quota"`
+	// TokenDigests are SHA-256 digests of the team's bearer tokens, in hex.
+	TokenDigests []string `yaml:"token-digests,omitempty" json:"token-digests,omitempty"`
+}
+
+// Duration is a time.Duration written as "250ms" or "2m".
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText writes d in the form of time.Duration.String.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads the form of time.ParseDuration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Service returns the service called name.
+func (d *Document) Service(name string) (*Service, bool) {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i], true
+		}
+	}
+	return nil, false
+}
+
+// BatchClass returns the batch class called name.
+func (d *Document) BatchClass(name string) (*BatchClass, bool) {
+	for i := range d.BatchClasses {
+		if d.BatchClasses[i].Name == name {
+			return &d.BatchClasses[i], true
+		}
+	}
+	return nil, false
+}
+
+// Team returns the team called name.
+func (d *Document) Team(name string) (*Team, bool) {
+	for i := range d.Teams {
+		if d.Teams[i].Name == name {
+			return &d.Teams[i], true
+		}
+	}
+	return nil, false
+}
+
+// TeamByTokenDigest returns the team that a token's digest belongs to.
+func (d *Document) TeamByTokenDigest(digest string) (*Team, bool) {
+	for i := range d.Teams {
+		for _, t := range d.Teams[i].TokenDigests {
+			if t == digest {
+				return &d.Teams[i], true
+			}
+		}
+	}
+	return nil, false
+}
+
+// Class returns the request class called name; an empty name is the first class.
+func (s *Service) Class(name string) (*RequestClass, bool) {
+	for i := range s.Classes {
+		if name == "" || s.Classes[i].Name == name {
+			return &s.Classes[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/pkg/job/fold.go
@@ -0,0 +1,323 @@
+package job
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// ErrVoid means that a record takes no effect.
+var ErrVoid = errors.New("the record takes no effect")
+
+// Fold is the state of all jobs of one stream. The zero value is the state
+// before the first record.
+type Fold struct {
+	jobs     map[string]*Job
+	byWorker map[string]map[record.TaskID]record.Position
+	next     uint64
+}
+
+// Next returns the log offset after the last batch that was folded.
+func (f *Fold) Next() uint64 { return f.next }
+
+// Advance notes that every batch before offset next has been folded.
+func (f *Fold) Advance(next uint64) {
+	if next > f.next {
+		f.next = next
+	}
+}
+
+// Job returns the job called id.
+func (f *Fold) Job(id string) (*Job, bool) {
+	j, ok := f.jobs[id]
+	return j, ok
+}
+
+// Len returns the number of jobs known.
+func (f *Fold) Len() int { return len(f.jobs) }
+
+// Each calls fn for every job, in no particular order, until it returns false.
+func (f *Fold) Each(fn func(*Job) bool) {
+	for _, j := range f.jobs {
+		if !fn(j) {
+			return
+		}
+	}
+}
+
+// Held calls fn for every task that worker may run.
+func (f *Fold) Held(worker string, fn func(hold record.Hold, j *Job, t *Task)) {
+	for id, epoch := range f.byWorker[worker] {
+		j := f.jobs[id.Job]
+		fn(record.Hold{Task: id, Epoch: epoch}, j, &j.tasks[id.Index])
+	}
+}
+
+// Apply folds one record. It returns an error marked ErrVoid if the record
+// takes no effect; the state is then unchanged.
+func (f *Fold) Apply(r record.Record) error {
+	f.Advance(r.Position().Offset())
+	switch m := r.Message().(type) {
+	case *record.Submit:
+		return f.submit(r.Position(), m)
+	case *record.Assign:
+		return f.assign(r.Position(), m)
+	case *record.Started:
+		return f.started(m)
+	case *record.Checkpointed:
+		return f.checkpointed(m)
+	case *record.Finished:
+		return f.finished(m)
+	case *record.Revoke:
+		return f.revoke(r.Position(), m)
+	case *record.Released:
+		return f.released(m)
+	case *record.Cancel:
+		return f.cancel(r.Position(), m)
+	case *record.Move:
+		return f.move(m)
+	case *record.Forget:
+		return f.forget(m)
+	}
+	return nil
+}
+
+func (f *Fold) submit(at record.Position, m *record.Submit) error {
+	if _, ok := f.jobs[m.Spec.ID]; ok {
+		return errors.Wrap(ErrVoid, "the job is known")
+	}
+	if m.Spec.ID == "" || m.Spec.Tasks == 0 {
+		return errors.Wrap(ErrVoid, "the job has no id or no tasks")
+	}
+	j := &Job{spec: m.Spec, submitted: at, tasks: make([]Task, m.Spec.Tasks), open: int(m.Spec.Tasks)}
+	for i, ref := range m.Checkpoints {
+		if int(i) < len(j.tasks) {
+			j.tasks[i].checkpoint = ref
+		}
+	}
+	if f.jobs == nil {
+		f.jobs = make(map[string]*Job)
+		f.byWorker = make(map[string]map[record.TaskID]record.Position)
+	}
+	f.jobs[m.Spec.ID] = j
+	return nil
+}
+
+func (f *Fold) assign(at record.Position, m *record.Assign) error {
+	for i, p := range m.Placements {
+		if err := f.assignable(&p, m.Placements[:i]); err != nil {
+			return err
+		}
+	}
+	for _, p := range m.Placements {
+		t := f.task(p.Task)
+		t.phase = Assigned
+		t.attempt++
+		t.epoch = at
+		t.revoked = 0
+		t.worker = p.Worker
+		f.hold(p.Task, t)
+	}
+	return nil
+}
+
+func (f *Fold) assignable(p *record.Placement, earlier []record.Placement) error {
+	t := f.task(p.Task)
+	if t == nil || t.attempt != p.Attempt {
+		return errors.Wrapf(ErrVoid, "%s: not at attempt %d", p.Task, p.Attempt)
+	}
+	if t.phase != Pending {
+		return errors.Wrapf(ErrVoid, "%s: is %s", p.Task, t.phase)
+	}
+	for _, e := range earlier {
+		if e.Task == p.Task {
+			return errors.Wrapf(ErrVoid, "%s: named twice", p.Task)
+		}
+	}
+	return nil
+}
+
+func (f *Fold) started(m *record.Started) error {
+	applied := false
+	for _, h := range m.Holds {
+		t := f.held(h)
+		if t == nil || t.phase != Assigned {
+			continue
+		}
+		t.phase = Running
+		applied = true
+	}
+	return voidUnless(applied, "no task was waiting to start")
+}
+
+func (f *Fold) checkpointed(m *record.Checkpointed) error {
+	t := f.held(m.Hold)
+	if t == nil {
+		return errors.Wrapf(ErrVoid, "%s: stale epoch", m.Hold.Task)
+	}
+	t.checkpoint = m.Ref
+	return nil
+}
+
+func (f *Fold) finished(m *record.Finished) error {
+	t := f.held(m.Hold)
+	if t == nil {
+		return errors.Wrapf(ErrVoid, "%s: stale epoch", m.Hold.Task)
+	}
+	j := f.jobs[m.Hold.Task.Job]
+	f.drop(m.Hold.Task, t)
+	t.detail = m.Detail
+	if m.Outcome == record.OutcomeSucceeded {
+		f.end(j, t, Succeeded)
+		return nil
+	}
+	t.failures++
+	switch {
+	case j.cancelled:
+		f.end(j, t, Cancelled)
+	case t.failures >= j.spec.MaxFailures:
+		f.end(j, t, Failed)
+	default:
+		t.phase = Pending
+	}
+	return nil
+}
+
+func (f *Fold) revoke(at record.Position, m *record.Revoke) error {
+	applied := false
+	for _, h := range m.Holds {
+		t := f.held(h)
+		if t == nil || t.phase == Revoked {
+			continue
+		}
+		t.phase = Revoked
+		t.revoked = at
+		t.detail = m.Reason
+		applied = true
+	}
+	return voidUnless(applied, "no task was held")
+}
+
+func (f *Fold) released(m *record.Released) error {
+	t := f.held(m.Hold)
+	if t == nil {
+		return errors.Wrapf(ErrVoid, "%s: stale epoch", m.Hold.Task)
+	}
+	if m.Revoked != 0 && m.Revoked != t.revoked {
+		return errors.Wrapf(ErrVoid, "%s: not revoked at %d", m.Hold.Task, m.Revoked)
+	}
+	j := f.jobs[m.Hold.Task.Job]
+	f.drop(m.Hold.Task, t)
+	if m.Ref != "" {
+		t.checkpoint = m.Ref
+	}
+	t.detail = m.Reason
+	if j.cancelled {
+		f.end(j, t, Cancelled)
+		return nil
+	}
+	t.phase = Pending
+	return nil
+}
+
+func (f *Fold) cancel(at record.Position, m *record.Cancel) error {
+	applied := false
+	for _, id := range m.Jobs {
+		j, ok := f.jobs[id]
+		if !ok || j.cancelled || j.Ended() {
+			continue
+		}
+		j.cancelled = true
+		applied = true
+		for i := range j.tasks {
+			f.cancelTask(at, j, &j.tasks[i])
+		}
+	}
+	return voidUnless(applied, "no job was open")
+}
+
+func (f *Fold) cancelTask(at record.Position, j *Job, t *Task) {
+	switch t.phase {
+	case Pending:
+		f.end(j, t, Cancelled)
+	case Assigned, Running:
+		t.phase = Revoked
+		t.revoked = at
+	}
+}
+
+func (f *Fold) move(m *record.Move) error {
+	j, ok := f.jobs[m.Job]
+	if !ok || j.cancelled || j.Ended() {
+		return errors.Wrapf(ErrVoid, "%s: is not open", m.Job)
+	}
+	for i := range j.tasks {
+		if j.tasks[i].phase.Held() {
+			return errors.Wrapf(ErrVoid, "%s: a task is held by a worker", m.Job)
+		}
+	}
+	for i := range j.tasks {
+		if !j.tasks[i].phase.Ended() {
+			j.tasks[i].detail = m.To
+			f.end(j, &j.tasks[i], Moved)
+		}
+	}
+	return nil
+}
+
+func (f *Fold) forget(m *record.Forget) error {
+	applied := false
+	for _, id := range m.Jobs {
+		if j, ok := f.jobs[id]; ok && j.Ended() {
+			delete(f.jobs, id)
+			applied = true
+		}
+	}
+	return voidUnless(applied, "no job had ended")
+}
+
+func (f *Fold) task(id record.TaskID) *Task {
+	j, ok := f.jobs[id.Job]
+	if !ok || int(id.Index) >= len(j.tasks) {
+		return nil
+	}
+	return &j.tasks[id.Index]
+}
+
+// held returns the task if h is its current hold.
+func (f *Fold) held(h record.Hold) *Task {
+	t := f.task(h.Task)
+	if t == nil || !t.phase.Held() || t.epoch != h.Epoch {
+		return nil
+	}
+	return t
+}
+
+func (f *Fold) hold(id record.TaskID, t *Task) {
+	m := f.byWorker[t.worker]
+	if m == nil {
+		m = make(map[record.TaskID]record.Position)
+		f.byWorker[t.worker] = m
+	}
+	m[id] = t.epoch
+}
+
+func (f *Fold) drop(id record.TaskID, t *Task) {
+	m := f.byWorker[t.worker]
+	delete(m, id)
+	if len(m) == 0 {
+		delete(f.byWorker, t.worker)
+	}
+}
+
+func (f *Fold) end(j *Job, t *Task, p Phase) {
+	t.phase = p
+	j.open--
+}
+
+func voidUnless(applied bool, reason string) error {
+	if applied {
+		return nil
+	}
+	return errors.Wrap(ErrVoid, reason)
+}
