--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -30,6 +30,7 @@
 		statusCommand(),
 		certificateCommand(),
 		devCommand(),
+		benchCommand(),
 		versionCommand(),
 	}
 }
--- a/pkg/job/fold.go
+++ b/pkg/job/fold.go
@@ -15,6 +15,9 @@
 	jobs     map[string]*Job
 	byWorker map[string]map[record.TaskID]record.Position
 	next     uint64
+	// Changed, if set, is called after a task's phase has changed, was set at
+	// the submission, or ended with the job being forgotten (t is then nil).
+	Changed func(id record.TaskID, j *Job, t *Task)
 }
 
 // Next returns the log offset after the last batch that was folded.
@@ -100,6 +103,9 @@
 		f.byWorker = make(map[string]map[record.TaskID]record.Position)
 	}
 	f.jobs[m.Spec.ID] = j
+	for i := range j.tasks {
+		f.changed(record.TaskID{Job: m.Spec.ID, Index: uint32(i)}, j, &j.tasks[i])
+	}
 	return nil
 }
 
@@ -117,6 +123,7 @@
 		t.revoked = 0
 		t.worker = p.Worker
 		f.hold(p.Task, t)
+		f.changed(p.Task, f.jobs[p.Task.Job], t)
 	}
 	return nil
 }
@@ -146,6 +153,7 @@
 		}
 		t.phase = Running
 		applied = true
+		f.changed(h.Task, f.jobs[h.Task.Job], t)
 	}
 	return voidUnless(applied, "no task was waiting to start")
 }
@@ -167,6 +175,7 @@
 	j := f.jobs[m.Hold.Task.Job]
 	f.drop(m.Hold.Task, t)
 	t.detail = m.Detail
+	defer f.changed(m.Hold.Task, j, t)
 	if m.Outcome == record.OutcomeSucceeded {
 		f.end(j, t, Succeeded)
 		return nil
@@ -194,6 +203,7 @@
 		t.revoked = at
 		t.detail = m.Reason
 		applied = true
+		f.changed(h.Task, f.jobs[h.Task.Job], t)
 	}
 	return voidUnless(applied, "no task was held")
 }
@@ -212,6 +222,7 @@
 		t.checkpoint = m.Ref
 	}
 	t.detail = m.Reason
+	defer f.changed(m.Hold.Task, j, t)
 	if j.cancelled {
 		f.end(j, t, Cancelled)
 		return nil
@@ -231,6 +242,7 @@
 		applied = true
 		for i := range j.tasks {
 			f.cancelTask(at, j, &j.tasks[i])
+			f.changed(record.TaskID{Job: id, Index: uint32(i)}, j, &j.tasks[i])
 		}
 	}
 	return voidUnless(applied, "no job was open")
@@ -260,6 +272,7 @@
 		if !j.tasks[i].phase.Ended() {
 			j.tasks[i].detail = m.To
 			f.end(j, &j.tasks[i], Moved)
+			f.changed(record.TaskID{Job: m.Job, Index: uint32(i)}, j, &j.tasks[i])
 		}
 	}
 	return nil
@@ -271,11 +284,20 @@
 		if j, ok := f.jobs[id]; ok && j.Ended() {
 			delete(f.jobs, id)
 			applied = true
+			for i := range j.tasks {
+				f.changed(record.TaskID{Job: id, Index: uint32(i)}, j, nil)
+			}
 		}
 	}
 	return voidUnless(applied, "no job had ended")
 }
 
+func (f *Fold) changed(id record.TaskID, j *Job, t *Task) {
+	if f.Changed != nil {
+		f.Changed(id, j, t)
+	}
+}
+
 func (f *Fold) task(id record.TaskID) *Task {
 	j, ok := f.jobs[id.Job]
 	if !ok || int(id.Index) >= len(j.tasks) {
