Count a log reading as fresh only when it reached the end

Cause: Tail passed the time at which a read began even when the page was cut short by a limit. Such a page does not show that no revocation was in the log at that time, so leases were renewed on a reading that proved nothing. Change: the time is zero unless the read reached the stream's end. The owner of a tail says where to go on after its offset expired. Conclusion: a reading's freshness rests only on reads that showed everything.

--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -45,7 +45,8 @@
 	}
 }
 
-func (e *Entry) deliverMembers(records []record.Record, _ uint64, began time.Time) {
+func (e *Entry) deliverMembers(records []record.Record, _ uint64, _ time.Time) {
+	now := time.Now()
 	e.memberMu.Lock()
 	defer e.memberMu.Unlock()
 	for _, r := range records {
@@ -53,7 +54,7 @@
 		if !ok || m.Incarnation < e.known[m.Name].record.Incarnation {
 			continue
 		}
-		e.known[m.Name] = member{record: *m, seen: began}
+		e.known[m.Name] = member{record: *m, seen: now}
 	}
 }
 
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -25,8 +25,9 @@
 			Skipped: func(offset uint64, count int, err error) {
 				e.log.Warn().Err(err).Str("stream", stream).Uint64("offset", offset).Int("records", count).Msg("skipped unreadable records")
 			},
-			Expired: func(page record.Page) {
+			Expired: func(page record.Page) uint64 {
 				e.log.Error().Str("stream", stream).Uint64("first", page.First).Msg("records were lost to retention")
+				return page.First
 			},
 		})
 	}
@@ -42,7 +43,9 @@
 		}
 	}
 	e.jobs.fold.Advance(next)
-	e.jobs.began = began
+	if !began.IsZero() {
+		e.jobs.began = began
+	}
 	if len(records) > 0 {
 		e.jobs.notify()
 	}
--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -14,27 +14,31 @@
 type Tail struct {
 	Log    record.Log
 	Stream string
+	// From is the offset to start at.
+	From uint64
 	// Wait is how long a read waits for a record to arrive.
 	Wait time.Duration
 	// Deliver is called after each read with its records, the offset of the
-	// next append, and when the read began.
+	// next batch to read, and when the read began. The time is zero if the
+	// page did not reach the stream's end: such a read does not show that
+	// nothing newer was in the log when it began.
 	Deliver func(records []record.Record, next uint64, began time.Time)
 	// Skipped is called for each unreadable batch or record.
 	Skipped func(offset uint64, count int, err error)
-	// Expired is called when records were lost to retention.
-	Expired func(page record.Page)
+	// Expired is called when the next offset is no longer kept. It returns
+	// where to go on; offsets before the first kept are raised to it.
+	Expired func(page record.Page) uint64
 }
 
 // Run reads until ctx ends.
 func (t *Tail) Run(ctx context.Context) {
-	var next uint64
+	next := t.From
 	delay := retryMin
 	for ctx.Err() == nil {
 		began := time.Now()
 		page, err := t.read(ctx, next)
 		if errors.Is(err, record.ErrExpired) {
-			t.Expired(page)
-			next = page.First
+			next = max(t.Expired(page), page.First)
 			continue
 		}
 		if err != nil {
@@ -43,12 +47,23 @@
 			continue
 		}
 		delay = retryMin
-		records := t.decode(page.Batches)
-		next += uint64(len(page.Batches))
-		t.Deliver(records, next, began)
+		next = t.deliver(page, next, began)
 	}
 }
 
+// deliver hands a page on and returns the next offset to read.
+func (t *Tail) deliver(page record.Page, next uint64, began time.Time) uint64 {
+	records := t.decode(page.Batches)
+	if n := len(page.Batches); n > 0 {
+		next = page.Batches[n-1].Offset + 1
+	}
+	if next != page.Next {
+		began = time.Time{}
+	}
+	t.Deliver(records, next, began)
+	return next
+}
+
 func (t *Tail) read(ctx context.Context, from uint64) (record.Page, error) {
 	call, cancel := context.WithTimeout(ctx, t.Wait+appendTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/platform/tail_test.go
@@ -0,0 +1,90 @@
+package platform
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// scriptedLog answers reads from a list and then ends the test's context.
+type scriptedLog struct {
+	pages []record.Page
+	errs  []error
+	stop  context.CancelFunc
+}
+
+func (s *scriptedLog) read(context.Context, string, uint64, time.Duration) (record.Page, error) {
+	if len(s.pages) == 0 {
+		s.stop()
+		return record.Page{}, record.ErrUnavailable
+	}
+	page, err := s.pages[0], s.errs[0]
+	s.pages, s.errs = s.pages[1:], s.errs[1:]
+	return page, err
+}
+
+func batchAt(t *testing.T, offset uint64) record.RawBatch {
+	t.Helper()
+	data, err := record.Encode("writer", offset+1, []record.Message{&record.Forget{Jobs: []string{"a"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record.RawBatch{Offset: offset, Data: data}
+}
+
+// TestTailFreshness checks that a read shows the stream's state as of its
+// beginning only if it reached the stream's end.
+func TestTailFreshness(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := &scriptedLog{stop: cancel, errs: make([]error, 5), pages: []record.Page{
+		{Next: 3, Batches: []record.RawBatch{batchAt(t, 0), batchAt(t, 1)}},
+		{Next: 3, Batches: []record.RawBatch{batchAt(t, 2)}},
+		{Next: 3},
+		{Next: 4},
+		{Next: 2},
+	}}
+	want := []bool{false, true, true, false, false}
+	var got []bool
+	tail := Tail{
+		Log:     record.Log{Read: log.read},
+		Deliver: func(_ []record.Record, _ uint64, began time.Time) { got = append(got, !began.IsZero()) },
+		Skipped: func(uint64, int, error) {},
+		Expired: func(record.Page) uint64 { return 0 },
+	}
+	tail.Run(ctx)
+	for i, w := range want {
+		if i >= len(got) || got[i] != w {
+			t.Fatalf("fresh readings: got %v, want %v", got, want)
+		}
+	}
+}
+
+// TestTailStartsWhereExpiredSays checks that a reader whose offset has expired
+// goes on at the offset that its owner chose.
+func TestTailStartsWhereExpiredSays(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := &scriptedLog{
+		stop:  cancel,
+		errs:  []error{errors.Wrap(record.ErrExpired, "read"), nil},
+		pages: []record.Page{{First: 5, Next: 9}, {First: 5, Next: 9, Batches: []record.RawBatch{batchAt(t, 7), batchAt(t, 8)}}},
+	}
+	var first, next uint64
+	tail := Tail{
+		Log: record.Log{Read: log.read},
+		Deliver: func(r []record.Record, n uint64, _ time.Time) {
+			first, next = r[0].Position().Offset(), n
+		},
+		Skipped: func(uint64, int, error) {},
+		Expired: func(record.Page) uint64 { return 7 },
+	}
+	tail.Run(ctx)
+	if first != 7 || next != 9 {
+		t.Errorf("read: got offsets %d to %d, want 7 to 9", first, next)
+	}
+}
--- /dev/null
+++ b/pkg/record/dedup_test.go
@@ -0,0 +1,46 @@
+package record
+
+import "testing"
+
+// TestDeduperKeepsWriters checks copies, restarts and a restored state.
+func TestDeduperKeepsWriters(t *testing.T) {
+	cases := []struct {
+		writer string
+		offset uint64
+		seq    uint64
+		want   bool
+	}{
+		{"entry-1@1", 0, 1, true},
+		{"entry-1@1", 0, 2, true},
+		{"entry-2@1", 1, 1, true},
+		{"entry-1@1", 2, 1, false},
+		{"entry-1@1", 2, 2, false},
+		{"entry-1@2", 3, 1, true},
+		{"entry-1@1", 4, 3, true},
+		{"entry-2@1", 1 + dedupWindow, 1, false},
+		{"entry-2@1", 2 + dedupWindow, 1, true},
+	}
+	var whole Deduper
+	for i, c := range cases {
+		r := New(At(c.offset, 0), c.writer, c.seq, &Forget{})
+		var restored Deduper
+		restored.Restore(whole.Writers())
+		if got := whole.Fresh(r); got != c.want {
+			t.Errorf("case %d: got %t, want %t", i, got, c.want)
+		}
+		if got := restored.Fresh(r); got != c.want {
+			t.Errorf("case %d after a snapshot: got %t, want %t", i, got, c.want)
+		}
+	}
+}
+
+// TestDeduperForgetsOldWriters checks that memory does not grow with restarts.
+func TestDeduperForgetsOldWriters(t *testing.T) {
+	var d Deduper
+	for i := range uint64(100) {
+		d.Fresh(New(At(i*dedupWindow/8, 0), string(rune('a'+i)), 1, &Forget{}))
+	}
+	if got, want := len(d.Writers()), 20; got > want {
+		t.Errorf("writers kept: got %d, want at most %d", got, want)
+	}
+}
