--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -141,7 +141,7 @@
 	}
 	p := problem.New(http.StatusServiceUnavailable, "", "the log is slow; repeat with the same Idempotency-Key")
 	p.RetryAfter = submitTimeout
-	if !errors.Is(err, platform.ErrBackpressure) {
+	if !errors.Is(err, platform.ErrBackpressure) && !errors.Is(err, record.ErrUnavailable) {
 		p.Outcome = problem.Unknown
 	}
 	return &p
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -80,19 +80,39 @@
 	Body cbor.RawMessage
 }
 
+// Encoded is the wire form of one record.
+type Encoded struct{ wire wireRecord }
+
+// Size returns the number of bytes of the record's body.
+func (e Encoded) Size() int { return len(e.wire.Body) }
+
+// EncodeMessage returns the wire form of one record.
+func EncodeMessage(m Message) (Encoded, error) {
+	body, err := cbor.Marshal(m)
+	return Encoded{wire: wireRecord{Kind: m.Kind(), Body: body}}, errors.Wrap(err, "encode record")
+}
+
 // Encode returns the bytes of one batch. The first message has sequence number
 // first; the following ones count up from it.
 func Encode(writer string, first uint64, messages []Message) ([]byte, error) {
-	if len(messages) > MaxBatch {
-		return nil, errors.Newf("a batch holds at most %d records, got %d", MaxBatch, len(messages))
-	}
-	b := wireBatch{Version: Version, Writer: writer, First: first, Records: make([]wireRecord, len(messages))}
+	records := make([]Encoded, len(messages))
 	for i, m := range messages {
-		body, err := cbor.Marshal(m)
-		if err != nil {
-			return nil, errors.Wrapf(err, "encode record %d", i)
+		var err error
+		if records[i], err = EncodeMessage(m); err != nil {
+			return nil, errors.Wrapf(err, "record %d", i)
 		}
-		b.Records[i] = wireRecord{Kind: m.Kind(), Body: body}
+	}
+	return EncodeBatch(writer, first, records)
+}
+
+// EncodeBatch returns the bytes of one batch of records that are encoded already.
+func EncodeBatch(writer string, first uint64, records []Encoded) ([]byte, error) {
+	if len(records) > MaxBatch {
+		return nil, errors.Newf("a batch holds at most %d records, got %d", MaxBatch, len(records))
+	}
+	b := wireBatch{Version: Version, Writer: writer, First: first, Records: make([]wireRecord, len(records))}
+	for i, r := range records {
+		b.Records[i] = r.wire
 	}
 	data, err := cbor.Marshal(b)
 	return data, errors.Wrap(err, "encode batch")
