--- a/pkg/job/fold.go
+++ b/pkg/job/fold.go
@@ -14,7 +14,11 @@
 type Fold struct {
 	jobs     map[string]*Job
 	byWorker map[string]map[record.TaskID]record.Position
+	copies   record.Deduper
+	ended    endQueue
 	next     uint64
+	// restoring is the job whose chunks are being read from a snapshot.
+	restoring *Job
 	// Changed, if set, is called after a task's phase has changed, was set at
 	// the submission, or ended with the job being forgotten (t is then nil).
 	Changed func(id record.TaskID, j *Job, t *Task)
@@ -60,6 +64,13 @@
 // takes no effect; the state is then unchanged.
 func (f *Fold) Apply(r record.Record) error {
 	f.Advance(r.Position().Offset())
+	if !f.copies.Fresh(r) {
+		return errors.Wrap(ErrVoid, "the record is a second copy")
+	}
+	return f.apply(r)
+}
+
+func (f *Fold) apply(r record.Record) error {
 	switch m := r.Message().(type) {
 	case *record.Submit:
 		return f.submit(r.Position(), m)
@@ -70,15 +81,15 @@
 	case *record.Checkpointed:
 		return f.checkpointed(m)
 	case *record.Finished:
-		return f.finished(m)
+		return f.finished(r.Position(), m)
 	case *record.Revoke:
 		return f.revoke(r.Position(), m)
 	case *record.Released:
-		return f.released(m)
+		return f.released(r.Position(), m)
 	case *record.Cancel:
 		return f.cancel(r.Position(), m)
 	case *record.Move:
-		return f.move(m)
+		return f.move(r.Position(), m)
 	case *record.Forget:
 		return f.forget(m)
 	}
@@ -98,10 +109,7 @@
 			j.tasks[i].checkpoint = ref
 		}
 	}
-	if f.jobs == nil {
-		f.jobs = make(map[string]*Job)
-		f.byWorker = make(map[string]map[record.TaskID]record.Position)
-	}
+	f.init()
 	f.jobs[m.Spec.ID] = j
 	for i := range j.tasks {
 		f.changed(record.TaskID{Job: m.Spec.ID, Index: uint32(i)}, j, &j.tasks[i])
@@ -109,6 +117,13 @@
 	return nil
 }
 
+func (f *Fold) init() {
+	if f.jobs == nil {
+		f.jobs = make(map[string]*Job)
+		f.byWorker = make(map[string]map[record.TaskID]record.Position)
+	}
+}
+
 func (f *Fold) assign(at record.Position, m *record.Assign) error {
 	for i, p := range m.Placements {
 		if err := f.assignable(&p, m.Placements[:i]); err != nil {
@@ -167,7 +182,7 @@
 	return nil
 }
 
-func (f *Fold) finished(m *record.Finished) error {
+func (f *Fold) finished(at record.Position, m *record.Finished) error {
 	t := f.held(m.Hold)
 	if t == nil {
 		return errors.Wrapf(ErrVoid, "%s: stale epoch", m.Hold.Task)
@@ -177,15 +192,15 @@
 	t.detail = m.Detail
 	defer f.changed(m.Hold.Task, j, t)
 	if m.Outcome == record.OutcomeSucceeded {
-		f.end(j, t, Succeeded)
+		f.end(ending{at, m.AtMS}, j, t, Succeeded)
 		return nil
 	}
 	t.failures++
 	switch {
 	case j.cancelled:
-		f.end(j, t, Cancelled)
+		f.end(ending{at, m.AtMS}, j, t, Cancelled)
 	case t.failures >= j.spec.MaxFailures:
-		f.end(j, t, Failed)
+		f.end(ending{at, m.AtMS}, j, t, Failed)
 	default:
 		t.phase = Pending
 	}
@@ -208,7 +223,7 @@
 	return voidUnless(applied, "no task was held")
 }
 
-func (f *Fold) released(m *record.Released) error {
+func (f *Fold) released(at record.Position, m *record.Released) error {
 	t := f.held(m.Hold)
 	if t == nil {
 		return errors.Wrapf(ErrVoid, "%s: stale epoch", m.Hold.Task)
@@ -224,7 +239,7 @@
 	t.detail = m.Reason
 	defer f.changed(m.Hold.Task, j, t)
 	if j.cancelled {
-		f.end(j, t, Cancelled)
+		f.end(ending{at, m.AtMS}, j, t, Cancelled)
 		return nil
 	}
 	t.phase = Pending
@@ -241,24 +256,24 @@
 		j.cancelled = true
 		applied = true
 		for i := range j.tasks {
-			f.cancelTask(at, j, &j.tasks[i])
+			f.cancelTask(ending{at, m.AtMS}, j, &j.tasks[i])
 			f.changed(record.TaskID{Job: id, Index: uint32(i)}, j, &j.tasks[i])
 		}
 	}
 	return voidUnless(applied, "no job was open")
 }
 
-func (f *Fold) cancelTask(at record.Position, j *Job, t *Task) {
+func (f *Fold) cancelTask(e ending, j *Job, t *Task) {
 	switch t.phase {
 	case Pending:
-		f.end(j, t, Cancelled)
+		f.end(e, j, t, Cancelled)
 	case Assigned, Running:
 		t.phase = Revoked
-		t.revoked = at
+		t.revoked = e.at
 	}
 }
 
-func (f *Fold) move(m *record.Move) error {
+func (f *Fold) move(at record.Position, m *record.Move) error {
 	j, ok := f.jobs[m.Job]
 	if !ok || j.cancelled || j.Ended() {
 		return errors.Wrapf(ErrVoid, "%s: is not open", m.Job)
@@ -271,7 +286,7 @@
 	for i := range j.tasks {
 		if !j.tasks[i].phase.Ended() {
 			j.tasks[i].detail = m.To
-			f.end(j, &j.tasks[i], Moved)
+			f.end(ending{at, m.AtMS}, j, &j.tasks[i], Moved)
 			f.changed(record.TaskID{Job: m.Job, Index: uint32(i)}, j, &j.tasks[i])
 		}
 	}
@@ -289,57 +304,6 @@
 			}
 		}
 	}
+	f.trimEnded()
 	return voidUnless(applied, "no job had ended")
 }
-
-func (f *Fold) changed(id record.TaskID, j *Job, t *Task) {
-	if f.Changed != nil {
-		f.Changed(id, j, t)
-	}
-}
-
-func (f *Fold) task(id record.TaskID) *Task {
-	j, ok := f.jobs[id.Job]
-	if !ok || int(id.Index) >= len(j.tasks) {
-		return nil
-	}
-	return &j.tasks[id.Index]
-}
-
-// held returns the task if h is its current hold.
-func (f *Fold) held(h record.Hold) *Task {
-	t := f.task(h.Task)
-	if t == nil || !t.phase.Held() || t.epoch != h.Epoch {
-		return nil
-	}
-	return t
-}
-
-func (f *Fold) hold(id record.TaskID, t *Task) {
-	m := f.byWorker[t.worker]
-	if m == nil {
-		m = make(map[record.TaskID]record.Position)
-		f.byWorker[t.worker] = m
-	}
-	m[id] = t.epoch
-}
-
-func (f *Fold) drop(id record.TaskID, t *Task) {
-	m := f.byWorker[t.worker]
-	delete(m, id)
-	if len(m) == 0 {
-		delete(f.byWorker, t.worker)
-	}
-}
-
-func (f *Fold) end(j *Job, t *Task, p Phase) {
-	t.phase = p
-	j.open--
-}
-
-func voidUnless(applied bool, reason string) error {
-	if applied {
-		return nil
-	}
-	return errors.Wrap(ErrVoid, reason)
-}
--- /dev/null
+++ b/pkg/job/snapshot_test.go
@@ -0,0 +1,160 @@
+package job
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// state returns the whole state as bytes.
+func state(t *testing.T, f *Fold) []byte {
+	t.Helper()
+	parts, err := f.Snapshot("state", minPart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []byte
+	for _, p := range parts {
+		out = append(out, p.State...)
+	}
+	return out
+}
+
+// collect passes the parts through a collector in random order, some twice.
+func collect(t *testing.T, random *rand.Rand, parts []*record.Snapshot) []*record.Snapshot {
+	t.Helper()
+	var c Collector
+	for range 3 {
+		for _, i := range random.Perm(len(parts)) {
+			if whole := c.Add(parts[i]); whole != nil {
+				return whole
+			}
+			if random.IntN(3) == 0 {
+				c.Add(parts[random.IntN(i+1)])
+			}
+		}
+	}
+	t.Fatal("the snapshot was not put together")
+	return nil
+}
+
+func TestSnapshotAndTailEqualWholeFold(t *testing.T) {
+	const batches = 120
+	for seed := range uint64(60) {
+		s := newStream(seed)
+		cut := s.random.Uint64N(batches)
+		var restored *Fold
+		for offset := range uint64(batches) {
+			batch := s.next(offset)
+			s.apply(&s.fold, batch, offset)
+			if restored != nil {
+				s.apply(restored, batch, offset)
+			}
+			if offset == cut {
+				parts, err := s.fold.Snapshot("cut", minPart)
+				if err != nil {
+					t.Fatal(err)
+				}
+				restored = new(Fold)
+				if err := restored.Restore(collect(t, s.random, parts)); err != nil {
+					t.Fatalf("seed %d: restore: %v", seed, err)
+				}
+			}
+		}
+		if got, want := state(t, restored), state(t, &s.fold); !bytes.Equal(got, want) {
+			t.Errorf("seed %d, cut at %d: got another state than the whole fold's", seed, cut)
+		}
+		checkIndexes(t, seed, &s.fold, restored)
+	}
+}
+
+func checkIndexes(t *testing.T, seed uint64, whole, restored *Fold) {
+	t.Helper()
+	if got, want := len(restored.byWorker), len(whole.byWorker); got != want {
+		t.Errorf("seed %d: workers with tasks: got %d, want %d", seed, got, want)
+	}
+	for name, held := range whole.byWorker {
+		if got, want := len(restored.byWorker[name]), len(held); got != want {
+			t.Errorf("seed %d: tasks of %s: got %d, want %d", seed, name, got, want)
+		}
+	}
+	got, want := restored.EndedBefore(1<<40, 1000), whole.EndedBefore(1<<40, 1000)
+	if len(got) != len(want) {
+		t.Fatalf("seed %d: ended jobs: got %d, want %d", seed, len(got), len(want))
+	}
+	for i := range got {
+		if got[i] != want[i] {
+			t.Errorf("seed %d: ended job %d: got %s, want %s", seed, i, got[i], want[i])
+		}
+	}
+}
+
+func TestSnapshotPartsAreBounded(t *testing.T) {
+	s := newStream(7)
+	for offset := range uint64(200) {
+		s.apply(&s.fold, s.next(offset), offset)
+	}
+	const maxPart = 8 << 10
+	parts, err := s.fold.Snapshot("x", maxPart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(parts) < 2 {
+		t.Fatalf("parts: got %d, want several", len(parts))
+	}
+	for i, p := range parts {
+		if got := len(p.State); got > maxPart+maxPart/4 {
+			t.Errorf("part %d: got %d bytes, want about %d", i, got, maxPart)
+		}
+	}
+}
+
+func TestRestoreRefuses(t *testing.T) {
+	s := newStream(3)
+	for offset := range uint64(100) {
+		s.apply(&s.fold, s.next(offset), offset)
+	}
+	parts, err := s.fold.Snapshot("x", minPart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fresh Fold
+	if err := fresh.Restore(parts[1:]); !errors.Is(err, ErrSnapshot) {
+		t.Errorf("first part missing: got %v, want %v", err, ErrSnapshot)
+	}
+	if err := fresh.Restore(nil); !errors.Is(err, ErrSnapshot) {
+		t.Errorf("no parts: got %v, want %v", err, ErrSnapshot)
+	}
+	var ahead Fold
+	ahead.Advance(parts[0].Covers + 1)
+	if err := ahead.Restore(parts); !errors.Is(err, ErrOldSnapshot) {
+		t.Errorf("snapshot of an earlier state: got %v, want %v", err, ErrOldSnapshot)
+	}
+}
+
+func TestRestoreTellsOfEveryTask(t *testing.T) {
+	var before Fold
+	_ = before.Apply(record.New(record.At(0, 0), "a", 1, &record.Submit{Spec: record.Spec{ID: "stays", Tasks: 2}}))
+	before.Advance(1)
+	parts, err := before.Snapshot("x", minPart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var f Fold
+	_ = f.Apply(record.New(record.At(0, 0), "a", 1, &record.Submit{Spec: record.Spec{ID: "gone", Tasks: 1}}))
+	told := make(map[record.TaskID]bool)
+	f.Changed = func(id record.TaskID, _ *Job, t *Task) { told[id] = t != nil }
+	if err := f.Restore(parts); err != nil {
+		t.Fatal(err)
+	}
+	want := map[record.TaskID]bool{{Job: "stays"}: true, {Job: "stays", Index: 1}: true, {Job: "gone"}: false}
+	for id, there := range want {
+		if got, ok := told[id]; !ok || got != there {
+			t.Errorf("%s: got told %t, there %t, want there %t", id, ok, got, there)
+		}
+	}
+}
--- a/pkg/job/state.go
+++ b/pkg/job/state.go
@@ -86,6 +86,8 @@
 	cancelled bool
 	tasks     []Task
 	open      int
+	ended     record.Position
+	endedMS   int64
 }
 
 // Spec returns what the team asked for.
@@ -106,6 +108,10 @@
 // Ended reports whether every task has ended.
 func (j *Job) Ended() bool { return j.open == 0 }
 
+// EndedMS returns when the job ended, in Unix milliseconds on the clock of the
+// entry that recorded it; 0 if that is not known.
+func (j *Job) EndedMS() int64 { return max(j.endedMS, j.spec.SubmittedAt) }
+
 // Phase returns the job's phase: the least advanced of its tasks, with failures first.
 func (j *Job) Phase() Phase {
 	if j.cancelled && j.Ended() {
--- /dev/null
+++ b/pkg/job/stream_test.go
@@ -0,0 +1,94 @@
+package job
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// stream makes random batches, plausible and stale ones, doubled ones included.
+type stream struct {
+	random *rand.Rand
+	fold   Fold
+	seq    map[string]uint64
+	holds  []record.Hold
+	last   []record.Record
+}
+
+func newStream(seed uint64) *stream {
+	return &stream{random: rand.New(rand.NewPCG(seed, 1)), seq: make(map[string]uint64)}
+}
+
+// next returns the records of the batch at offset.
+func (s *stream) next(offset uint64) []record.Record {
+	if len(s.last) > 0 && s.random.IntN(8) == 0 {
+		return s.copyOf(offset)
+	}
+	writer := fmt.Sprintf("entry-%d", s.random.IntN(3))
+	var out []record.Record
+	for i := range 1 + s.random.IntN(5) {
+		s.seq[writer]++
+		out = append(out, record.New(record.At(offset, i), writer, s.seq[writer], s.message()))
+	}
+	s.last = out
+	return out
+}
+
+func (s *stream) copyOf(offset uint64) []record.Record {
+	out := make([]record.Record, len(s.last))
+	for i, r := range s.last {
+		out[i] = record.New(record.At(offset, i), r.Writer(), r.Seq(), r.Message())
+	}
+	return out
+}
+
+func (s *stream) apply(f *Fold, batch []record.Record, offset uint64) {
+	for _, r := range batch {
+		_ = f.Apply(r)
+		if m, ok := r.Message().(*record.Assign); ok {
+			for _, p := range m.Placements {
+				s.holds = append(s.holds, record.Hold{Task: p.Task, Epoch: r.Position()})
+			}
+		}
+	}
+	f.Advance(offset + 1)
+}
+
+func (s *stream) id() string { return fmt.Sprintf("job-%d", s.random.IntN(12)) }
+
+func (s *stream) hold() record.Hold {
+	if len(s.holds) == 0 {
+		return record.Hold{}
+	}
+	recent := s.holds[max(0, len(s.holds)-12):]
+	return recent[s.random.IntN(len(recent))]
+}
+
+func (s *stream) message() record.Message {
+	atMS := s.random.Int64N(1000)
+	switch s.random.IntN(14) {
+	case 0, 1:
+		return &record.Submit{Spec: record.Spec{ID: s.id(), Team: "nursery", Class: "shaping", Tasks: 1 + s.random.Uint32N(600), MaxFailures: 2}}
+	case 2, 3, 4, 5:
+		return &record.Assign{Placements: []record.Placement{{
+			Task:   record.TaskID{Job: s.id(), Index: s.random.Uint32N(2)},
+			Worker: fmt.Sprintf("worker-%d", s.random.IntN(4)), Attempt: s.random.Uint32N(3),
+		}}}
+	case 6:
+		return &record.Started{Holds: []record.Hold{s.hold(), s.hold()}}
+	case 7:
+		return &record.Checkpointed{Hold: s.hold(), Ref: fmt.Sprintf("ref-%d", s.random.IntN(100))}
+	case 8:
+		return &record.Finished{Hold: s.hold(), Outcome: record.Outcome(1 + s.random.IntN(2)), AtMS: atMS}
+	case 9:
+		return &record.Revoke{Holds: []record.Hold{s.hold()}}
+	case 10:
+		return &record.Released{Hold: s.hold(), Ref: "ref", AtMS: atMS}
+	case 11:
+		return &record.Cancel{Jobs: []string{s.id()}, AtMS: atMS}
+	case 12:
+		return &record.Move{Job: s.id(), To: "dc-2", AtMS: atMS}
+	}
+	return &record.Forget{Jobs: []string{s.id(), s.id()}}
+}
--- a/pkg/record/messages.go
+++ b/pkg/record/messages.go
@@ -145,6 +145,8 @@
 	Hold    Hold    `cbor:"1,keyasint"`
 	Outcome Outcome `cbor:"2,keyasint"`
 	Detail  string  `cbor:"3,keyasint,omitempty"`
+	// AtMS is the writer's time in Unix milliseconds.
+	AtMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Revoke withdraws tasks from workers that may still run them.
@@ -161,17 +163,23 @@
 	// Revoked is the position of the revocation whose takeover time the writer
 	// has waited for; 0 if the worker itself confirmed the stop.
 	Revoked Position `cbor:"4,keyasint,omitempty"`
+	// AtMS is the writer's time in Unix milliseconds.
+	AtMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Cancel ends jobs.
 type Cancel struct {
 	Jobs []string `cbor:"1,keyasint"`
+	// AtMS is the writer's time in Unix milliseconds.
+	AtMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Move ends a job in this stream; it goes on in the stream of another data centre.
 type Move struct {
 	Job string `cbor:"1,keyasint"`
 	To  string `cbor:"2,keyasint"`
+	// AtMS is the writer's time in Unix milliseconds.
+	AtMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Forget drops ended jobs from the state.
