Keep a start's grant until a listing refutes it

Cause: a listing read before a start, or a start whose reply was lost, made Rebuild drop the grant, so that a second task could be admitted to the same room. A listing with wrapping or negative sizes raised what looked free.

Change: Rebuild takes when the listing was asked for and keeps unlisted grants whose start may have reached the worker later. A new agent admits only from a listing asked for after its predecessor's starts have settled. Sums saturate, listed sizes count as at least nothing.

Test: a rapid property lets listings, delayed starts, lost replies and task ends race; tables for each case.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,6 +70,10 @@
 	ledger  worker.Ledger
 }
 
+// predecessorSettles is how long a start that this agent's predecessor ordered
+// may still be on its way to the worker beside it.
+const predecessorSettles = time.Second
+
 // New returns an agent that is bound to its address but does not run yet.
 func New(now time.Time, s Settings, id *link.Identity, logger *log.Logger) (*Agent, error) {
 	a := &Agent{
@@ -86,6 +90,7 @@
 		failedAt:    make(map[string]time.Time),
 	}
 	a.tasks.noStartBefore = now
+	a.ledger.AdmitFrom(now.Add(predecessorSettles))
 	server, err := link.Listen(s.Listen, id, a.peerHandler(), link.RoleEntry)
 	if err != nil {
 		return nil, err
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -31,6 +31,7 @@
 func (a *Agent) round(ctx context.Context) {
 	a.tasksMu.Lock()
 	defer a.tasksMu.Unlock()
+	asked := time.Now()
 	listing, err := a.worker.List(ctx)
 	if err != nil {
 		a.log.Warn().Err(err).Msg("the worker does not answer")
@@ -38,7 +39,7 @@
 		return
 	}
 	clock := workerClock{read: time.Now(), uptime: time.Duration(listing.UptimeMS) * time.Millisecond}
-	a.observe(ctx, &listing)
+	a.observe(asked, &listing)
 	answers := a.tell(ctx, a.heartbeat(&listing))
 	for _, answer := range answers {
 		a.follow(ctx, clock, answer)
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// observe brings the ledger in line with the worker's own list.
-func (a *Agent) observe(_ context.Context, listing *platform.Listing) {
+// observe brings the ledger in line with the worker's own list, asked for at asked.
+func (a *Agent) observe(asked time.Time, listing *platform.Listing) {
 	if a.tasks.fresh == nil {
 		a.tasks.fresh = make(map[record.Hold]time.Time)
 		a.tasks.refused = make(map[record.Hold]string)
@@ -86,7 +86,7 @@
 			a.tasks.noStartBefore = time.Now()
 		}
 	}
-	a.ledger.Rebuild(listing.Total, grants)
+	a.ledger.Rebuild(listing.Total, grants, asked)
 }
 
 // follow does what one entry's reading asks for.
@@ -132,7 +132,7 @@
 	if _, ok := a.tasks.refused[o.Hold]; ok {
 		return
 	}
-	if !began.After(a.tasks.noStartBefore) {
+	if !began.After(a.tasks.noStartBefore) || !a.ledger.Ready() {
 		return
 	}
 	if reason := a.refusal(o, key); reason != "" {
@@ -153,6 +153,7 @@
 		a.log.Warn().Err(err).Str("task", key).Msg("start failed")
 		return
 	}
+	a.ledger.Confirm(time.Now(), key)
 	a.tasks.fresh[o.Hold] = began
 	a.log.Info().Str("decision", "start-task").Str("task", key).Str("from", o.Checkpoint).Msg("")
 }
@@ -168,7 +169,7 @@
 	if leaving {
 		return "the worker is leaving"
 	}
-	if err := a.ledger.Admit(key, o.Spec.Size); err != nil {
+	if err := a.ledger.Admit(time.Now(), key, o.Spec.Size); err != nil {
 		return err.Error()
 	}
 	return ""
--- /dev/null
+++ b/pkg/worker/ledger_test.go
@@ -0,0 +1,185 @@
+package worker_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// fakeWorker runs what reaches it, also when the start's reply was lost.
+type fakeWorker struct {
+	total   worker.Resources
+	tasks   map[string]worker.Resources
+	delayed map[string]delayedStart
+}
+
+type delayedStart struct {
+	size    worker.Resources
+	arrives time.Time
+}
+
+func (w *fakeWorker) advance(now time.Time) {
+	for k, d := range w.delayed {
+		if !d.arrives.After(now) {
+			w.tasks[k] = d.size
+			delete(w.delayed, k)
+		}
+	}
+}
+
+func (w *fakeWorker) list() []worker.Grant {
+	var out []worker.Grant
+	for k, s := range w.tasks {
+		out = append(out, worker.NewGrant(k, s))
+	}
+	return out
+}
+
+func (w *fakeWorker) sum() worker.Resources {
+	var out worker.Resources
+	for _, s := range w.tasks {
+		out = out.Plus(s)
+	}
+	return out
+}
+
+// TestLedgerNeverOverfillsWorker lets listings, delayed starts, lost replies,
+// ends of tasks and restarts of the agent race.
+func TestLedgerNeverOverfillsWorker(t *testing.T) {
+	sizes := rapid.Custom(func(t *rapid.T) worker.Resources {
+		return worker.Resources{
+			MilliCPU:     rapid.Int64Range(0, 9000).Draw(t, "milli-cpu"),
+			MemoryMB:     rapid.Int64Range(0, 9000).Draw(t, "memory-mb"),
+			Accelerators: rapid.Int64Range(0, 2).Draw(t, "accelerators"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		w := &fakeWorker{
+			total:   worker.Resources{MilliCPU: 16000, MemoryMB: 16000, Accelerators: 2},
+			tasks:   make(map[string]worker.Resources),
+			delayed: make(map[string]delayedStart),
+		}
+		now := epoch
+		ledger := new(worker.Ledger)
+		listing, asOf := w.list(), now
+		n := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"ask":     func(*rapid.T) { listing, asOf = w.list(), now },
+			"rebuild": func(*rapid.T) { ledger.Rebuild(w.total, listing, asOf) },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+				w.advance(now)
+			},
+			"start": func(t *rapid.T) {
+				n++
+				key, size := fmt.Sprint(n), sizes.Draw(t, "size")
+				if ledger.Admit(now, key, size) != nil {
+					return
+				}
+				if rapid.Bool().Draw(t, "reply-lost") {
+					late := time.Duration(rapid.Int64Range(0, int64(worker.StartSettles)).Draw(t, "late"))
+					w.delayed[key] = delayedStart{size: size, arrives: now.Add(late)}
+					return
+				}
+				w.tasks[key] = size
+				ledger.Confirm(now, key)
+			},
+			"end": func(*rapid.T) {
+				for k := range w.tasks {
+					delete(w.tasks, k)
+					return
+				}
+			},
+			"": func(t *rapid.T) {
+				if got := w.sum(); !got.Fits(w.total) {
+					t.Fatalf("got %+v running, want at most %+v", got, w.total)
+				}
+			},
+		})
+	})
+}
+
+func TestLedgerKeepsUnlistedStartUntilRefuted(t *testing.T) {
+	size := worker.Resources{MilliCPU: 1000}
+	cases := []struct {
+		name    string
+		confirm bool
+		asOf    time.Duration
+		want    bool
+	}{
+		{"asked before the admission", true, -time.Second, true},
+		{"asked after the confirmation", true, time.Second, false},
+		{"unconfirmed and may still arrive", false, worker.StartSettles, true},
+		{"unconfirmed and too late to arrive", false, worker.StartSettles + 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var l worker.Ledger
+			l.Rebuild(size, nil, epoch)
+			if err := l.Admit(epoch, "a", size); err != nil {
+				t.Fatal(err)
+			}
+			if c.confirm {
+				l.Confirm(epoch, "a")
+			}
+			l.Rebuild(size, nil, epoch.Add(c.asOf))
+			if got := l.Holds("a"); got != c.want {
+				t.Errorf("got held %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestLedgerWithWrongListing(t *testing.T) {
+	total := worker.Resources{MilliCPU: 1000, MemoryMB: 1000}
+	huge := worker.Resources{MilliCPU: math.MaxInt64, MemoryMB: math.MaxInt64}
+	cases := []struct {
+		name   string
+		grants []worker.Grant
+	}{
+		{"sum wraps", []worker.Grant{worker.NewGrant("a", huge), worker.NewGrant("b", huge)}},
+		{"negative size beside a full one", []worker.Grant{worker.NewGrant("a", worker.Resources{MilliCPU: -5000}), worker.NewGrant("b", total)}},
+		{"same task twice", []worker.Grant{worker.NewGrant("a", worker.Resources{}), worker.NewGrant("a", total)}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var l worker.Ledger
+			l.Rebuild(total, c.grants, epoch)
+			if got, want := l.Admit(epoch, "new", worker.Resources{MilliCPU: 1}), worker.ErrNoRoom; !errors.Is(got, want) {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+func TestLedgerWaitsForPredecessorsStarts(t *testing.T) {
+	var l worker.Ledger
+	l.AdmitFrom(epoch.Add(time.Second))
+	l.Rebuild(worker.Resources{MilliCPU: 1}, nil, epoch)
+	if got, want := l.Admit(epoch.Add(time.Second), "a", worker.Resources{}), worker.ErrNotReady; !errors.Is(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	l.Rebuild(worker.Resources{MilliCPU: 1}, nil, epoch.Add(time.Second))
+	if got := l.Ready(); !got {
+		t.Errorf("got ready %v, want true", got)
+	}
+}
+
+func TestLedgerAdmitsNothingBeforeRebuild(t *testing.T) {
+	var l worker.Ledger
+	if got, want := l.Admit(epoch, "a", worker.Resources{}), worker.ErrNotReady; !errors.Is(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	l.Rebuild(worker.Resources{MilliCPU: 1}, nil, epoch)
+	if got, want := l.Admit(epoch, "a", worker.Resources{MilliCPU: -1}), worker.ErrBadSize; !errors.Is(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/pkg/worker/resources.go
+++ b/pkg/worker/resources.go
@@ -1,7 +1,10 @@
-// Package worker models what a worker can give: its resources and the ledger
-// of what has been granted from them.
+// Package worker models what workers can give: their resources, the ledger of
+// what has been granted from them, how healthy they are, which of them a task
+// should run on, and how a worker protects its latency-critical service.
 package worker
 
+import "math"
+
 // Resources is an amount of processors, memory and accelerators.
 type Resources struct {
 	// MilliCPU is in thousandths of a processor.
@@ -12,21 +15,35 @@
 	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators" yaml:"accelerators"`
 }
 
-// Plus returns the sum of r and o.
+// Plus returns the sum of r and o. Amounts saturate instead of wrapping.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{
-		MilliCPU:     r.MilliCPU + o.MilliCPU,
-		MemoryMB:     r.MemoryMB + o.MemoryMB,
-		Accelerators: r.Accelerators + o.Accelerators,
+		MilliCPU:     add(r.MilliCPU, o.MilliCPU),
+		MemoryMB:     add(r.MemoryMB, o.MemoryMB),
+		Accelerators: add(r.Accelerators, o.Accelerators),
 	}
 }
 
-// Minus returns r less o. Amounts may become negative.
+// Minus returns r less o. Amounts may become negative; they saturate instead of wrapping.
 func (r Resources) Minus(o Resources) Resources {
 	return Resources{
-		MilliCPU:     r.MilliCPU - o.MilliCPU,
-		MemoryMB:     r.MemoryMB - o.MemoryMB,
-		Accelerators: r.Accelerators - o.Accelerators,
+		MilliCPU:     add(r.MilliCPU, -o.MilliCPU),
+		MemoryMB:     add(r.MemoryMB, -o.MemoryMB),
+		Accelerators: add(r.Accelerators, -o.Accelerators),
+	}
+}
+
+// Times returns r taken n times.
+func (r Resources) Times(n int64) Resources {
+	return Resources{MilliCPU: times(r.MilliCPU, n), MemoryMB: times(r.MemoryMB, n), Accelerators: times(r.Accelerators, n)}
+}
+
+// Max returns the larger amount of r and o in every dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		MilliCPU:     max(r.MilliCPU, o.MilliCPU),
+		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
 	}
 }
 
@@ -39,3 +56,37 @@
 func (r Resources) Valid() bool {
 	return r.MilliCPU >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0
 }
+
+// Dominant returns the largest share that r takes of whole in any dimension
+// of which whole has something.
+func (r Resources) Dominant(whole Resources) float64 {
+	return max(share(r.MilliCPU, whole.MilliCPU), share(r.MemoryMB, whole.MemoryMB), share(r.Accelerators, whole.Accelerators))
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func add(a, b int64) int64 {
+	sum := a + b
+	if a > 0 && b > 0 && sum < 0 {
+		return math.MaxInt64
+	}
+	if a < 0 && b < 0 && sum >= 0 {
+		return math.MinInt64
+	}
+	return sum
+}
+
+func times(a, n int64) int64 {
+	if n <= 0 || a <= 0 {
+		return 0
+	}
+	if a > math.MaxInt64/n {
+		return math.MaxInt64
+	}
+	return a * n
+}
