Prove bundles by their lineage and carry forward what must last

Change: a bundle in force travels with the earlier bundles that changed the operators (Proof), so that a process which knows only the roots can verify it. The chain remembers which digest came in force as which version. Agents get differences of the bundle, and give the newest one to an entry started without the log. Conclusion: a process can be born at any time and verify the bundle in force.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -179,6 +179,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(link.PathRequests+"{service}/", a.serveRequest)
 	mux.Handle("POST "+link.PathFate, link.Handle(a.answerFate))
+	mux.Handle("POST "+link.PathBundle, link.Handle(a.answerBundle))
 	return mux
 }
 
--- /dev/null
+++ b/internal/agent/bundle.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/internal/link"
+	"savoryhoist.example/savoryhoist/pkg/bundle"
+)
+
+// updateBundle fetches the bundle if an entry has another one in force.
+func (a *Agent) updateBundle(ctx context.Context, answers []answer) {
+	for _, o := range answers {
+		a.mu.Lock()
+		have, version := a.chain.Digest(), a.chain.Version()
+		a.mu.Unlock()
+		if o.reading.Bundle == "" || o.reading.Bundle == have {
+			continue
+		}
+		if o.reading.BundleVersion != 0 && o.reading.BundleVersion <= version {
+			continue
+		}
+		if err := a.fetchBundle(ctx, o.entry, have); err != nil {
+			a.log.Warn().Err(err).Str("decision", "refuse-bundle").Str("entry", o.entry).Msg("")
+		}
+	}
+}
+
+// answerBundle gives the bundle in force to an entry that was started without
+// the log.
+func (a *Agent) answerBundle(context.Context, link.Peer, *link.BundleQuery) (*link.BundleReply, error) {
+	a.mu.Lock()
+	proof := a.chain.Proof()
+	a.mu.Unlock()
+	if proof == nil {
+		return &link.BundleReply{}, nil
+	}
+	signed, lineage, err := proof.Encode()
+	return &link.BundleReply{Signed: signed, Lineage: lineage}, err
+}
+
+// fetchBundle asks an entry for the bundle in force and adopts it if it is
+// newer and its signatures hold.
+func (a *Agent) fetchBundle(ctx context.Context, entry, have string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply link.BundleReply
+	if err := a.client.Call(ctx, entry, link.PathBundle, &link.BundleQuery{Have: have}, &reply); err != nil {
+		return err
+	}
+	signed, err := a.unpack(&reply)
+	if err != nil || len(signed) == 0 {
+		return err
+	}
+	proof, err := bundle.DecodeProof(signed, reply.Lineage)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	err = a.chain.Adopt(proof)
+	version, digest := a.chain.Version(), a.chain.Digest()
+	a.mu.Unlock()
+	if errors.Is(err, bundle.ErrInForce) || errors.Is(err, bundle.ErrSuperseded) {
+		return nil
+	}
+	if err == nil {
+		a.log.Info().Str("decision", "accept-bundle").Uint64("version", version).Str("digest", digest).Msg("")
+	}
+	return err
+}
+
+// unpack returns the signed bundle of a reply.
+func (a *Agent) unpack(reply *link.BundleReply) ([]byte, error) {
+	if reply.Packed == nil {
+		return reply.Signed, nil
+	}
+	var base []byte
+	a.mu.Lock()
+	if reply.Base != "" && reply.Base == a.chain.Digest() {
+		base = a.chain.Signed().Content()
+	}
+	a.mu.Unlock()
+	return link.Unpack(reply.Packed, base)
+}
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -137,38 +137,6 @@
 	a.failedAt[address] = time.Now()
 }
 
-// updateBundle fetches the bundle if an entry has another one in force.
-func (a *Agent) updateBundle(ctx context.Context, answers []answer) {
-	for _, o := range answers {
-		a.mu.Lock()
-		same := o.reading.Bundle == "" || o.reading.Bundle == a.chain.Digest()
-		a.mu.Unlock()
-		if same {
-			continue
-		}
-		var reply link.BundleReply
-		if err := a.client.Call(ctx, o.entry, link.PathBundle, &link.BundleQuery{}, &reply); err != nil {
-			a.log.Warn().Err(err).Str("entry", o.entry).Msg("fetching the bundle failed")
-			continue
-		}
-		a.offerBundle(reply.Signed)
-	}
-}
-
-func (a *Agent) offerBundle(data []byte) {
-	signed, err := bundle.DecodeSigned(data)
-	if err == nil {
-		a.mu.Lock()
-		err = a.chain.Offer(signed)
-		a.mu.Unlock()
-	}
-	if err != nil {
-		a.log.Warn().Err(err).Str("decision", "refuse-bundle").Msg("")
-		return
-	}
-	a.log.Info().Str("decision", "accept-bundle").Uint64("version", a.chain.Version()).Str("digest", a.chain.Digest()).Msg("")
-}
-
 // heartbeat says what the agent knows; a nil listing means that the worker did not answer.
 func (a *Agent) heartbeat(listing *platform.Listing) link.Heartbeat {
 	h := link.Heartbeat{
@@ -177,7 +145,8 @@
 		Total: a.ledger.Total(), Free: a.ledger.Free(),
 	}
 	a.mu.Lock()
-	h.InFlight, h.Leaving, h.Bundle = a.inFlight, a.leaving, a.chain.Digest()
+	h.InFlight, h.Leaving = a.inFlight, a.leaving
+	h.Bundle, h.BundleVersion = a.chain.Digest(), a.chain.Version()
 	if s, ok := a.service(); ok {
 		h.Slots = s.Slots
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,18 +64,20 @@
 	name     string
 	leaving  atomic.Bool
 
-	// Lock order: jobs.mu, routes.mu, bundleMu, memberMu. No lock is held
+	// Lock order: jobs.mu, routes.mu, bundleMu, memberMu,
+	// carried.mu. No lock is held
 	// during a call to another process.
 	jobs     jobs
 	routes   routes
 	bundleMu sync.Mutex
-	chain    *bundle.Chain
+	bundle   bundles
 	memberMu sync.Mutex
 	known    map[string]member
+	carried  carried
+	// newer holds the address of an agent that has a newer bundle in force.
+	newer chan string
 }
 
-// appendEvery is the least time between two appends to one stream.
-const appendEvery = 20 * time.Millisecond
 
 // New returns an entry that is bound to its addresses but does not run yet.
 func New(now time.Time, s Settings, id *link.Identity, logger *log.Logger) (*Entry, error) {
@@ -88,12 +90,13 @@
 		log:      logger,
 		logPort:  port,
 		registry: gometrics.NewRegistry(),
-		writer:   platform.NewWriter(port, JobsStream(s.DataCentre), name, appendEvery),
-		bundles:  platform.NewWriter(port, StreamBundles, name, appendEvery),
-		members:  platform.NewWriter(port, StreamMembers, name, appendEvery),
+		writer:   platform.NewWriter(port, JobsStream(s.DataCentre), name, streamGap),
+		bundles:  platform.NewWriter(port, StreamBundles, name, streamGap),
+		members:  platform.NewWriter(port, StreamMembers, name, streamGap),
 		name:     name,
-		chain:    bundle.NewChain(s.Roots),
+		bundle:   bundles{chain: bundle.NewChain(s.Roots)},
 		known:    make(map[string]member),
+		newer:    make(chan string, 1),
 	}
 	e.jobs.born = now
 	e.routes.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name)))) //nolint:gosec // load balancing only
@@ -136,6 +139,8 @@
 	group.Go(func() { e.serve("callers", func() error { return e.door.Serve(e.doorLn) }) })
 	group.Go(func() { e.schedule(live) })
 	group.Go(func() { e.announce(live) })
+	group.Go(func() { e.carryForward(live) })
+	group.Go(func() { e.learnBundles(live) })
 	e.log.Info().Str("address", e.Address()).Str("peer-address", e.PeerAddress()).Msg("entry started")
 	<-ctx.Done()
 	e.drain(live)
@@ -190,7 +195,7 @@
 func (e *Entry) document() *bundle.Document {
 	e.bundleMu.Lock()
 	defer e.bundleMu.Unlock()
-	return e.chain.Document()
+	return e.bundle.chain.Document()
 }
 
 // pause waits for d and reports whether ctx is still live.
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -20,17 +20,6 @@
 	return mux
 }
 
-func (e *Entry) answerBundle(context.Context, link.Peer, *link.BundleQuery) (*link.BundleReply, error) {
-	e.bundleMu.Lock()
-	signed := e.chain.Signed()
-	e.bundleMu.Unlock()
-	if signed == nil {
-		return &link.BundleReply{}, nil
-	}
-	data, err := signed.Encode()
-	return &link.BundleReply{Signed: data}, err
-}
-
 func (e *Entry) answerHeartbeat(_ context.Context, peer link.Peer, h *link.Heartbeat) (*link.Reading, error) {
 	if peer.Role() != link.RoleAgent || peer.Name() != h.Worker || peer.DataCentre() != e.settings.DataCentre {
 		return nil, errors.Wrapf(link.ErrPeer, "certificate of %s in %s, heartbeat of %s", peer.Name(), peer.DataCentre(), h.Worker)
@@ -39,8 +28,9 @@
 	e.routes.observe(now, peer.DataCentre(), h)
 	reading := &link.Reading{Leaving: e.leaving.Load()}
 	e.bundleMu.Lock()
-	reading.Bundle = e.chain.Digest()
+	reading.Bundle, reading.BundleVersion = e.bundle.chain.Digest(), e.bundle.chain.Version()
 	e.bundleMu.Unlock()
+	e.noteBundle(h, reading.BundleVersion)
 	for _, m := range e.neighbours(now) {
 		reading.Entries = append(reading.Entries, m.Address)
 	}
--- /dev/null
+++ b/internal/entry/recover.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+
+	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/pkg/job"
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// recoverJobs is called when the next offset of the jobs stream has expired. It
+// restores the newest usable snapshot and returns the offset that it covers; if
+// there is none, what was lost is said, and reading goes on at the first offset kept.
+func (e *Entry) recoverJobs(ctx context.Context, page record.Page) uint64 {
+	snapshots, err := e.findSnapshot(ctx, page.First, page.Next)
+	if err != nil {
+		e.log.Warn().Err(err).Msg("searching for a snapshot failed; trying again")
+		return page.First
+	}
+	if snapshots == nil {
+		e.log.Error().Uint64("first", page.First).Msg("jobs were lost to retention: no usable snapshot is kept")
+		return page.First
+	}
+	e.jobs.mu.Lock()
+	err = e.jobs.fold.Restore(snapshots)
+	e.jobs.mu.Unlock()
+	covers := snapshots[0].Covers
+	if err != nil {
+		e.log.Error().Err(err).Uint64("covers", covers).Msg("restoring a snapshot failed")
+		return page.First
+	}
+	e.log.Info().Str("decision", "restore-snapshot").Uint64("covers", covers).Int("parts", len(snapshots)).Msg("")
+	return covers
+}
+
+// findSnapshot returns the parts of the newest snapshot whose following batches
+// are all kept, or nil. It searches windows that grow back from the stream's end.
+func (e *Entry) findSnapshot(ctx context.Context, first, next uint64) ([]*record.Snapshot, error) {
+	for window := uint64(snapshotBatches / 4); ; window *= 4 {
+		from := first
+		if next > first+window {
+			from = next - window
+		}
+		found, err := e.newestSnapshot(ctx, from, first)
+		if err != nil || found != nil || from == first {
+			return found, err
+		}
+	}
+}
+
+// newestSnapshot reads from an offset on for the newest complete snapshot that
+// covers the stream up to first or more.
+func (e *Entry) newestSnapshot(ctx context.Context, from, first uint64) ([]*record.Snapshot, error) {
+	var collector job.Collector
+	var newest []*record.Snapshot
+	err := platform.Scan(ctx, e.logPort, JobsStream(e.settings.DataCentre), from, func(r record.Record) {
+		part, ok := r.Message().(*record.Snapshot)
+		if !ok || part.Covers < first {
+			return
+		}
+		parts := collector.Add(part)
+		if parts != nil && (newest == nil || parts[0].Covers >= newest[0].Covers) {
+			newest = parts
+		}
+	})
+	return newest, err
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -9,7 +9,7 @@
 const (
 	// PathHeartbeat takes a Heartbeat and returns a Reading; at an entry.
 	PathHeartbeat = "/peer/heartbeat"
-	// PathBundle takes a BundleQuery and returns a BundleReply; at an entry.
+	// PathBundle takes a BundleQuery and returns a BundleReply; at an entry or agent.
 	PathBundle = "/peer/bundle"
 	// PathFate takes a FateQuery and returns a FateReply; at an agent.
 	PathFate = "/peer/fate"
@@ -44,6 +44,8 @@
 	// Primary asks this entry to record the reports in the log.
 	Primary bool   `cbor:"13,keyasint,omitempty"`
 	Bundle  string `cbor:"14,keyasint,omitempty"`
+	// BundleVersion is the version of Bundle.
+	BundleVersion uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // TaskState is what an agent reports about a task.
@@ -97,14 +99,27 @@
 	Entries []string `cbor:"6,keyasint,omitempty"`
 	// Leaving entries should not be asked again.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// BundleVersion is the version of Bundle; 0 if the entry does not say.
+	BundleVersion uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // BundleQuery asks for the bundle in force.
-type BundleQuery struct{}
+type BundleQuery struct {
+	// Have is the digest of the bundle that the asker has; the answer may refer to it.
+	Have string `cbor:"1,keyasint,omitempty"`
+}
 
-// BundleReply carries the signed bundle in force; empty if there is none.
+// BundleReply carries the bundle in force and what proves it; it is empty if
+// there is none.
 type BundleReply struct {
+	// Signed is the signed bundle.
 	Signed []byte `cbor:"1,keyasint,omitempty"`
+	// Lineage holds the earlier bundles that changed the operators.
+	Lineage [][]byte `cbor:"2,keyasint,omitempty"`
+	// Packed is the signed bundle, compressed with the content of the bundle
+	// with digest Base as dictionary. It stands in place of Signed.
+	Packed []byte `cbor:"3,keyasint,omitempty"`
+	Base   string `cbor:"4,keyasint,omitempty"`
 }
 
 // FateQuery asks what became of an attempt.
--- /dev/null
+++ b/internal/platform/scan.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"context"
+
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// Scan calls fn for every readable record from an offset to the stream's
+// present end.
+func Scan(ctx context.Context, log record.Log, stream string, from uint64, fn func(record.Record)) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		page, err := log.Read(call, stream, from, 0)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for _, b := range page.Batches {
+			from = b.Offset + 1
+			records, _, err := record.Decode(b.Offset, b.Data)
+			if err != nil {
+				continue
+			}
+			for _, r := range records {
+				fn(r)
+			}
+		}
+		if len(page.Batches) == 0 || from >= page.Next {
+			return nil
+		}
+	}
+}
--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -25,9 +25,12 @@
 	Deliver func(records []record.Record, next uint64, began time.Time)
 	// Skipped is called for each unreadable batch or record.
 	Skipped func(offset uint64, count int, err error)
+	// Observed, if set, is called after each read with the first offset kept and
+	// that of the next append.
+	Observed func(first, next uint64)
 	// Expired is called when the next offset is no longer kept. It returns
 	// where to go on; offsets before the first kept are raised to it.
-	Expired func(page record.Page) uint64
+	Expired func(ctx context.Context, page record.Page) uint64
 }
 
 // Run reads until ctx ends.
@@ -38,7 +41,7 @@
 		began := time.Now()
 		page, err := t.read(ctx, next)
 		if errors.Is(err, record.ErrExpired) {
-			next = max(t.Expired(page), page.First)
+			next = max(t.Expired(ctx, page), page.First)
 			continue
 		}
 		if err != nil {
@@ -47,6 +50,9 @@
 			continue
 		}
 		delay = retryMin
+		if t.Observed != nil {
+			t.Observed(page.First, page.Next)
+		}
 		next = t.deliver(page, next, began)
 	}
 }
--- a/internal/platform/tail_test.go
+++ b/internal/platform/tail_test.go
@@ -54,7 +54,7 @@
 		Log:     record.Log{Read: log.read},
 		Deliver: func(_ []record.Record, _ uint64, began time.Time) { got = append(got, !began.IsZero()) },
 		Skipped: func(uint64, int, error) {},
-		Expired: func(record.Page) uint64 { return 0 },
+		Expired: func(context.Context, record.Page) uint64 { return 0 },
 	}
 	tail.Run(ctx)
 	for i, w := range want {
@@ -81,7 +81,7 @@
 			first, next = r[0].Position().Offset(), n
 		},
 		Skipped: func(uint64, int, error) {},
-		Expired: func(record.Page) uint64 { return 7 },
+		Expired: func(context.Context, record.Page) uint64 { return 7 },
 	}
 	tail.Run(ctx)
 	if first != 7 || next != 9 {
--- /dev/null
+++ b/pkg/bundle/chain_test.go
@@ -0,0 +1,239 @@
+package bundle
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// testKey returns the same key for the same name.
+func testKey(name string) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, name)
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func testOperators(threshold int, names ...string) Operators {
+	o := Operators{Threshold: threshold}
+	for _, n := range names {
+		public := testKey(n).Public().(ed25519.PublicKey)
+		o.Keys = append(o.Keys, Key{Name: n, Public: base64.StdEncoding.EncodeToString(public)})
+	}
+	return o
+}
+
+// testBundle is one bundle of the chain's test cases.
+type testBundle struct {
+	version   uint64
+	parent    string
+	operators Operators
+	// slots makes bundles of one version differ.
+	slots   int
+	signers []string
+}
+
+// testBundles returns the named bundles of testdata/chain.json, signed.
+func testBundles(t testing.TB) map[string]*Signed {
+	t.Helper()
+	alice, bob := testOperators(1, "alice"), testOperators(1, "bob")
+	two := testOperators(2, "alice", "bob", "carol")
+	list := []struct {
+		name string
+		testBundle
+	}{
+		{"a1", testBundle{1, "", alice, 1, []string{"alice"}}},
+		{"a2", testBundle{2, "a1", alice, 2, []string{"alice"}}},
+		{"b2", testBundle{2, "a1", alice, 3, []string{"alice"}}},
+		{"forged2", testBundle{2, "a1", alice, 4, []string{"mallory"}}},
+		{"a3", testBundle{3, "a2", alice, 5, []string{"alice"}}},
+		{"r3", testBundle{3, "a2", bob, 5, []string{"alice"}}},
+		{"r4", testBundle{4, "r3", bob, 6, []string{"bob"}}},
+		{"r5", testBundle{5, "r4", bob, 7, []string{"bob"}}},
+		{"forged-r3", testBundle{3, "a2", testOperators(1, "mallory"), 5, []string{"mallory"}}},
+		{"forged-r4", testBundle{4, "forged-r3", testOperators(1, "mallory"), 5, []string{"mallory"}}},
+		{"old-key4", testBundle{4, "r3", alice, 6, []string{"alice"}}},
+		{"old-key5", testBundle{5, "r4", alice, 6, []string{"alice"}}},
+		{"t1", testBundle{1, "", two, 1, []string{"alice"}}},
+		{"one-of-two2", testBundle{2, "t1", two, 2, []string{"alice"}}},
+		{"same-twice2", testBundle{2, "t1", two, 3, []string{"alice", "alice"}}},
+		{"two-of-two2", testBundle{2, "t1", two, 4, []string{"carol", "bob"}}},
+	}
+	out := make(map[string]*Signed)
+	for _, b := range list {
+		d := testDocument(b.version, b.slots, b.operators)
+		if b.parent != "" {
+			d.Parent = Digest(out[b.parent].Content())
+		}
+		content, err := Format(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewSigned(content)
+		for _, n := range b.signers {
+			name := n
+			if n == "mallory" {
+				name = "alice"
+			}
+			s.Sign(name, testKey(n))
+		}
+		out[b.name] = s
+	}
+	tampered := *out["a2"]
+	tampered.content = bytes.Replace(tampered.content, []byte("slots: 2"), []byte("slots: 9"), 1)
+	out["tampered2"] = &tampered
+	return out
+}
+
+func testDocument(version uint64, slots int, operators Operators) *Document {
+	return &Document{
+		Version: version, Operators: operators,
+		Services: []Service{{
+			Name: "planner", Slots: slots, Connections: 64, BodyLimit: 1 << 20, Objective: 1e9,
+			Classes: []RequestClass{{Name: "preview", Priority: 9, Deadline: 1e9, Expected: 1e6}},
+		}},
+	}
+}
+
+type chainStep struct {
+	Offer   string   `json:"offer"`
+	Adopt   string   `json:"adopt"`
+	Lineage []string `json:"lineage"`
+	Want    string   `json:"want"`
+	InForce *string  `json:"in-force"`
+}
+
+type chainCase struct {
+	Name  string      `json:"name"`
+	Steps []chainStep `json:"steps"`
+}
+
+var chainErrors = map[string]error{
+	"accepted": nil, "superseded": ErrSuperseded, "no-parent": ErrNoParent, "in-force": ErrInForce, "signatures": ErrSignatures,
+}
+
+// TestChainFaults runs the table of offers, forgeries and late births.
+func TestChainFaults(t *testing.T) {
+	data, err := os.ReadFile("testdata/chain.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []chainCase
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	bundles := testBundles(t)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			chain := NewChain(testOperators(1, "alice"))
+			for i, s := range c.Steps {
+				runChainStep(t, chain, bundles, i, &s)
+			}
+		})
+	}
+}
+
+func runChainStep(t *testing.T, chain *Chain, bundles map[string]*Signed, i int, s *chainStep) {
+	t.Helper()
+	before := chain.Version()
+	err := applyChainStep(t, chain, bundles, s)
+	want, ok := chainErrors[s.Want]
+	if !ok {
+		t.Fatalf("step %d: unknown result %q", i, s.Want)
+	}
+	if !errors.Is(err, want) {
+		t.Errorf("step %d: got %v, want %s", i, err, s.Want)
+	}
+	if chain.Version() < before {
+		t.Errorf("step %d: version went from %d to %d", i, before, chain.Version())
+	}
+	if s.InForce == nil {
+		return
+	}
+	wantDigest := ""
+	if *s.InForce != "" {
+		wantDigest = Digest(bundles[*s.InForce].Content())
+	}
+	if chain.Digest() != wantDigest {
+		t.Errorf("step %d: in force: got version %d, want %s", i, chain.Version(), *s.InForce)
+	}
+}
+
+func applyChainStep(t *testing.T, chain *Chain, bundles map[string]*Signed, s *chainStep) error {
+	t.Helper()
+	if s.Offer != "" {
+		return chain.Offer(bundles[s.Offer])
+	}
+	p := &Proof{signed: bundles[s.Adopt]}
+	for _, name := range s.Lineage {
+		p.lineage = append(p.lineage, bundles[name])
+	}
+	signed, lineage, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := DecodeProof(signed, lineage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return chain.Adopt(decoded)
+}
+
+// TestProofOutlivesParents checks that the proof of a chain with many changes
+// of operators is enough for a process that knows only the roots.
+func TestProofOutlivesParents(t *testing.T) {
+	old := NewChain(testOperators(1, "key-0"))
+	parent := ""
+	for v := range uint64(40) {
+		signer := fmt.Sprintf("key-%d", v/10)
+		next := fmt.Sprintf("key-%d", (v+1)/10)
+		d := testDocument(v+1, 1, testOperators(1, next))
+		d.Parent = parent
+		content, err := Format(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewSigned(content)
+		s.Sign(signer, testKey(signer))
+		if err := old.Offer(s); err != nil {
+			t.Fatalf("version %d: %v", v+1, err)
+		}
+		parent = Digest(content)
+		young := NewChain(testOperators(1, "key-0"))
+		if err := young.Adopt(old.Proof()); err != nil {
+			t.Errorf("version %d: adopt: got %v, want no error", v+1, err)
+		}
+		if got, want := len(young.lineage), len(old.lineage); got != want {
+			t.Errorf("version %d: lineage: got %d bundles, want %d", v+1, got, want)
+		}
+	}
+	if got, want := len(old.lineage), 4; got != want {
+		t.Errorf("lineage after 40 bundles: got %d, want %d", got, want)
+	}
+	rerooted := NewChain(testOperators(1, "key-2"))
+	if err := rerooted.Adopt(old.Proof()); err != nil {
+		t.Errorf("adopt with newer roots: got %v, want no error", err)
+	}
+}
+
+// TestChainRemembersWinners checks what a late operator is told.
+func TestChainRemembersWinners(t *testing.T) {
+	b := testBundles(t)
+	chain := NewChain(testOperators(1, "alice"))
+	for _, name := range []string{"a1", "b2"} {
+		if err := chain.Offer(b[name]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := chain.Accepted(2), Digest(b["b2"].Content()); got != want {
+		t.Errorf("version 2: got %s, want %s", got, want)
+	}
+	if got := chain.Accepted(7); got != "" {
+		t.Errorf("version 7: got %q, want none", got)
+	}
+}
--- /dev/null
+++ b/pkg/record/carry_test.go
@@ -0,0 +1,77 @@
+package record
+
+import (
+	"testing"
+	"time"
+)
+
+// TestCarryBeforeRetentionEnds follows streams with retention by age and by
+// count and checks that a copy is always kept.
+func TestCarryBeforeRetentionEnds(t *testing.T) {
+	cases := []struct {
+		name string
+		// every is the time between batches of others.
+		every, keep time.Duration
+		count       uint64
+		maxCopies   int
+	}{
+		{"one hour, a batch a second", time.Second, time.Hour, 0, 200},
+		{"two minutes, a batch a second", time.Second, 2 * time.Minute, 0, 2200},
+		{"one hour, quiet", 40 * time.Minute, time.Hour, 0, 200},
+		{"a thousand batches", time.Second, 0, 1000, 300},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var carry Carry
+			now := time.Unix(1000, 0)
+			appended := []time.Time{now}
+			first := uint64(0)
+			carry.Copied(now, now, 0)
+			copies := 0
+			last := now
+			for end := now.Add(24 * time.Hour); now.Before(end); now = now.Add(time.Second) {
+				if now.Sub(last) >= c.every {
+					appended, last = append(appended, now), now
+				}
+				next := uint64(len(appended))
+				for c.keep > 0 && first < next && now.Sub(appended[first]) > c.keep {
+					first++
+				}
+				if c.count > 0 && next > c.count {
+					first = next - c.count
+				}
+				carry.Observe(now, first, next)
+				if carry.Offset() < first {
+					t.Fatalf("after %s: copy at %d, first kept %d", now.Sub(time.Unix(1000, 0)), carry.Offset(), first)
+				}
+				if _, due := carry.Due(now); due {
+					appended = append(appended, now)
+					carry.Copied(now, now, next)
+					copies++
+				}
+			}
+			if copies > c.maxCopies {
+				t.Errorf("copies in a day: got %d, want at most %d", copies, c.maxCopies)
+			}
+		})
+	}
+}
+
+// TestCarryAfterRestart checks that a copy's age counts from its writing, not
+// from when a new process read it.
+func TestCarryAfterRestart(t *testing.T) {
+	var carry Carry
+	now := time.Unix(100000, 0)
+	carry.Observe(now, 0, 10)
+	if _, due := carry.Due(now); !due {
+		t.Error("no copy known: got not due, want due")
+	}
+	carry.Copied(now, now.Add(-2*carryMin), 4)
+	if _, due := carry.Due(now); !due {
+		t.Error("old copy: got not due, want due")
+	}
+	carry.Copied(now, now.Add(time.Hour), 5)
+	if reason, due := carry.Due(now); due {
+		t.Errorf("copy from a clock ahead: got due (%s), want not due", reason)
+	}
+}
--- a/pkg/record/messages.go
+++ b/pkg/record/messages.go
@@ -194,11 +194,19 @@
 	Parts  uint32 `cbor:"3,keyasint"`
 	Covers uint64 `cbor:"4,keyasint"`
 	State  []byte `cbor:"5,keyasint"`
+	// WrittenMS is when it was written, in Unix milliseconds on the writer's clock.
+	WrittenMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// Bundle publishes a signed bundle.
+// Bundle publishes a signed bundle, or carries the one in force forward.
 type Bundle struct {
 	Signed []byte `cbor:"1,keyasint"`
+	// Carried bundles were in force when they were written.
+	Carried bool `cbor:"2,keyasint,omitempty"`
+	// Lineage holds the earlier bundles that changed the operators.
+	Lineage [][]byte `cbor:"3,keyasint,omitempty"`
+	// WrittenMS is when it was written, in Unix milliseconds on the writer's clock.
+	WrittenMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Member says that an entry has started, goes on or leaves.
@@ -208,6 +216,8 @@
 	Address     string `cbor:"3,keyasint"`
 	Incarnation uint64 `cbor:"4,keyasint"`
 	Leaving     bool   `cbor:"5,keyasint,omitempty"`
+	// WrittenMS is when it was written, in Unix milliseconds on the writer's clock.
+	WrittenMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Kind returns KindSubmit.
