--- /dev/null
+++ b/pkg/worker/fleet.go
@@ -0,0 +1,232 @@
+package worker
+
+import "time"
+
+// TaskKey names a task in a Fleet.
+type TaskKey struct {
+	// Job is the job's id.
+	Job string
+	// Index is the task's index.
+	Index uint32
+}
+
+// Report is what a worker's agent said last.
+type Report struct {
+	// Name is the worker's name.
+	Name string
+	// Rack is where the worker stands.
+	Rack string
+	// Service is the latency-critical service beside it.
+	Service string
+	// Total is the worker's size.
+	Total Resources
+	// Free is what its ledger has left.
+	Free Resources
+	// Ready is false while the ledger admits nothing.
+	Ready bool
+	// Leaving workers take no new tasks.
+	Leaving bool
+	// Load is the part of the service's slots in use, from 0 to 1.
+	Load float64
+	// Pressure is the service's tail latency divided by its objective.
+	Pressure float64
+}
+
+// Hold is what one task holds of a worker.
+type Hold struct {
+	// Worker is the worker's name.
+	Worker string
+	// Team pays for the task.
+	Team string
+	// Size is what the task asked for.
+	Size Resources
+	// Class is the task's batch class.
+	Class string
+	// Urgent tasks are not preempted.
+	Urgent bool
+	// Since is when the hold began.
+	Since time.Time
+	// Tentative holds are decisions that the log does not show yet.
+	Tentative bool
+	// Ending tasks have been told to stop.
+	Ending bool
+}
+
+// view is what an entry knows about one worker.
+type view struct {
+	report Report
+	heard  time.Time
+	// used is the sum of the holds.
+	used Resources
+	// foreign is what the ledger has granted to tasks that no hold explains.
+	foreign Resources
+	tasks   map[TaskKey]struct{}
+	health  Health
+	// reserved is the task that room is kept for until reservedUntil.
+	reserved      TaskKey
+	reservedUntil time.Time
+	// ended workers sent no heartbeat for too long.
+	known bool
+}
+
+// Fleet is an entry's view of all workers of its data centre. Free room is
+// kept up with every hold and report, never counted anew. The zero value is an
+// empty fleet.
+type Fleet struct {
+	index map[string]int
+	views []view
+	// free is what each worker has left; it is apart so that a scan is short.
+	free         []Resources
+	holds        map[TaskKey]Hold
+	interference Interference
+	// largest is the largest amount of each resource that one worker has.
+	largest Resources
+	// version counts changes of the workers known and their sizes.
+	version uint64
+}
+
+// Len returns the number of workers known.
+func (f *Fleet) Len() int { return len(f.views) }
+
+// Version changes when a worker comes in or changes its size.
+func (f *Fleet) Version() uint64 { return f.version }
+
+// Interference returns the learned model of interference.
+func (f *Fleet) Interference() *Interference { return &f.interference }
+
+// Heard takes in a worker's report and returns what the worker has left now.
+func (f *Fleet) Heard(now time.Time, r *Report) Resources {
+	i := f.at(r.Name)
+	v := &f.views[i]
+	if !v.known || v.report.Total != r.Total {
+		f.version++
+	}
+	v.known = true
+	v.report = *r
+	v.heard = now
+	v.foreign = Resources{}
+	if r.Ready {
+		v.foreign = r.Total.Minus(r.Free).Minus(v.used).Max(Resources{})
+	}
+	f.largest = f.largest.Max(r.Total)
+	f.recount(i)
+	return f.free[i]
+}
+
+// Lost drops what a silent worker reported; its holds stay until the log ends them.
+func (f *Fleet) Lost(name string) {
+	i, ok := f.index[name]
+	if !ok || !f.views[i].known {
+		return
+	}
+	f.views[i].known = false
+	f.version++
+	f.largest = Resources{}
+	for k := range f.views {
+		if f.views[k].known {
+			f.largest = f.largest.Max(f.views[k].report.Total)
+		}
+	}
+}
+
+// Hold notes that a task holds part of a worker, in place of what it held before.
+func (f *Fleet) Hold(key TaskKey, h Hold) {
+	f.Drop(key)
+	if f.holds == nil {
+		f.holds = make(map[TaskKey]Hold)
+	}
+	i := f.at(h.Worker)
+	v := &f.views[i]
+	f.holds[key] = h
+	v.tasks[key] = struct{}{}
+	v.used = v.used.Plus(h.Size)
+	if v.reserved == key {
+		v.reservedUntil = time.Time{}
+	}
+	f.recount(i)
+}
+
+// Drop ends a task's hold and returns it.
+func (f *Fleet) Drop(key TaskKey) (Hold, bool) {
+	h, ok := f.holds[key]
+	if !ok {
+		return Hold{}, false
+	}
+	delete(f.holds, key)
+	i := f.index[h.Worker]
+	v := &f.views[i]
+	delete(v.tasks, key)
+	v.used = v.used.Minus(h.Size)
+	f.recount(i)
+	return h, true
+}
+
+// Held returns a task's hold.
+func (f *Fleet) Held(key TaskKey) (Hold, bool) {
+	h, ok := f.holds[key]
+	return h, ok
+}
+
+// Holds returns the number of holds.
+func (f *Fleet) Holds() int { return len(f.holds) }
+
+// Free returns what a worker has left.
+func (f *Fleet) Free(name string) Resources {
+	i, ok := f.index[name]
+	if !ok {
+		return Resources{}
+	}
+	return f.free[i]
+}
+
+// Health returns a worker's health, to be read or told of outcomes.
+func (f *Fleet) Health(name string) *Health { return &f.views[f.at(name)].health }
+
+// Rack returns a worker's rack.
+func (f *Fleet) Rack(name string) string {
+	i, ok := f.index[name]
+	if !ok {
+		return ""
+	}
+	return f.views[i].report.Rack
+}
+
+// FitsNone reports whether size is larger than every worker known.
+func (f *Fleet) FitsNone(size Resources) bool {
+	if !size.Fits(f.largest) {
+		return true
+	}
+	for i := range f.views {
+		if f.views[i].known && size.Fits(f.views[i].report.Total) {
+			return false
+		}
+	}
+	return true
+}
+
+// Reserve keeps a worker's room for one task until a moment.
+func (f *Fleet) Reserve(name string, key TaskKey, until time.Time) {
+	v := &f.views[f.at(name)]
+	v.reserved = key
+	v.reservedUntil = until
+}
+
+func (f *Fleet) at(name string) int {
+	if i, ok := f.index[name]; ok {
+		return i
+	}
+	if f.index == nil {
+		f.index = make(map[string]int)
+	}
+	i := len(f.views)
+	f.index[name] = i
+	f.views = append(f.views, view{tasks: make(map[TaskKey]struct{})})
+	f.views[i].report.Name = name
+	f.free = append(f.free, Resources{})
+	return i
+}
+
+func (f *Fleet) recount(i int) {
+	v := &f.views[i]
+	f.free[i] = v.report.Total.Minus(v.used).Minus(v.foreign)
+}
