Schedule from a queue and a fleet view that follow the log

Cause: every tick walked all jobs and all holds, so its cost grew with what waits and runs; a decision not yet in the log was not counted as room taken.

Change: pkg/queue holds the waiting work by team and size, urgent first, by share of the quota, earliest due first with an age that never starves. Work without room steps aside until some worker has more; work larger than every worker is parked and its view says so. pkg/worker.Fleet keeps each worker's free room up with every hold and heartbeat and chooses among sampled workers. Urgent work of a team within its quota may have younger tasks stopped.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,7 +95,7 @@
 		chain:    bundle.NewChain(s.Roots),
 		known:    make(map[string]member),
 	}
-	e.jobs.born = now
+	e.jobs.attach(now)
 	e.routes.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name)))) //nolint:gosec // load balancing only
 	var err error
 	if e.doorLn, err = new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen); err != nil {
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -68,6 +68,8 @@
 		j.workers = make(map[string]*workerView)
 	}
 	j.workers[h.Worker] = &workerView{heartbeat: *h, heard: now}
+	said, uses := report(h)
+	j.scheduler.Heard(now, said, uses)
 	if j.began.IsZero() || j.queued == nil {
 		return nil
 	}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -57,6 +57,8 @@
 	Attempts   uint32 `json:"attempts"`
 	Checkpoint string `json:"checkpoint,omitempty"`
 	Detail     string `json:"detail,omitempty"`
+	// Waiting says why a pending task does not run yet.
+	Waiting string `json:"waiting,omitempty"`
 }
 
 func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
@@ -213,7 +215,18 @@
 	if !ok || j.Spec().Team != team {
 		return JobView{}, false
 	}
-	return viewOf(j, true), true
+	v := viewOf(j, true)
+	e.explainWaiting(j, &v)
+	return v, true
+}
+
+// explainWaiting fills in why pending tasks wait; jobs.mu is held.
+func (e *Entry) explainWaiting(j *job.Job, v *JobView) {
+	for i := range v.Tasks {
+		if reason, ok := e.jobs.scheduler.Waiting(j, uint32(i)); ok {
+			v.Tasks[i].Waiting = reason
+		}
+	}
 }
 
 func viewOf(j *job.Job, withTasks bool) JobView {
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"sort"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/job"
+	"savoryhoist.example/savoryhoist/pkg/queue"
 	"savoryhoist.example/savoryhoist/pkg/record"
 	"savoryhoist.example/savoryhoist/pkg/worker"
 )
@@ -32,11 +33,18 @@
 	began   time.Time
 	changed chan struct{}
 	workers map[string]*workerView
-	// seen is when a pending task was first seen, by task and attempt.
-	seen map[waiting]time.Time
 	// queued is when a record about a hold or a waiting task was last queued.
 	queued  map[waiting]time.Time
 	revoked map[record.Hold]time.Time
+
+	scheduler queue.Scheduler
+	random    *rand.Rand
+	// delivered is when the records that are being folded were delivered.
+	delivered time.Time
+	// configured is the document that the scheduler follows.
+	configured *bundle.Document
+	// looked is when silent workers were looked for last.
+	looked time.Time
 }
 
 type waiting struct {
@@ -60,11 +68,19 @@
 	}
 }
 
+// attach makes the scheduler follow the fold, before anything is folded.
+func (j *jobs) attach(now time.Time) {
+	j.born = now
+	j.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)) //nolint:gosec // placement only
+	j.fold.Changed = func(id record.TaskID, owner *job.Job, t *job.Task) {
+		j.scheduler.TaskChanged(j.delivered, id, owner, t)
+	}
+}
+
 func (j *jobs) init() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.changed = make(chan struct{}, 1)
-	j.seen = make(map[waiting]time.Time)
 	j.queued = make(map[waiting]time.Time)
 	j.revoked = make(map[record.Hold]time.Time)
 	if j.workers == nil {
@@ -115,96 +131,71 @@
 		return nil
 	}
 	out := e.takeOver(now)
-	free := e.room(now)
-	for _, p := range e.pending(now, document, neighbours) {
-		name, ok := place(p.job.Spec().Size, free)
-		if !ok {
-			continue
+	e.configure(now, document)
+	e.dropSilent(now)
+	backup := func(jobID string) time.Duration {
+		return time.Duration(rank(e.settings.Name, jobID, neighbours)) * backupDelay
+	}
+	decisions := e.jobs.scheduler.Decide(now, &e.jobs.fold, backup, e.jobs.random)
+	for i := range decisions {
+		e.logDecision(&decisions[i])
+		if m := decisions[i].Message(); m != nil {
+			out = append(out, m)
 		}
-		free[name] = free[name].Minus(p.job.Spec().Size)
-		e.jobs.queued[p.waiting] = now
-		out = append(out, &record.Assign{Placements: []record.Placement{{Task: p.task, Worker: name, Attempt: p.attempt}}})
-		e.log.Info().Str("decision", "place-task").Str("task", p.task.String()).Str("worker", name).
-			Str("class", p.job.Spec().Class).Str("reason", "most room left").Msg("")
 	}
 	return out
 }
 
-// place returns the worker with the most memory left of those with room.
-func place(size worker.Resources, free map[string]worker.Resources) (string, bool) {
-	best := ""
-	for name, room := range free {
-		if !size.Fits(room) {
-			continue
-		}
-		if best == "" || room.MemoryMB > free[best].MemoryMB || (room.MemoryMB == free[best].MemoryMB && name < best) {
-			best = name
-		}
+// configure hands a new bundle to the scheduler; jobs.mu is held.
+func (e *Entry) configure(now time.Time, d *bundle.Document) {
+	if e.jobs.configured == d {
+		return
 	}
-	return best, best != ""
+	e.jobs.configured = d
+	e.jobs.scheduler.Configure(now, d, &e.jobs.fold)
 }
 
-// room returns what each live worker has left by its heartbeat and the fold.
-func (e *Entry) room(now time.Time) map[string]worker.Resources {
-	out := make(map[string]worker.Resources, len(e.jobs.workers))
+// dropSilent tells the scheduler of workers that fell silent; jobs.mu is held.
+func (e *Entry) dropSilent(now time.Time) {
+	if now.Sub(e.jobs.looked) < workerLostAfter/2 {
+		return
+	}
+	e.jobs.looked = now
 	for name, v := range e.jobs.workers {
-		if !v.heartbeat.Ready || v.heartbeat.Leaving || now.Sub(v.heard) > workerLostAfter {
-			continue
+		if now.Sub(v.heard) > workerLostAfter {
+			e.jobs.scheduler.Fleet().Lost(name)
 		}
-		left := v.heartbeat.Total
-		e.jobs.fold.Held(name, func(_ record.Hold, j *job.Job, _ *job.Task) {
-			left = left.Minus(j.Spec().Size)
-		})
-		out[name] = left
 	}
-	return out
-}
-
-type pendingTask struct {
-	waiting
-	job      *job.Job
-	priority int
 }
 
-// pending returns the tasks that this entry should place now, most important first.
-func (e *Entry) pending(now time.Time, d *bundle.Document, neighbours []record.Member) []pendingTask {
-	var out []pendingTask
-	e.jobs.fold.Each(func(j *job.Job) bool {
-		if j.Ended() {
-			return true
-		}
-		backup := time.Duration(rank(e.settings.Name, j.Spec().ID, neighbours)) * backupDelay
-		priority := 0
-		if class, ok := d.BatchClass(j.Spec().Class); ok {
-			priority = class.Priority
-		}
-		for i := range j.Tasks() {
-			t := j.Task(i)
-			if t.Phase() != job.Pending {
-				continue
-			}
-			w := waiting{task: record.TaskID{Job: j.Spec().ID, Index: uint32(i)}, attempt: t.Attempt()}
-			if e.jobs.due(now, w, backup) {
-				out = append(out, pendingTask{waiting: w, job: j, priority: priority})
-			}
-		}
-		return true
-	})
-	sort.Slice(out, func(i, k int) bool {
-		if out[i].priority != out[k].priority {
-			return out[i].priority > out[k].priority
-		}
-		return out[i].job.Submitted() < out[k].job.Submitted()
-	})
-	return out
+func (e *Entry) logDecision(d *queue.Decision) {
+	spec := d.Job().Spec()
+	if len(d.Placements()) == 0 && len(d.Holds()) == 0 {
+		e.log.Info().Str("decision", d.Kind().String()).Str("job", spec.ID).Str("class", spec.Class).
+			Str("reason", d.Reason()).Msg("")
+	}
+	for _, p := range d.Placements() {
+		e.log.Info().Str("decision", d.Kind().String()).Str("task", p.Task.String()).Str("worker", p.Worker).
+			Str("class", spec.Class).Str("reason", d.Reason()).Msg("")
+	}
+	for _, h := range d.Holds() {
+		e.log.Info().Str("decision", d.Kind().String()).Str("task", h.Task.String()).Str("for-job", spec.ID).
+			Str("reason", d.Reason()).Msg("")
+	}
 }
 
-// due reports whether a waiting task has waited for backup and is not being placed.
-func (j *jobs) due(now time.Time, w waiting, backup time.Duration) bool {
-	first, ok := j.seen[w]
-	if !ok {
-		j.seen[w] = now
-		first = now
+// report returns what the scheduler needs to know of a heartbeat.
+func report(h *link.Heartbeat) (*worker.Report, []queue.ClassUse) {
+	r := &worker.Report{
+		Name: h.Worker, Rack: h.Rack, Service: h.Service, Total: h.Total, Free: h.Free, Ready: h.Ready, Leaving: h.Leaving,
+		Pressure: h.Pressure,
+	}
+	if h.Slots > 0 {
+		r.Load = min(float64(h.InFlight)/float64(h.Slots), 1)
+	}
+	uses := make([]queue.ClassUse, len(h.Uses))
+	for i, u := range h.Uses {
+		uses[i] = queue.ClassUse{Class: u.Class, Granted: u.Granted, Used: u.Used}
 	}
-	return now.Sub(first) >= backup && now.Sub(j.queued[w]) > decisionPending
+	return r, uses
 }
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -37,6 +37,7 @@
 func (e *Entry) deliverJobs(records []record.Record, next uint64, began time.Time) {
 	e.jobs.mu.Lock()
 	defer e.jobs.mu.Unlock()
+	e.jobs.delivered = time.Now()
 	for _, r := range records {
 		if err := e.jobs.fold.Apply(r); err != nil {
 			e.log.Debug().Err(err).Uint64("position", uint64(r.Position())).Str("writer", r.Writer()).Msg("void record")
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -44,6 +44,19 @@
 	// Primary asks this entry to record the reports in the log.
 	Primary bool   `cbor:"13,keyasint,omitempty"`
 	Bundle  string `cbor:"14,keyasint,omitempty"`
+	// Pressure is the service's tail latency there divided by its objective.
+	Pressure float64 `cbor:"30,keyasint,omitempty"`
+	// Uses is what batch tasks use, by class.
+	Uses []ClassUse `cbor:"31,keyasint,omitempty"`
+}
+
+// ClassUse is what the tasks of one batch class use on a worker, some time ago.
+type ClassUse struct {
+	_     struct{} `cbor:",toarray"`
+	Class string
+	// Granted is the sum of what the tasks asked for.
+	Granted worker.Resources
+	Used    worker.Resources
 }
 
 // TaskState is what an agent reports about a task.
--- a/pkg/worker/fleet.go
+++ b/pkg/worker/fleet.go
@@ -44,6 +44,8 @@
 	Class string
 	// Urgent tasks are not preempted.
 	Urgent bool
+	// Epoch is the position of the record that began the hold.
+	Epoch uint64
 	// Since is when the hold began.
 	Since time.Time
 	// Tentative holds are decisions that the log does not show yet.
