Test the queue, the scheduler and the fleet's view

A rapid property compares the room kept up per worker with a sum over all holds, another compares the queue with a plain map. Tables for placement's filters and preferences, gangs, parking, preemption, bad workers and bad jobs. The tests found a team without quota that starved: its share is now bounded.

--- a/pkg/queue/decision.go
+++ b/pkg/queue/decision.go
@@ -135,7 +135,7 @@
 
 // preempt makes room for an urgent task of a team within its quota.
 func (s *Scheduler) preempt(now time.Time, item *Item, owner *job.Job, random *rand.Rand) (Decision, bool) {
-	if !item.demand.Urgent || item.demand.Count != 1 || s.fleet.Len() == 0 || s.queue.Share(item.demand.Team) >= 1 {
+	if !item.demand.Urgent || item.demand.Count != 1 || s.fleet.Len() == 0 || s.queue.Share(item.demand.Team) > 1 {
 		return Decision{}, false
 	}
 	if now.Before(s.preempting[item.key]) {
--- /dev/null
+++ b/pkg/queue/scheduler_test.go
@@ -0,0 +1,234 @@
+package queue_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/bundle"
+	"savoryhoist.example/savoryhoist/pkg/job"
+	"savoryhoist.example/savoryhoist/pkg/queue"
+	"savoryhoist.example/savoryhoist/pkg/record"
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// site is a scheduler over a fold, with a log that takes every record.
+type site struct {
+	scheduler queue.Scheduler
+	fold      job.Fold
+	now       time.Time
+	offset    uint64
+	random    *rand.Rand
+	total     worker.Resources
+	names     []string
+}
+
+func newSite(workers int, total worker.Resources) *site {
+	s := &site{now: epoch, random: rand.New(rand.NewPCG(1, 2)), total: total}
+	s.fold.Changed = func(id record.TaskID, j *job.Job, t *job.Task) { s.scheduler.TaskChanged(s.now, id, j, t) }
+	for i := range workers {
+		s.names = append(s.names, fmt.Sprintf("worker-%d", i))
+	}
+	s.heartbeats()
+	s.scheduler.Configure(s.now, &bundle.Document{
+		BatchClasses: []bundle.BatchClass{{Name: "urgent", Priority: 9, Urgent: true}, {Name: "shaping", Priority: 5}},
+		Teams:        []bundle.Team{{Name: "clinics", Quota: total.Times(int64(workers))}},
+	}, &s.fold)
+	return s
+}
+
+func (s *site) heartbeats() {
+	for i, name := range s.names {
+		free := s.total
+		s.fold.Held(name, func(_ record.Hold, j *job.Job, _ *job.Task) { free = free.Minus(j.Spec().Size) })
+		s.scheduler.Heard(s.now, &worker.Report{
+			Name: name, Rack: fmt.Sprint("rack-", i/3), Total: s.total, Free: free, Ready: true,
+		}, nil)
+	}
+}
+
+func (s *site) apply(m record.Message) {
+	s.offset++
+	_ = s.fold.Apply(record.New(record.At(s.offset, 0), "test", s.offset, m))
+}
+
+func (s *site) submit(id, class string, tasks uint32, gang bool, size worker.Resources) {
+	s.apply(&record.Submit{Spec: record.Spec{
+		ID: id, Team: "clinics", Class: class, Tasks: tasks, Gang: gang, Size: size, MaxFailures: 100, SubmittedAt: s.now.UnixMilli(),
+	}})
+}
+
+func (s *site) tick() []queue.Decision {
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.heartbeats()
+	out := s.scheduler.Decide(s.now, &s.fold, func(string) time.Duration { return 0 }, s.random)
+	for i := range out {
+		if m := out[i].Message(); m != nil {
+			s.apply(m)
+		}
+	}
+	return out
+}
+
+func (s *site) task(id string, index int) *job.Task {
+	j, _ := s.fold.Job(id)
+	return j.Task(index)
+}
+
+func (s *site) hold(id string, index int) record.Hold {
+	return record.Hold{Task: record.TaskID{Job: id, Index: uint32(index)}, Epoch: s.task(id, index).Epoch()}
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	s := newSite(3, cpu(4000))
+	s.submit("small", "shaping", 1, false, cpu(1000))
+	s.tick()
+	s.submit("gang", "shaping", 3, true, cpu(4000))
+	s.tick()
+	for i := range 3 {
+		if got := s.task("gang", i).Phase(); got != job.Pending {
+			t.Fatalf("got task %d %s without room for all, want pending", i, got)
+		}
+	}
+	s.apply(&record.Finished{Hold: s.hold("small", 0), Outcome: record.OutcomeSucceeded})
+	decisions := s.tick()
+	if len(decisions) != 1 || len(decisions[0].Placements()) != 3 {
+		t.Fatalf("got %d decisions, want one with three placements", len(decisions))
+	}
+	for i := range 3 {
+		if got := s.task("gang", i).Phase(); got != job.Assigned {
+			t.Errorf("got task %d %s, want assigned", i, got)
+		}
+	}
+}
+
+func TestGangWaitsForRevokedTasks(t *testing.T) {
+	s := newSite(4, cpu(4000))
+	s.submit("gang", "shaping", 2, true, cpu(4000))
+	s.tick()
+	s.apply(&record.Revoke{Holds: []record.Hold{s.hold("gang", 0), s.hold("gang", 1)}})
+	s.apply(&record.Released{Hold: s.hold("gang", 0)})
+	if got := len(s.tick()); got != 0 {
+		t.Fatalf("got %d decisions while a task is revoked, want none", got)
+	}
+	s.apply(&record.Released{Hold: s.hold("gang", 1)})
+	if got := s.tick(); len(got) != 1 || len(got[0].Placements()) != 2 {
+		t.Fatalf("got %v, want one decision for both tasks", got)
+	}
+}
+
+func TestJobThatFitsNoWorkerIsParkedWithReason(t *testing.T) {
+	s := newSite(2, cpu(4000))
+	s.submit("huge", "shaping", 1, false, cpu(5000))
+	s.submit("small", "shaping", 1, false, cpu(1000))
+	s.tick()
+	if got := s.task("small", 0).Phase(); got != job.Assigned {
+		t.Errorf("got the job behind it %s, want assigned", got)
+	}
+	j, _ := s.fold.Job("huge")
+	if got, _ := s.scheduler.Waiting(j, 0); !strings.Contains(got, "more than any known worker") {
+		t.Errorf("got reason %q, want that no worker is large enough", got)
+	}
+	s.scheduler.Heard(s.now, &worker.Report{Name: "large", Total: cpu(8000), Free: cpu(8000), Ready: true}, nil)
+	s.tick()
+	if got := s.task("huge", 0).Worker(); got != "large" {
+		t.Errorf("got worker %q after a large one came, want large", got)
+	}
+}
+
+func TestUrgentWorkMakesRoomOnAFullSite(t *testing.T) {
+	s := newSite(2, cpu(4000))
+	s.submit("old", "shaping", 1, false, cpu(4000))
+	s.tick()
+	s.submit("young", "shaping", 1, false, cpu(4000))
+	s.tick()
+	s.submit("quick", "urgent", 1, false, cpu(1000))
+	decisions := s.tick()
+	if len(decisions) != 1 || decisions[0].Kind() != queue.KindPreempt {
+		t.Fatalf("got %v, want one preemption", decisions)
+	}
+	for range 3 {
+		if got := s.tick(); len(got) != 0 {
+			t.Fatalf("got %v while the room is being made, want nothing", got)
+		}
+	}
+	victim := decisions[0].Holds()[0]
+	s.apply(&record.Released{Hold: victim})
+	for range 3 {
+		s.tick()
+	}
+	if got, want := s.task("quick", 0).Phase(), job.Assigned; got != want {
+		t.Errorf("got urgent task %s, want %s", got, want)
+	}
+}
+
+// TestWorkerThatFailsEverythingIsProbed lets one worker fail all it starts,
+// on a site where there is always work for every worker.
+func TestWorkerThatFailsEverythingIsProbed(t *testing.T) {
+	s := newSite(4, cpu(16000))
+	const bad = "worker-2"
+	failures := 0
+	for i := range 200 {
+		for k := range s.names {
+			s.submit(fmt.Sprint(i, "-", k), "shaping", 1, false, cpu(16000))
+		}
+		for _, d := range s.tick() {
+			for _, p := range d.Placements() {
+				outcome := record.OutcomeSucceeded
+				if p.Worker == bad {
+					outcome = record.OutcomeFailed
+					failures++
+				}
+				s.apply(&record.Finished{Hold: s.hold(p.Task.Job, 0), Outcome: outcome})
+			}
+		}
+	}
+	if want := 8; failures > want {
+		t.Errorf("got %d tasks sent to a worker that fails everything, want at most %d", failures, want)
+	}
+	if got := s.scheduler.Fleet().Health(bad).Suspect(); !got {
+		t.Errorf("got suspect %v, want true", got)
+	}
+}
+
+// TestBadJobsDoNotCondemnWorkers lets one job fail everywhere among good ones.
+func TestBadJobsDoNotCondemnWorkers(t *testing.T) {
+	s := newSite(4, cpu(16000))
+	s.submit("bad", "shaping", 20, false, cpu(100))
+	for range 300 {
+		for _, d := range s.tick() {
+			for _, p := range d.Placements() {
+				s.apply(&record.Finished{Hold: s.hold(p.Task.Job, int(p.Task.Index)), Outcome: record.OutcomeFailed})
+			}
+		}
+		s.now = s.now.Add(time.Second)
+	}
+	for _, name := range s.names {
+		if s.scheduler.Fleet().Health(name).Suspect() {
+			t.Errorf("got %s suspect, want it trusted", name)
+		}
+	}
+}
+
+// TestLostDecisionIsRepeated drops the record of a placement.
+func TestLostDecisionIsRepeated(t *testing.T) {
+	s := newSite(1, cpu(1000))
+	s.submit("one", "shaping", 1, false, cpu(1000))
+	s.now = s.now.Add(time.Second)
+	backup := func(string) time.Duration { return 0 }
+	if got := s.scheduler.Decide(s.now, &s.fold, backup, s.random); len(got) != 1 {
+		t.Fatalf("got %d decisions, want 1", len(got))
+	}
+	if got := s.tick(); len(got) != 0 {
+		t.Fatalf("got %d decisions while the first may show, want 0", len(got))
+	}
+	s.now = s.now.Add(queue.PlacementPending)
+	if got := s.tick(); len(got) != 1 {
+		t.Errorf("got %d decisions after the first was lost, want 1", len(got))
+	}
+	if got := s.scheduler.Queue().Share("clinics"); got != 1 {
+		t.Errorf("got share %v, want 1: the lost decision is refunded", got)
+	}
+}
--- a/pkg/queue/team.go
+++ b/pkg/queue/team.go
@@ -6,9 +6,10 @@
 	"savoryhoist.example/savoryhoist/pkg/worker"
 )
 
-// leastQuota stands for a team that the bundle gives no quota: its work runs
-// when the others leave room, and by age.
-const leastQuota = 0.001
+// largestShare bounds what a team's use counts against it, and stands for a
+// team that the bundle gives no quota: its work runs when the others leave
+// room, and by age.
+const largestShare = 24
 
 // overduePerShare is how long a team's work must be overdue to weigh as much
 // as one whole quota.
@@ -46,9 +47,9 @@
 		return 0
 	}
 	if quota <= 0 {
-		return float64(used) / leastQuota
+		return largestShare
 	}
-	return float64(used) / float64(quota)
+	return min(float64(used)/float64(quota), largestShare)
 }
 
 // head returns the team's next item among the urgent or the others.
--- /dev/null
+++ b/pkg/worker/fleet_test.go
@@ -0,0 +1,193 @@
+package worker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+func cpu(n int64) worker.Resources { return worker.Resources{MilliCPU: n} }
+
+func report(name string, total worker.Resources) *worker.Report {
+	return &worker.Report{Name: name, Total: total, Free: total, Ready: true}
+}
+
+// TestFleetRoomFollowsHolds compares the room kept up with a sum over all holds.
+func TestFleetRoomFollowsHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var f worker.Fleet
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		total := worker.Resources{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 2}
+		sums := make(map[string]worker.Resources)
+		held := make(map[worker.TaskKey]worker.Hold)
+		for i := range 4 {
+			f.Heard(epoch, report(fmt.Sprint("w", i), total))
+		}
+		place := func(t *rapid.T) (worker.TaskKey, worker.Resources) {
+			size := worker.Resources{MilliCPU: rapid.Int64Range(1, 6000).Draw(t, "cpu"), Accelerators: rapid.Int64Range(0, 1).Draw(t, "acc")}
+			return worker.TaskKey{Job: "j", Index: rapid.Uint32Range(0, 20).Draw(t, "index")}, size
+		}
+		end := func(key worker.TaskKey) {
+			h, ok := f.Drop(key)
+			if _, want := held[key]; ok != want {
+				t.Fatalf("got hold %v, want %v", ok, want)
+			}
+			if ok {
+				sums[h.Worker] = sums[h.Worker].Minus(h.Size)
+				delete(held, key)
+			}
+		}
+		begin := func(key worker.TaskKey, h worker.Hold) {
+			sums[h.Worker] = sums[h.Worker].Plus(h.Size)
+			held[key] = h
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"place": func(t *rapid.T) {
+				key, size := place(t)
+				end(key)
+				c, err := f.Place(epoch, &worker.Task{Key: key, Size: size}, random)
+				if err != nil {
+					return
+				}
+				h := worker.Hold{Worker: c.Worker(), Size: size}
+				f.Hold(key, h)
+				begin(key, h)
+			},
+			"gang": func(t *rapid.T) {
+				_, size := place(t)
+				tasks := make([]worker.Task, 3)
+				for i := range tasks {
+					tasks[i] = worker.Task{Key: worker.TaskKey{Job: "gang", Index: uint32(i)}, Size: size}
+					end(tasks[i].Key)
+				}
+				choices, err := f.PlaceGang(epoch, tasks, random)
+				if err != nil {
+					return
+				}
+				for i := range tasks {
+					begin(tasks[i].Key, worker.Hold{Worker: choices[i].Worker(), Size: size})
+				}
+			},
+			"drop": func(t *rapid.T) { key, _ := place(t); end(key) },
+			"": func(t *rapid.T) {
+				for i := range 4 {
+					name := fmt.Sprint("w", i)
+					if got, want := f.Free(name), total.Minus(sums[name]); got != want {
+						t.Fatalf("got %+v free on %s, want %+v", got, name, want)
+					}
+					if got := f.Free(name); !got.Valid() {
+						t.Fatalf("got %+v free on %s, want nothing negative", got, name)
+					}
+				}
+				if got, want := f.Holds(), len(held); got != want {
+					t.Fatalf("got %d holds, want %d", got, want)
+				}
+			},
+		})
+	})
+}
+
+func TestPlaceFilters(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	later := epoch.Add(worker.SilentAfter + 1)
+	cases := []struct {
+		name    string
+		prepare func(f *worker.Fleet)
+		want    error
+	}{
+		{"a leaving worker", func(f *worker.Fleet) {
+			r := report("w", cpu(1000))
+			r.Leaving = true
+			f.Heard(later, r)
+		}, worker.ErrFleetFull},
+		{"a worker whose ledger is not ready", func(f *worker.Fleet) {
+			r := report("w", cpu(1000))
+			r.Ready = false
+			f.Heard(later, r)
+		}, worker.ErrFleetFull},
+		{"a silent worker", func(f *worker.Fleet) { f.Heard(epoch, report("w", cpu(1000))) }, worker.ErrFleetFull},
+		{"a lost worker", func(f *worker.Fleet) { f.Heard(later, report("w", cpu(1000))); f.Lost("w") }, worker.ErrTooLarge},
+		{"a small worker", func(f *worker.Fleet) { f.Heard(later, report("w", cpu(10))) }, worker.ErrTooLarge},
+		{"grants that no hold explains", func(f *worker.Fleet) {
+			r := report("w", cpu(1000))
+			r.Free = cpu(10)
+			f.Heard(later, r)
+		}, worker.ErrFleetFull},
+		{"a worker with room kept for another task", func(f *worker.Fleet) {
+			f.Heard(later, report("w", cpu(1000)))
+			f.Reserve("w", worker.TaskKey{Job: "other"}, later.Add(1))
+		}, worker.ErrFleetFull},
+		{"a worker with room", func(f *worker.Fleet) { f.Heard(later, report("w", cpu(1000))) }, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var f worker.Fleet
+			c.prepare(&f)
+			_, got := f.Place(later, &worker.Task{Key: worker.TaskKey{Job: "j"}, Size: cpu(100)}, random)
+			if !errors.Is(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestPlacePrefers(t *testing.T) {
+	cases := []struct {
+		name    string
+		worse   func(r *worker.Report)
+		task    worker.Task
+		prepare func(f *worker.Fleet)
+	}{
+		{"no pressed service", func(r *worker.Report) { r.Service, r.Pressure = "planner", 1.5 }, worker.Task{}, nil},
+		{"keeping accelerators", func(r *worker.Report) { r.Total.Accelerators, r.Free.Accelerators = 2, 2 }, worker.Task{}, nil},
+		{"another rack", func(r *worker.Report) { r.Rack = "crowded" }, worker.Task{Racks: map[string]int{"crowded": 3}}, nil},
+		{"a service that bears the class", func(r *worker.Report) { r.Service, r.Load = "planner", 1 }, worker.Task{Class: "archive"}, func(f *worker.Fleet) {
+			for range 200 {
+				f.Interference().Observe("planner", 1, []worker.Part{{Class: "archive", Share: 1}}, 10)
+			}
+		}},
+		{"workers where the job has not failed", func(*worker.Report) {}, worker.Task{Failures: failedOn("worse")}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var f worker.Fleet
+			if c.prepare != nil {
+				c.prepare(&f)
+			}
+			bad := report("worse", cpu(4000))
+			c.worse(bad)
+			f.Heard(epoch, bad)
+			f.Heard(epoch, report("zz-better", cpu(4000)))
+			c.task.Size = cpu(1000)
+			got, err := f.Place(epoch, &c.task, rand.New(rand.NewPCG(1, 1)))
+			if want := "zz-better"; err != nil || got.Worker() != want {
+				t.Errorf("got %q, %v, want %q", got.Worker(), err, want)
+			}
+		})
+	}
+}
+
+func failedOn(name string) *worker.JobFailures {
+	f := new(worker.JobFailures)
+	f.Failed(name)
+	return f
+}
+
+func TestInterferenceTellsClassesApart(t *testing.T) {
+	var m worker.Interference
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 5000 {
+		load := random.Float64()
+		parts := []worker.Part{{Class: "noisy", Share: random.Float64() / 2}, {Class: "quiet", Share: random.Float64() / 2}}
+		m.Observe("planner", load, parts, 0.3+load*(3*parts[0].Share+0.1*parts[1].Share))
+	}
+	noisy, quiet := m.Slope("planner", "noisy"), m.Slope("planner", "quiet")
+	if noisy < 2.5 || noisy > 3.5 || quiet > 0.5 {
+		t.Errorf("got slopes %.2f and %.2f, want about 3 and 0.1", noisy, quiet)
+	}
+}
