Keep the fate of requests truthful and give out slots at the agent

Cause: the agent's book forgot attempts and then called them never seen; a running entry at its head stopped eviction; an answer lost on the way was lost for good; the entry asked over the connection that had just failed; nothing bounded what an agent let run.

Change: marks bound what the book may have forgotten; answers are kept and handed out again; a repetition attaches; the entry asks over a new connection, finds silent ones and cancels what nobody waits for; slots, a bounded queue, learned service times, ejection, a retry budget and an entry queue decide who runs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,7 +57,10 @@
 	// mu guards what requests and heartbeats share.
 	mu       sync.Mutex
 	book     endpoint.Book
-	inFlight int
+	gate     endpoint.Gate
+	times    endpoint.Times
+	flights  map[endpoint.AttemptID]*flight
+	waiting  map[*endpoint.Ticket]*flight
 	leaving  bool
 	chain    *bundle.Chain
 	entries  []string
@@ -84,6 +87,8 @@
 		chain:       bundle.NewChain(s.Roots),
 		entries:     s.Entries,
 		failedAt:    make(map[string]time.Time),
+		flights:     make(map[endpoint.AttemptID]*flight),
+		waiting:     make(map[*endpoint.Ticket]*flight),
 	}
 	a.tasks.noStartBefore = now
 	server, err := link.Listen(s.Listen, id, a.peerHandler(), link.RoleEntry)
@@ -145,7 +150,7 @@
 func (a *Agent) flying() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.inFlight
+	return len(a.flights)
 }
 
 // Ready reports whether the worker's ledger is rebuilt and an entry has answered.
@@ -177,16 +182,6 @@
 	return mux
 }
 
-func (a *Agent) answerFate(_ context.Context, _ link.Peer, q *link.FateQuery) (*link.FateReply, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if q.Incarnation != a.incarnation {
-		return &link.FateReply{Fate: endpoint.FateUnknown.String()}, nil
-	}
-	fate := a.book.Ask(time.Now(), endpoint.AttemptID{Request: q.Request, Attempt: q.Attempt})
-	return &link.FateReply{Fate: fate.String()}, nil
-}
-
 // pause waits for d and reports whether ctx is still live.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -176,7 +176,9 @@
 		Total: a.ledger.Total(), Free: a.ledger.Free(),
 	}
 	a.mu.Lock()
-	h.InFlight, h.Leaving, h.Bundle = a.inFlight, a.leaving, a.chain.Digest()
+	h.Leaving, h.Bundle = a.leaving, a.chain.Digest()
+	load := a.load()
+	h.InFlight, h.InFlightLong, h.Reserved, h.Mark = load.InFlight, load.Long, load.Reserved, a.book.Advance()
 	if s, ok := a.service(); ok {
 		h.Slots = s.Slots
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,8 @@
 	members  *platform.Writer
 	name     string
 	leaving  atomic.Bool
+	// requestTimer times callers' requests.
+	requestTimer gometrics.Timer
 
 	// Lock order: jobs.mu, routes.mu, bundleMu, memberMu. No lock is held
 	// during a call to another process.
@@ -96,6 +98,7 @@
 		known:    make(map[string]member),
 	}
 	e.jobs.born = now
+	e.requestTimer = gometrics.GetOrRegisterTimer("requests", e.registry)
 	e.routes.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name)))) //nolint:gosec // load balancing only
 	var err error
 	if e.doorLn, err = new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen); err != nil {
@@ -184,7 +187,7 @@
 	if !caughtUp || d == nil || e.leaving.Load() {
 		return false
 	}
-	return age > readyAnyway || (age > warmUp && e.routes.covers(d))
+	return age > readyAnyway || (age > warmUp && e.routes.covers(now, d))
 }
 
 func (e *Entry) document() *bundle.Document {
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"savoryhoist.example/savoryhoist/internal/link"
-	"savoryhoist.example/savoryhoist/pkg/endpoint"
 	"savoryhoist.example/savoryhoist/pkg/job"
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
@@ -143,16 +142,3 @@
 	}
 	return nil
 }
-
-// observe takes a heartbeat into the table of its service.
-func (r *routes) observe(now time.Time, dataCentre string, h *link.Heartbeat) {
-	if h.Service == "" {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.table(h.Service).Observe(now, endpoint.Report{
-		Name: h.Worker, DataCentre: dataCentre, Service: h.Service, Address: h.Address,
-		Incarnation: h.Incarnation, Slots: h.Slots, InFlight: h.InFlight, Leaving: h.Leaving,
-	})
-}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -67,8 +67,8 @@
 	}
 	e.jobs.mu.Unlock()
 	e.routes.mu.Lock()
-	for service, t := range e.routes.tables {
-		t.Each(func(p *endpoint.Endpoint) {
+	for service, p := range e.routes.routers {
+		p.Table().Each(func(p *endpoint.Endpoint) {
 			s.Endpoints = append(s.Endpoints, EndpointStatus{Name: p.Name(), Service: service, InFlight: p.InFlight(), Leaving: p.Leaving()})
 		})
 	}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -26,6 +26,7 @@
 type Client struct {
 	control  http.RoundTripper
 	requests *http.Transport
+	fresh    *http.Transport
 	quic     *http3.Transport
 }
 
@@ -40,12 +41,22 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &Client{control: q, requests: t, quic: q}
+	fresh := t.Clone()
+	fresh.DisableKeepAlives = true
+	return &Client{control: q, requests: t, fresh: fresh, quic: q}
 }
 
 // Requests returns the transport for callers' requests: pooled TCP.
 func (c *Client) Requests() http.RoundTripper { return c.requests }
 
+// Fresh returns a transport that opens a connection for each request. It is
+// used after silence, when open connections cannot be trusted.
+func (c *Client) Fresh() http.RoundTripper { return c.fresh }
+
+// DropIdle closes the idle connections for callers' requests, after one of
+// them was found to be silent.
+func (c *Client) DropIdle() { c.requests.CloseIdleConnections() }
+
 // Control returns the transport for messages between processes: QUIC.
 func (c *Client) Control() http.RoundTripper { return c.control }
 
@@ -57,6 +68,15 @@
 
 // Call sends one message to path at the peer's address and reads the reply into out.
 func (c *Client) Call(ctx context.Context, address, path string, in, out any) error {
+	return call(ctx, c.control, address, path, in, out)
+}
+
+// CallFresh is Call over a connection of its own.
+func (c *Client) CallFresh(ctx context.Context, address, path string, in, out any) error {
+	return call(ctx, c.fresh, address, path, in, out)
+}
+
+func call(ctx context.Context, transport http.RoundTripper, address, path string, in, out any) error {
 	body, err := cbor.Marshal(in)
 	if err != nil {
 		return errors.Wrap(err, "encode message")
@@ -65,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.control.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "call %s%s", address, path), ErrCall)
 	}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -25,6 +25,26 @@
 	HeaderDeadline = "Savoryhoist-Deadline"
 	HeaderRepeat   = "Savoryhoist-Repeat"
 	HeaderOutcome  = "Savoryhoist-Outcome"
+	// HeaderIncarnation and HeaderMark say which agent an attempt is meant for
+	// and the newest mark that its entry had heard of it.
+	HeaderIncarnation = "Savoryhoist-Incarnation"
+	HeaderMark        = "Savoryhoist-Mark"
+	// HeaderCallerTeam is the team that the entry found the caller to be.
+	HeaderCallerTeam = "Savoryhoist-Caller-Team"
+	// HeaderRefusal says why an agent refused an attempt; see the Refusal constants.
+	HeaderRefusal = "Savoryhoist-Refusal"
+	// HeaderLoad carries the endpoint's load with each answer; see FormatLoad.
+	HeaderLoad = "Savoryhoist-Load"
+	// HeaderTook is how long the runner took, in microseconds.
+	HeaderTook = "Savoryhoist-Took"
+)
+
+// Values of HeaderRefusal.
+const (
+	RefusalLeaving = "leaving"
+	RefusalFull    = "full"
+	RefusalRunner  = "runner"
+	RefusalFate    = "fate"
 )
 
 // Heartbeat is what an agent says about its endpoint and worker.
@@ -44,6 +64,10 @@
 	// Primary asks this entry to record the reports in the log.
 	Primary bool   `cbor:"13,keyasint,omitempty"`
 	Bundle  string `cbor:"14,keyasint,omitempty"`
+	// InFlightLong, Reserved and Mark describe the endpoint; see endpoint.Report.
+	InFlightLong int    `cbor:"15,keyasint,omitempty"`
+	Reserved     int    `cbor:"16,keyasint,omitempty"`
+	Mark         uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // TaskState is what an agent reports about a task.
@@ -112,6 +136,9 @@
 	Request     string `cbor:"1,keyasint"`
 	Attempt     uint32 `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint"`
+	Mark        uint64 `cbor:"4,keyasint,omitempty"`
+	// Cancel also ends the attempt where that is safe: it waits, or may be repeated.
+	Cancel bool `cbor:"5,keyasint,omitempty"`
 }
 
 // FateReply says what became of an attempt.
