Explore schedules of requests and tell the fate of all attempts together

Change: endpoint.Course decides the steps of a request in the entry and in the exploration, and joins the fates of its attempts. internal/explore/request runs seeded schedules of losses, delays, duplicates, crossed answers and restarts.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,11 +13,9 @@
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/problem"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
+	"savoryhoist.example/savoryhoist/pkg/endpoint"
 )
 
-// maxAttempts is how often one request is tried at most.
-const maxAttempts = 4
-
 // request is one caller's request.
 type request struct {
 	id      string
@@ -25,7 +23,7 @@
 	service *bundle.Service
 	class   *bundle.RequestClass
 	body    []byte
-	repeat  bool
+	course  endpoint.Course
 }
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
@@ -40,23 +38,26 @@
 	defer cancel()
 	e.routes.first(q.service.Name)
 	skip := ""
-	for n := uint32(1); ; n++ {
+	for {
+		n := q.course.Begin()
 		t, d, err := e.routes.await(ctx, q, deadline, skip)
 		if err != nil {
+			q.course.Refused(endpoint.FateNotRun)
 			p := problem.New(http.StatusServiceUnavailable, "", d.Reason)
 			p.RetryAfter = d.RetryAfter
+			p.Outcome = outcomeOf(q.course.Fate())
 			e.logShed(q, n, d.Reason)
 			p.Write(w)
 			return
 		}
 		e.logRoute(q, t, n)
-		out := e.try(ctx, r, q, t, n)
+		out := e.try(ctx, r, q, t)
 		if out.answer != nil {
 			out.answer.relay(w, func() { e.finish(q, t, out) })
 			return
 		}
 		e.finish(q, t, out)
-		if !e.again(ctx, q, t, n, &out) {
+		if !e.again(ctx, q, t, &out) {
 			out.problem.Write(w)
 			return
 		}
@@ -65,8 +66,9 @@
 }
 
 // again reports whether another attempt is safe and allowed, and waits for its turn.
-func (e *Entry) again(ctx context.Context, q *request, t target, n uint32, out *outcome) bool {
-	safe := ctx.Err() == nil && n < maxAttempts && (out.problem.Outcome == problem.NotRun || q.repeat)
+func (e *Entry) again(ctx context.Context, q *request, t target, out *outcome) bool {
+	n := q.course.Attempt()
+	safe := q.course.Again(ctx.Err() != nil)
 	var delay time.Duration
 	allowed := false
 	if safe {
@@ -131,7 +133,7 @@
 		problem.New(http.StatusRequestEntityTooLarge, "body", "the body is cut off or over the service's limit").Write(w)
 		return nil, 0, false
 	}
-	q := &request{id: rand.Text(), team: team.Name, service: service, class: class, body: body, repeat: repeat == ""}
+	q := &request{id: rand.Text(), team: team.Name, service: service, class: class, body: body, course: endpoint.NewCourse(repeat == "")}
 	return q, deadline, true
 }
 
--- a/internal/entry/request_attempt.go
+++ b/internal/entry/request_attempt.go
@@ -37,8 +37,6 @@
 	fateTimeout = 500 * time.Millisecond
 	// fateTries is how often a question about an attempt is asked.
 	fateTries = 2
-	// maxExchanges is how often the answer of one attempt is asked for.
-	maxExchanges = 4
 )
 
 // outcome is what became of one attempt: an answer to relay, or a problem.
@@ -58,21 +56,20 @@
 
 // try makes one attempt. If a connection fails or goes silent, it asks the
 // agent over a new one what became of the attempt, and for its answer.
-func (e *Entry) try(ctx context.Context, r *http.Request, q *request, t target, n uint32) outcome {
+func (e *Entry) try(ctx context.Context, r *http.Request, q *request, t target) outcome {
 	transport := e.agents.Requests()
-	sent := false
-	for i := 0; ; i++ {
+	n := q.course.Attempt()
+	for {
 		a, connected, err := e.exchange(ctx, transport, r, q, t, n)
 		if err == nil {
 			return e.judge(q, a)
 		}
-		sent = sent || connected
-		if !sent {
-			return e.unanswered(ctx, endpoint.FateNotRun, err)
+		step := q.course.Lost(connected)
+		if step == endpoint.StepAsk {
+			step = q.course.Asked(e.askFate(ctx, q, t, n), ctx.Err() != nil)
 		}
-		fate := e.askFate(ctx, q, t, n)
-		if i+1 >= maxExchanges || ctx.Err() != nil || fate == endpoint.FateNotRun || fate == endpoint.FateUnknown {
-			return e.unanswered(ctx, fate, err)
+		if step == endpoint.StepEnd {
+			return e.unanswered(ctx, q.course.Fate(), err)
 		}
 		transport = e.agents.Fresh()
 	}
@@ -171,28 +168,35 @@
 		return out
 	}
 	a.close()
+	q.course.Refused(endpoint.ParseFate(string(a.outcome)))
 	out.result.failed = out.result.refusal == link.RefusalRunner
 	out.problem = problem.New(http.StatusBadGateway, "", "the endpoint did not answer the request")
-	out.problem.Outcome = a.outcome
-	if a.outcome == problem.NotRun {
+	if q.course.Fate() == endpoint.FateNotRun {
 		out.problem = problem.New(http.StatusServiceUnavailable, "", "no endpoint could take the request")
 		out.problem.RetryAfter = time.Second
 	}
+	out.problem.Outcome = outcomeOf(q.course.Fate())
 	return out
 }
 
+func outcomeOf(f endpoint.Fate) problem.Outcome {
+	switch f {
+	case endpoint.FateNotRun:
+		return problem.NotRun
+	case endpoint.FateDone:
+		return problem.Run
+	}
+	return problem.Unknown
+}
+
 // unanswered says what an attempt without an answer means.
 func (e *Entry) unanswered(ctx context.Context, fate endpoint.Fate, err error) outcome {
 	p := problem.New(http.StatusBadGateway, "", "the endpoint did not answer")
-	switch fate {
-	case endpoint.FateNotRun:
+	if fate == endpoint.FateNotRun {
 		p = problem.New(http.StatusServiceUnavailable, "", "the endpoint could not be reached")
 		p.RetryAfter = time.Second
-	case endpoint.FateDone:
-		p.Outcome = problem.Run
-	default:
-		p.Outcome = problem.Unknown
 	}
+	p.Outcome = outcomeOf(fate)
 	if ctx.Err() != nil {
 		p.Status = http.StatusGatewayTimeout
 		p.Title = http.StatusText(p.Status)
--- /dev/null
+++ b/internal/explore/request/request_test.go
@@ -0,0 +1,74 @@
+package request
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/endpoint"
+)
+
+const testSeeds = 1500
+
+func TestRunKeepsPromises(t *testing.T) {
+	for seed := range uint64(testSeeds) {
+		if err := Run(seed); err != nil {
+			t.Fatalf("seed %d: got %v, want nil", seed, err)
+		}
+	}
+}
+
+// TestRunFindsMutants replaces one rule at a time by a wrong one: the promise
+// that it stands for must be found broken.
+func TestRunFindsMutants(t *testing.T) {
+	tests := []struct {
+		name   string
+		mutate func(r *rules)
+		want   error
+	}{
+		{"an evicted attempt counts as never seen", func(r *rules) {
+			r.ask = func(b *endpoint.Book, now time.Time, id endpoint.AttemptID, _ uint64) endpoint.Fate {
+				return b.Ask(now, id, math.MaxUint64)
+			}
+		}, ErrFalseNotRun},
+		{"an attempt that may be evicted is run", func(r *rules) {
+			r.admit = func(b *endpoint.Book, now time.Time, id endpoint.AttemptID, _ uint64) endpoint.Admission {
+				return b.Admit(now, id, math.MaxUint64)
+			}
+		}, ErrDoubleRun},
+		{"a question does not fence", func(r *rules) {
+			r.ask = func(b *endpoint.Book, now time.Time, id endpoint.AttemptID, mark uint64) endpoint.Fate {
+				known := *b
+				return known.Ask(now, endpoint.AttemptID{Request: id.Request + "?", Attempt: id.Attempt}, mark)
+			}
+		}, ErrFalseNotRun},
+		{"unknown attempts are tried again", func(r *rules) {
+			r.again = func(c *endpoint.Course, over bool) bool {
+				free := endpoint.NewCourse(true)
+				for range c.Attempt() {
+					free.Begin()
+				}
+				return free.Again(over)
+			}
+		}, ErrDoubleRun},
+		{"answers are not matched with attempts", func(r *rules) {
+			r.same = func(endpoint.AttemptID, endpoint.AttemptID) bool { return true }
+		}, ErrCrossed},
+		{"a restarted agent speaks for the one before", func(r *rules) {
+			r.current = func(uint64, uint64) bool { return true }
+		}, ErrFalseNotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := trueRules()
+			tt.mutate(&r)
+			for seed := range uint64(testSeeds) {
+				if errors.Is(run(seed, r), tt.want) {
+					return
+				}
+			}
+			t.Errorf("got no seed out of %d with the promise broken, want one with %v", testSeeds, tt.want)
+		})
+	}
+}
