--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -73,6 +73,10 @@
 	ledger  worker.Ledger
 }
 
+// predecessorSettles is how long a start that this agent's predecessor ordered
+// may still be on its way to the worker beside it.
+const predecessorSettles = time.Second
+
 // New returns an agent that is bound to its address but does not run yet.
 func New(now time.Time, s Settings, id *link.Identity, logger *log.Logger) (*Agent, error) {
 	a := &Agent{
@@ -91,6 +95,7 @@
 		waiting:     make(map[*endpoint.Ticket]*flight),
 	}
 	a.tasks.noStartBefore = now
+	a.ledger.AdmitFrom(now.Add(predecessorSettles))
 	server, err := link.Listen(s.Listen, id, a.peerHandler(), link.RoleEntry)
 	if err != nil {
 		return nil, err
