--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -145,8 +145,9 @@
 		Total: a.ledger.Total(), Free: a.ledger.Free(),
 	}
 	a.mu.Lock()
-	h.InFlight, h.Leaving = a.inFlight, a.leaving
-	h.Bundle, h.BundleVersion = a.chain.Digest(), a.chain.Version()
+	h.Leaving, h.Bundle, h.BundleVersion = a.leaving, a.chain.Digest(), a.chain.Version()
+	load := a.load()
+	h.InFlight, h.InFlightLong, h.Reserved, h.Mark = load.InFlight, load.Long, load.Reserved, a.book.Advance()
 	if s, ok := a.service(); ok {
 		h.Slots = s.Slots
 	}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -25,6 +25,26 @@
 	HeaderDeadline = "Savoryhoist-Deadline"
 	HeaderRepeat   = "Savoryhoist-Repeat"
 	HeaderOutcome  = "Savoryhoist-Outcome"
+	// HeaderIncarnation and HeaderMark say which agent an attempt is meant for
+	// and the newest mark that its entry had heard of it.
+	HeaderIncarnation = "Savoryhoist-Incarnation"
+	HeaderMark        = "Savoryhoist-Mark"
+	// HeaderCallerTeam is the team that the entry found the caller to be.
+	HeaderCallerTeam = "Savoryhoist-Caller-Team"
+	// HeaderRefusal says why an agent refused an attempt; see the Refusal constants.
+	HeaderRefusal = "Savoryhoist-Refusal"
+	// HeaderLoad carries the endpoint's load with each answer; see FormatLoad.
+	HeaderLoad = "Savoryhoist-Load"
+	// HeaderTook is how long the runner took, in microseconds.
+	HeaderTook = "Savoryhoist-Took"
+)
+
+// Values of HeaderRefusal.
+const (
+	RefusalLeaving = "leaving"
+	RefusalFull    = "full"
+	RefusalRunner  = "runner"
+	RefusalFate    = "fate"
 )
 
 // Heartbeat is what an agent says about its endpoint and worker.
@@ -46,6 +66,23 @@
 	Bundle  string `cbor:"14,keyasint,omitempty"`
 	// BundleVersion is the version of Bundle.
 	BundleVersion uint64 `cbor:"20,keyasint,omitempty"`
+	// InFlightLong, Reserved and Mark describe the endpoint; see endpoint.Report.
+	InFlightLong int    `cbor:"15,keyasint,omitempty"`
+	Reserved     int    `cbor:"16,keyasint,omitempty"`
+	Mark         uint64 `cbor:"17,keyasint,omitempty"`
+	// Pressure is the service's tail latency there divided by its objective.
+	Pressure float64 `cbor:"30,keyasint,omitempty"`
+	// Uses is what batch tasks use, by class.
+	Uses []ClassUse `cbor:"31,keyasint,omitempty"`
+}
+
+// ClassUse is what the tasks of one batch class use on a worker, some time ago.
+type ClassUse struct {
+	_     struct{} `cbor:",toarray"`
+	Class string
+	// Granted is the sum of what the tasks asked for.
+	Granted worker.Resources
+	Used    worker.Resources
 }
 
 // TaskState is what an agent reports about a task.
@@ -127,6 +164,9 @@
 	Request     string `cbor:"1,keyasint"`
 	Attempt     uint32 `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint"`
+	Mark        uint64 `cbor:"4,keyasint,omitempty"`
+	// Cancel also ends the attempt where that is safe: it waits, or may be repeated.
+	Cancel bool `cbor:"5,keyasint,omitempty"`
 }
 
 // FateReply says what became of an attempt.
