--- a/pkg/bundle/chain_test.go
+++ b/pkg/bundle/chain_test.go
@@ -39,7 +39,7 @@
 }
 
 // testBundles returns the named bundles of testdata/chain.json, signed.
-func testBundles(t testing.TB) map[string]*Signed {
+func testBundles(t *testing.T) map[string]*Signed {
 	t.Helper()
 	alice, bob := testOperators(1, "alice"), testOperators(1, "bob")
 	two := testOperators(2, "alice", "bob", "carol")
