--- a/pkg/job/fold.go
+++ b/pkg/job/fold.go
@@ -14,9 +14,11 @@
 type Fold struct {
 	jobs     map[string]*Job
 	byWorker map[string]map[record.TaskID]record.Position
-	copies   record.Deduper
-	ended    endQueue
-	next     uint64
+	// revoked holds the epochs of the tasks that wait for their release.
+	revoked map[record.TaskID]record.Position
+	copies  record.Deduper
+	ended   endQueue
+	next    uint64
 	// restoring is the job whose chunks are being read from a snapshot.
 	restoring *Job
 	// Changed, if set, is called after a task's phase has changed, was set at
@@ -60,6 +62,30 @@
 	}
 }
 
+// Workers calls fn for every worker that may run a task.
+func (f *Fold) Workers(fn func(worker string)) {
+	for name := range f.byWorker {
+		fn(name)
+	}
+}
+
+// Revoked calls fn for every revoked task that has not been released.
+func (f *Fold) Revoked(fn func(hold record.Hold, j *Job, t *Task)) {
+	for id, epoch := range f.revoked {
+		j := f.jobs[id.Job]
+		fn(record.Hold{Task: id, Epoch: epoch}, j, &j.tasks[id.Index])
+	}
+}
+
+// Current returns the task if hold is in effect and names worker.
+func (f *Fold) Current(worker string, hold record.Hold) (*Task, bool) {
+	t := f.held(hold)
+	if t == nil || t.worker != worker {
+		return nil, false
+	}
+	return t, true
+}
+
 // Apply folds one record. It returns an error marked ErrVoid if the record
 // takes no effect; the state is then unchanged.
 func (f *Fold) Apply(r record.Record) error {
@@ -121,6 +147,7 @@
 	if f.jobs == nil {
 		f.jobs = make(map[string]*Job)
 		f.byWorker = make(map[string]map[record.TaskID]record.Position)
+		f.revoked = make(map[record.TaskID]record.Position)
 	}
 }
 
@@ -214,8 +241,7 @@
 		if t == nil || t.phase == Revoked {
 			continue
 		}
-		t.phase = Revoked
-		t.revoked = at
+		f.withdraw(at, h.Task, t)
 		t.detail = m.Reason
 		applied = true
 		f.changed(h.Task, f.jobs[h.Task.Job], t)
@@ -256,20 +282,21 @@
 		j.cancelled = true
 		applied = true
 		for i := range j.tasks {
-			f.cancelTask(ending{at, m.AtMS}, j, &j.tasks[i])
-			f.changed(record.TaskID{Job: id, Index: uint32(i)}, j, &j.tasks[i])
+			task := record.TaskID{Job: id, Index: uint32(i)}
+			f.cancelTask(ending{at, m.AtMS}, task, j)
+			f.changed(task, j, &j.tasks[i])
 		}
 	}
 	return voidUnless(applied, "no job was open")
 }
 
-func (f *Fold) cancelTask(e ending, j *Job, t *Task) {
+func (f *Fold) cancelTask(e ending, id record.TaskID, j *Job) {
+	t := &j.tasks[id.Index]
 	switch t.phase {
 	case Pending:
 		f.end(e, j, t, Cancelled)
 	case Assigned, Running:
-		t.phase = Revoked
-		t.revoked = e.at
+		f.withdraw(e.at, id, t)
 	}
 }
 
--- a/pkg/job/hold.go
+++ b/pkg/job/hold.go
@@ -41,11 +41,19 @@
 func (f *Fold) drop(id record.TaskID, t *Task) {
 	m := f.byWorker[t.worker]
 	delete(m, id)
+	delete(f.revoked, id)
 	if len(m) == 0 {
 		delete(f.byWorker, t.worker)
 	}
 }
 
+// withdraw marks a held task as revoked.
+func (f *Fold) withdraw(at record.Position, id record.TaskID, t *Task) {
+	t.phase = Revoked
+	t.revoked = at
+	f.revoked[id] = t.epoch
+}
+
 // ending is the record that ends a task.
 type ending struct {
 	at   record.Position
--- a/pkg/job/snapshot.go
+++ b/pkg/job/snapshot.go
@@ -228,8 +228,12 @@
 			if !t.phase.Ended() {
 				j.open++
 			}
+			task := record.TaskID{Job: id, Index: uint32(i)}
 			if t.phase.Held() {
-				f.hold(record.TaskID{Job: id, Index: uint32(i)}, t)
+				f.hold(task, t)
+			}
+			if t.phase == Revoked {
+				f.revoked[task] = t.epoch
 			}
 		}
 		if j.Ended() {
--- a/pkg/job/snapshot_test.go
+++ b/pkg/job/snapshot_test.go
@@ -82,6 +82,9 @@
 			t.Errorf("seed %d: tasks of %s: got %d, want %d", seed, name, got, want)
 		}
 	}
+	if got, want := len(restored.revoked), len(whole.revoked); got != want {
+		t.Errorf("seed %d: revoked tasks: got %d, want %d", seed, got, want)
+	}
 	got, want := restored.EndedBefore(1<<40, 1000), whole.EndedBefore(1<<40, 1000)
 	if len(got) != len(want) {
 		t.Fatalf("seed %d: ended jobs: got %d, want %d", seed, len(got), len(want))
--- /dev/null
+++ b/pkg/job/taker.go
@@ -0,0 +1,191 @@
+package job
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/lease"
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// Times of a takeover.
+const (
+	// LostAfter is how long a worker is silent before it may be lost.
+	LostAfter = 4 * time.Second
+	// confirmFor is how long it counts that no other entry has heard a worker.
+	confirmFor = 3 * time.Second
+)
+
+// Reasons given in records.
+const (
+	reasonSilent = "the worker is silent"
+	reasonWaited = "the takeover time has passed"
+)
+
+// Taker decides at an entry when the tasks of silent workers are revoked, and
+// when revoked tasks are released for another start. The zero value counts
+// from its first use.
+type Taker struct {
+	born      time.Time
+	heard     map[string]time.Time
+	confirmed map[string]time.Time
+	// known is when this entry first saw that a task was revoked.
+	known  map[record.Hold]time.Time
+	claims claims
+	faults TakerFaults
+}
+
+// TakerFaults are deviations that a check of the protocol must find.
+type TakerFaults struct {
+	// NoWait releases a revoked task at once.
+	NoWait bool
+	// CountFromDecision counts the takeover time from before the revocation is
+	// in the log.
+	CountFromDecision bool
+}
+
+// SetFaults makes the taker deviate, to prove that a check finds it.
+func (t *Taker) SetFaults(f TakerFaults) { t.faults = f }
+
+// Heard notes that worker was heard at at, here or by another entry.
+func (t *Taker) Heard(worker string, at time.Time) {
+	t.init(at)
+	if at.After(t.heard[worker]) {
+		t.heard[worker] = at
+		delete(t.confirmed, worker)
+	}
+}
+
+// HeardAt returns when worker was heard last; zero if it never was.
+func (t *Taker) HeardAt(worker string) time.Time { return t.heard[worker] }
+
+// Confirm notes that no other entry has heard worker lately.
+func (t *Taker) Confirm(now time.Time, worker string) {
+	t.init(now)
+	t.confirmed[worker] = now
+}
+
+func (t *Taker) init(now time.Time) {
+	if t.heard == nil {
+		t.born = now
+		t.heard = make(map[string]time.Time)
+		t.confirmed = make(map[string]time.Time)
+		t.known = make(map[record.Hold]time.Time)
+	}
+}
+
+// Suspects returns the workers with tasks that have been silent too long. They
+// are lost once Confirm is called for them.
+func (t *Taker) Suspects(now time.Time, f *Fold) []string {
+	t.init(now)
+	var out []string
+	f.Workers(func(worker string) {
+		if t.silent(now, worker) && !t.lost(now, worker) {
+			out = append(out, worker)
+		}
+	})
+	slices.Sort(out)
+	return out
+}
+
+func (t *Taker) silent(now time.Time, worker string) bool {
+	at := t.heard[worker]
+	if at.Before(t.born) {
+		at = t.born
+	}
+	return now.Sub(at) > LostAfter
+}
+
+func (t *Taker) lost(now time.Time, worker string) bool {
+	at, ok := t.confirmed[worker]
+	return ok && now.Sub(at) < confirmFor
+}
+
+// Decide returns the records that revoke the tasks of lost workers and release
+// those whose takeover time has passed.
+func (t *Taker) Decide(now time.Time, f *Fold) []record.Message {
+	t.init(now)
+	t.see(now, f)
+	out := t.release(now, f)
+	if m := t.revoke(now, f); m != nil {
+		out = append(out, m)
+	}
+	t.prune(now, f)
+	return out
+}
+
+// see notes when revoked tasks were first seen, and drops those released.
+func (t *Taker) see(now time.Time, f *Fold) {
+	for hold := range t.known {
+		if !f.isRevoked(hold) && !t.faults.CountFromDecision {
+			delete(t.known, hold)
+		}
+	}
+	f.Revoked(func(hold record.Hold, _ *Job, _ *Task) {
+		if _, ok := t.known[hold]; !ok {
+			t.known[hold] = now
+		}
+	})
+}
+
+func (t *Taker) release(now time.Time, f *Fold) []record.Message {
+	var due []*record.Released
+	f.Revoked(func(hold record.Hold, j *Job, task *Task) {
+		terms := lease.FromMS(j.Spec().TakeoverMS)
+		if !now.After(terms.TakeoverAt(t.known[hold])) && !t.faults.NoWait {
+			return
+		}
+		if t.claims.take(now, hold, record.KindReleased) {
+			due = append(due, &record.Released{Hold: hold, Reason: reasonWaited, Revoked: task.RevokedAt(), AtMS: now.UnixMilli()})
+		}
+	})
+	slices.SortFunc(due, func(a, b *record.Released) int { return strings.Compare(a.Hold.String(), b.Hold.String()) })
+	var out []record.Message
+	for _, m := range due {
+		out = append(out, m)
+	}
+	return out
+}
+
+func (t *Taker) revoke(now time.Time, f *Fold) record.Message {
+	var lost []record.Hold
+	f.Workers(func(worker string) {
+		if !t.silent(now, worker) || !t.lost(now, worker) {
+			return
+		}
+		f.Held(worker, func(hold record.Hold, _ *Job, task *Task) {
+			if task.Phase() == Revoked || !t.claims.take(now, hold, record.KindRevoke) {
+				return
+			}
+			lost = append(lost, hold)
+			if t.faults.CountFromDecision {
+				t.known[hold] = now
+			}
+		})
+	})
+	if len(lost) == 0 {
+		return nil
+	}
+	slices.SortFunc(lost, func(a, b record.Hold) int { return strings.Compare(a.String(), b.String()) })
+	return &record.Revoke{Holds: lost, Reason: reasonSilent}
+}
+
+// prune forgets workers that have been silent for long and hold no task.
+func (t *Taker) prune(now time.Time, f *Fold) {
+	for worker, at := range t.heard {
+		if now.Sub(at) > forgetAgentAfter && len(f.byWorker[worker]) == 0 {
+			delete(t.heard, worker)
+		}
+	}
+	for worker, at := range t.confirmed {
+		if now.Sub(at) >= confirmFor {
+			delete(t.confirmed, worker)
+		}
+	}
+}
+
+func (f *Fold) isRevoked(h record.Hold) bool {
+	epoch, ok := f.revoked[h.Task]
+	return ok && epoch == h.Epoch
+}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -1,10 +1,11 @@
-// Package lease computes until when a task may run without hearing from the
+// Package lease decides until when a task may run without hearing from the
 // log, and from when another worker may take it over.
 //
-// The holder counts from the start of a log read that showed no revocation;
-// the taker counts from the acknowledgement of its revocation. Both use only
-// their own monotonic clock, so only the rates of clocks must agree, within
-// MaxDrift.
+// The holder counts on the worker's own clock from a listing that came before
+// its heartbeat; an entry relays only log readings that began after it received
+// that heartbeat. The taker counts on its clock from when it knew of its
+// revocation. So the order of events bounds the age of a reading, and only the
+// rates of the worker's and the taker's clocks must agree, within MaxDrift.
 package lease
 
 import "time"
@@ -20,24 +21,23 @@
 // New returns terms under which a task is taken over takeoverAfter its revocation.
 func New(takeoverAfter time.Duration) Terms { return Terms{takeoverAfter: takeoverAfter} }
 
+// FromMS returns terms whose takeover time is in milliseconds.
+func FromMS(takeoverMS int64) Terms {
+	return New(time.Duration(takeoverMS) * time.Millisecond)
+}
+
 // TakeoverAfter returns the nominal takeover time.
 func (t Terms) TakeoverAfter() time.Duration { return t.takeoverAfter }
 
-// HoldAt returns when a holder must stop running a task if the newest log
-// reading that left the task in place began at readingBegan.
-func (t Terms) HoldAt(readingBegan time.Time) time.Time {
-	return readingBegan.Add(time.Duration(float64(t.takeoverAfter) * (1 - MaxDrift)))
+// HoldAt returns when, on the worker's clock, a task must stop making progress
+// if the newest log reading that left it in place began after the worker's
+// clock showed uptime.
+func (t Terms) HoldAt(uptime time.Duration) time.Duration {
+	return uptime + time.Duration(float64(t.takeoverAfter)*(1-MaxDrift))
 }
 
-// TakeoverAt returns when a revoked task may be assigned again, given when the
-// revocation's append was acknowledged, or when it was first read.
+// TakeoverAt returns when a revoked task may be assigned again, given when its
+// revocation was first known to be in the log.
 func (t Terms) TakeoverAt(revokeKnown time.Time) time.Time {
 	return revokeKnown.Add(time.Duration(float64(t.takeoverAfter) * (1 + MaxDrift)))
 }
-
-// ReadingBegan returns the latest moment, on the asker's clock, at which a
-// reading can have begun: the reply gave its age, and the question was sent at
-// askedAt.
-func ReadingBegan(askedAt time.Time, age time.Duration) time.Time {
-	return askedAt.Add(-time.Duration(float64(age) * (1 + MaxDrift)))
-}
--- a/pkg/record/messages.go
+++ b/pkg/record/messages.go
@@ -76,6 +76,9 @@
 	Epoch Position
 }
 
+// String returns the name under which a worker lists the task.
+func (h Hold) String() string { return fmt.Sprintf("%s@%d", h.Task, h.Epoch) }
+
 // Spec is what a team asks for.
 type Spec struct {
 	ID    string           `cbor:"1,keyasint"           json:"id"`
