Bound the age of readings by the order of events

Cause: reading the lease protocol as an adversary showed these faults. - An entry gave the age of its reading by its clock. A VM that is paused between a read and an answer makes an old reading look new. - A reading extended tasks that its heartbeat had not named: an order followed in the same round was renewed by an entry that knew of its revocation. - A start whose reply was lost could be refused later while it was still on its way, and an ended task was removed while a late start could revive it. - A new agent started orders that its predecessor had refused. - claim in the takeover keyed by the low half of the epoch; maps of revoked, queued and seen holds grew for ever; each tick walked all jobs. - A worker that only one entry could not hear was revoked. Change: heartbeats are numbered; an entry says which one it had received when its read began, and the agent counts from what the worker's clock showed before that heartbeat. lease.Holder decides for the agent, job.Relay and job.Taker for the entry; all three are pure. A silent worker counts as lost only when the data centre's other entries that can read the log have not heard it either. An entry that cannot read the log is not kept as primary. Conclusion: only the rates of the worker's and the taker's clocks matter now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,8 +16,7 @@
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/endpoint"
-	"savoryhoist.example/savoryhoist/pkg/record"
-	"savoryhoist.example/savoryhoist/pkg/worker"
+	"savoryhoist.example/savoryhoist/pkg/lease"
 )
 
 // Settings configure an agent.
@@ -64,10 +63,9 @@
 	failedAt map[string]time.Time
 	primary  string
 
-	// tasksMu guards the tasks and the ledger. It is taken before mu.
+	// tasksMu guards the holder. It is taken before mu.
 	tasksMu sync.Mutex
-	tasks   tasks
-	ledger  worker.Ledger
+	holder  lease.Holder
 }
 
 // predecessorSettles is how long a start that this agent's predecessor ordered
@@ -89,8 +87,7 @@
 		entries:     s.Entries,
 		failedAt:    make(map[string]time.Time),
 	}
-	a.tasks.noStartBefore = now
-	a.ledger.AdmitFrom(now.Add(predecessorSettles))
+	a.holder.Ledger().AdmitFrom(now.Add(predecessorSettles))
 	server, err := link.Listen(s.Listen, id, a.peerHandler(), link.RoleEntry)
 	if err != nil {
 		return nil, err
@@ -159,7 +156,7 @@
 	defer a.tasksMu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ledger.Ready() && a.primary != "" && !a.leaving
+	return a.holder.Ledger().Ready() && a.primary != "" && !a.leaving
 }
 
 // AdminHandler serves metrics and health.
@@ -203,6 +200,3 @@
 		return false
 	}
 }
-
-// taskKey names a task under one epoch on the worker.
-func taskKey(h record.Hold) string { return platform.TaskKey(h) }
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -9,7 +9,6 @@
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
-	"savoryhoist.example/savoryhoist/pkg/lease"
 )
 
 // callTimeout bounds a heartbeat.
@@ -38,19 +37,13 @@
 		a.tell(ctx, a.heartbeat(nil))
 		return
 	}
-	clock := workerClock{read: time.Now(), uptime: time.Duration(listing.UptimeMS) * time.Millisecond}
-	a.observe(asked, &listing)
-	answers := a.tell(ctx, a.heartbeat(&listing))
-	for _, answer := range answers {
-		a.follow(ctx, clock, answer)
-	}
-	a.renew(ctx, clock, &listing)
+	a.holder.Observe(asked, listingOf(&listing))
+	a.follow(ctx, a.tell(ctx, a.heartbeat(&listing)))
 }
 
-// answer is one entry's reading and when it began at the latest.
+// answer is one entry's reading.
 type answer struct {
 	entry   string
-	began   time.Time
 	reading *link.Reading
 }
 
@@ -81,15 +74,13 @@
 func (a *Agent) tellOne(ctx context.Context, address string, h *link.Heartbeat) answer {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := time.Now()
 	reading := new(link.Reading)
 	if err := a.client.Call(ctx, address, link.PathHeartbeat, h, reading); err != nil {
 		a.log.Warn().Err(err).Str("entry", address).Msg("heartbeat failed")
 		a.noteFailure(address)
 		return answer{}
 	}
-	age := time.Duration(reading.AgeMS) * time.Millisecond
-	return answer{entry: address, began: lease.ReadingBegan(asked, age), reading: reading}
+	return answer{entry: address, reading: reading}
 }
 
 // targets returns the entries to tell and the one that records reports.
@@ -112,20 +103,32 @@
 	return out, primary
 }
 
-// choosePrimary keeps the primary that was asked if it answered, and learns the entries to tell.
+// staleRounds is how many heartbeats an entry's reading of the log may be
+// behind another's while it stays primary.
+const staleRounds = 8
+
+// choosePrimary keeps the primary that was asked if it answered and can read
+// the log, and learns the entries to tell.
 func (a *Agent) choosePrimary(answers []answer, asked string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.primary = ""
 	known := slices.Clone(a.settings.Entries)
+	var newest uint64
+	for _, o := range answers {
+		newest = max(newest, o.reading.Lease.Heard)
+	}
 	for _, o := range answers {
 		if o.reading.Leaving {
 			continue
 		}
+		known = append(known, o.reading.Entries...)
+		if o.reading.Lease.Heard+staleRounds < newest {
+			continue
+		}
 		if a.primary == "" || o.entry == asked {
 			a.primary = o.entry
 		}
-		known = append(known, o.reading.Entries...)
 	}
 	slices.Sort(known)
 	a.entries = slices.Compact(known)
@@ -173,8 +176,8 @@
 func (a *Agent) heartbeat(listing *platform.Listing) link.Heartbeat {
 	h := link.Heartbeat{
 		Worker: a.settings.Name, Rack: a.settings.Rack, Service: a.settings.Service, Address: a.Address(),
-		Incarnation: a.incarnation, Ready: listing != nil && a.ledger.Ready(),
-		Total: a.ledger.Total(), Free: a.ledger.Free(),
+		Incarnation: a.incarnation, Round: a.holder.Round(), Ready: listing != nil && a.holder.Ledger().Ready(),
+		Total: a.holder.Ledger().Total(), Free: a.holder.Ledger().Free(),
 	}
 	a.mu.Lock()
 	h.InFlight, h.Leaving, h.Bundle = a.inFlight, a.leaving, a.chain.Digest()
@@ -183,7 +186,7 @@
 	}
 	a.mu.Unlock()
 	if listing != nil {
-		h.Tasks = a.tasks.reports(listing)
+		h.Tasks = a.holder.Reports(listingOf(listing))
 	}
 	return h
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,7 @@
 	settings Settings
 	id       *link.Identity
 	agents   *link.Client
+	entries  *link.Client
 	log      *log.Logger
 	logPort  record.Log
 	registry gometrics.Registry
@@ -85,6 +86,7 @@
 		settings: s,
 		id:       id,
 		agents:   link.NewClient(id, link.RoleAgent, link.RoleEntry),
+		entries:  link.NewClient(id, link.RoleEntry),
 		log:      logger,
 		logPort:  port,
 		registry: gometrics.NewRegistry(),
@@ -135,13 +137,14 @@
 	group.Go(func() { e.serve("peers over QUIC", e.peers.ServeQUIC) })
 	group.Go(func() { e.serve("callers", func() error { return e.door.Serve(e.doorLn) }) })
 	group.Go(func() { e.schedule(live) })
+	group.Go(func() { e.confirmSilence(live) })
 	group.Go(func() { e.announce(live) })
 	e.log.Info().Str("address", e.Address()).Str("peer-address", e.PeerAddress()).Msg("entry started")
 	<-ctx.Done()
 	e.drain(live)
 	stop()
 	group.Wait()
-	return e.agents.Close()
+	return errors.CombineErrors(e.agents.Close(), e.entries.Close())
 }
 
 func (e *Entry) serve(what string, fn func() error) {
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -16,6 +16,7 @@
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST "+link.PathHeartbeat, link.Handle(e.answerHeartbeat))
+	mux.Handle("POST "+link.PathSilence, link.Handle(e.answerSilence))
 	mux.Handle("POST "+link.PathBundle, link.Handle(e.answerBundle))
 	return mux
 }
@@ -68,80 +69,13 @@
 		j.workers = make(map[string]*workerView)
 	}
 	j.workers[h.Worker] = &workerView{heartbeat: *h, heard: now}
-	if j.began.IsZero() || j.queued == nil {
-		return nil
-	}
-	reading.AgeMS = now.Sub(j.began).Milliseconds() + 1
-	reading.Next = record.At(j.fold.Next(), 0)
-	reported := make(map[record.Hold]bool, len(h.Tasks))
-	var out []record.Message
-	for i := range h.Tasks {
-		reported[h.Tasks[i].Hold] = true
-		out = append(out, j.judge(now, h, &h.Tasks[i], reading)...)
-	}
-	j.fold.Held(h.Worker, func(hold record.Hold, owner *job.Job, t *job.Task) {
-		if reported[hold] || !h.Ready {
-			return
-		}
-		if t.Phase() == job.Revoked {
-			return // the agent may follow an older order just now: the takeover time decides
-		}
-		reading.Start = append(reading.Start, link.Order{
-			Hold: hold, Spec: *owner.Spec(), Checkpoint: t.Checkpoint(), Started: t.Phase() == job.Running,
-		})
+	j.taker.Heard(h.Worker, now)
+	answer, records := j.relay.Answer(now, &j.fold, &job.Beat{
+		Worker: h.Worker, Incarnation: h.Incarnation, Round: h.Round,
+		Ready: h.Ready, Primary: h.Primary, Reports: h.Tasks,
 	})
-	return out
-}
-
-// judge compares one report with the fold.
-func (j *jobs) judge(now time.Time, h *link.Heartbeat, r *link.TaskReport, reading *link.Reading) []record.Message {
-	if r.Hold.Epoch >= reading.Next {
-		return nil
-	}
-	t := j.current(h.Worker, r.Hold)
-	if t == nil {
-		reading.Stop = append(reading.Stop, link.Stop{Hold: r.Hold, Settled: true})
-		return nil
-	}
-	if r.State == link.TaskRuns && t.Phase() == job.Revoked {
-		reading.Stop = append(reading.Stop, link.Stop{Hold: r.Hold})
-		return nil
-	}
-	m := reportRecord(t, r)
-	if m == nil || !h.Primary || !j.claim(now, r.Hold) {
-		return nil
-	}
-	return []record.Message{m}
-}
-
-func (j *jobs) current(worker string, hold record.Hold) *job.Task {
-	owner, ok := j.fold.Job(hold.Task.Job)
-	if !ok || int(hold.Task.Index) >= owner.Tasks() {
-		return nil
-	}
-	t := owner.Task(int(hold.Task.Index))
-	if !t.Phase().Held() || t.Epoch() != hold.Epoch || t.Worker() != worker {
-		return nil
-	}
-	return t
-}
-
-// reportRecord returns the record that a report calls for, or nil.
-func reportRecord(t *job.Task, r *link.TaskReport) record.Message {
-	switch r.State {
-	case link.TaskRuns:
-		if t.Phase() == job.Assigned {
-			return &record.Started{Holds: []record.Hold{r.Hold}}
-		}
-		return nil
-	case link.TaskSucceeded:
-		return &record.Finished{Hold: r.Hold, Outcome: record.OutcomeSucceeded, Detail: r.Detail}
-	case link.TaskFailed:
-		return &record.Finished{Hold: r.Hold, Outcome: record.OutcomeFailed, Detail: r.Detail}
-	case link.TaskStopped:
-		return &record.Released{Hold: r.Hold, Ref: r.Ref, Reason: r.Detail}
-	}
-	return nil
+	reading.Lease = answer
+	return records
 }
 
 // observe takes a heartbeat into the table of its service.
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -34,9 +34,10 @@
 	workers map[string]*workerView
 	// seen is when a pending task was first seen, by task and attempt.
 	seen map[waiting]time.Time
-	// queued is when a record about a hold or a waiting task was last queued.
-	queued  map[waiting]time.Time
-	revoked map[record.Hold]time.Time
+	// queued is when a record about a waiting task was last queued.
+	queued map[waiting]time.Time
+	relay  job.Relay
+	taker  job.Taker
 }
 
 type waiting struct {
@@ -66,7 +67,6 @@
 	j.changed = make(chan struct{}, 1)
 	j.seen = make(map[waiting]time.Time)
 	j.queued = make(map[waiting]time.Time)
-	j.revoked = make(map[record.Hold]time.Time)
 	if j.workers == nil {
 		j.workers = make(map[string]*workerView)
 	}
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -45,6 +45,7 @@
 	e.jobs.fold.Advance(next)
 	if !began.IsZero() {
 		e.jobs.began = began
+		e.jobs.relay.Read(began)
 	}
 	if len(records) > 0 {
 		e.jobs.notify()
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -1,7 +1,7 @@
 package link
 
 import (
-	"savoryhoist.example/savoryhoist/pkg/record"
+	"savoryhoist.example/savoryhoist/pkg/lease"
 	"savoryhoist.example/savoryhoist/pkg/worker"
 )
 
@@ -11,6 +11,8 @@
 	PathHeartbeat = "/peer/heartbeat"
 	// PathBundle takes a BundleQuery and returns a BundleReply; at an entry.
 	PathBundle = "/peer/bundle"
+	// PathSilence takes a SilenceQuery and returns a SilenceReply; at an entry.
+	PathSilence = "/peer/silence"
 	// PathFate takes a FateQuery and returns a FateReply; at an agent.
 	PathFate = "/peer/fate"
 	// PathRequests is the prefix of callers' requests; at an agent.
@@ -40,63 +42,41 @@
 	Ready       bool             `cbor:"9,keyasint,omitempty"`
 	Total       worker.Resources `cbor:"10,keyasint"`
 	Free        worker.Resources `cbor:"11,keyasint"`
-	Tasks       []TaskReport     `cbor:"12,keyasint,omitempty"`
+	Tasks       []lease.Report   `cbor:"12,keyasint,omitempty"`
 	// Primary asks this entry to record the reports in the log.
 	Primary bool   `cbor:"13,keyasint,omitempty"`
 	Bundle  string `cbor:"14,keyasint,omitempty"`
+	// Round counts the agent's heartbeats.
+	Round uint64 `cbor:"18,keyasint"`
 }
 
-// TaskState is what an agent reports about a task.
-type TaskState uint8
-
-// The states reported.
-const (
-	TaskRuns TaskState = iota + 1
-	TaskSucceeded
-	TaskFailed
-	// TaskStopped tasks no longer run and can be started elsewhere.
-	TaskStopped
-)
-
-// TaskReport is an agent's word on one task.
-type TaskReport struct {
-	_      struct{} `cbor:",toarray"`
-	Hold   record.Hold
-	State  TaskState
-	Ref    string
-	Detail string
+// Reading is an entry's answer to a heartbeat.
+type Reading struct {
+	// Lease is what the log says about the agent's worker.
+	Lease  lease.Reading `cbor:"1,keyasint"`
+	Bundle string        `cbor:"5,keyasint,omitempty"`
+	// Entries are the addresses of the data centre's entries.
+	Entries []string `cbor:"6,keyasint,omitempty"`
+	// Leaving entries should not be asked again.
+	Leaving bool `cbor:"7,keyasint,omitempty"`
 }
 
-// Order tells an agent to start a task.
-type Order struct {
-	Hold       record.Hold `cbor:"1,keyasint"`
-	Spec       record.Spec `cbor:"2,keyasint"`
-	Checkpoint string      `cbor:"3,keyasint,omitempty"`
-	// Started orders were reported as started before.
-	Started bool `cbor:"4,keyasint,omitempty"`
+// SilenceQuery asks when workers were heard.
+type SilenceQuery struct {
+	Workers []string `cbor:"1,keyasint"`
 }
 
-// Stop tells an agent to end a task.
-type Stop struct {
-	_    struct{} `cbor:",toarray"`
-	Hold record.Hold
-	// Settled stops need no report: the log knows the task's end already.
-	Settled bool
+// SilenceReply names the workers that were heard lately by an entry that could
+// also read the log lately.
+type SilenceReply struct {
+	Heard []HeardWorker `cbor:"1,keyasint,omitempty"`
 }
 
-// Reading is what the log said about an agent's worker when a read began that
-// is AgeMS old. A reported task that is named in neither list stays as it is.
-type Reading struct {
-	AgeMS int64 `cbor:"1,keyasint"`
-	// Next is the position before which the log has been read.
-	Next   record.Position `cbor:"2,keyasint"`
-	Start  []Order         `cbor:"3,keyasint,omitempty"`
-	Stop   []Stop          `cbor:"4,keyasint,omitempty"`
-	Bundle string          `cbor:"5,keyasint,omitempty"`
-	// Entries are the addresses of the data centre's entries.
-	Entries []string `cbor:"6,keyasint,omitempty"`
-	// Leaving entries should not be asked again.
-	Leaving bool `cbor:"7,keyasint,omitempty"`
+// HeardWorker is how long ago a worker was heard.
+type HeardWorker struct {
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	AgoMS  int64
 }
 
 // BundleQuery asks for the bundle in force.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -138,6 +138,10 @@
 	if _, ok := w.tasks[key]; ok {
 		return
 	}
+	if order.UntilMS <= w.uptime().Milliseconds() {
+		http.Error(rw, "the lease has ended", http.StatusConflict)
+		return
+	}
 	w.tasks[key] = w.newTask(order)
 	w.runs = append(w.runs, Run{Key: key, Epoch: order.Epoch})
 	w.checkSize()
--- a/pkg/job/taker.go
+++ b/pkg/job/taker.go
@@ -89,12 +89,22 @@
 	return out
 }
 
+// Lost reports whether a worker is still silent after the other entries were
+// asked. If some could not be asked it must have been silent for unasked.
+func (t *Taker) Lost(now time.Time, worker string, complete bool, unasked time.Duration) bool {
+	return t.silent(now, worker) && (complete || t.silence(now, worker) > unasked)
+}
+
 func (t *Taker) silent(now time.Time, worker string) bool {
+	return t.silence(now, worker) > LostAfter
+}
+
+func (t *Taker) silence(now time.Time, worker string) time.Duration {
 	at := t.heard[worker]
 	if at.Before(t.born) {
 		at = t.born
 	}
-	return now.Sub(at) > LostAfter
+	return now.Sub(at)
 }
 
 func (t *Taker) lost(now time.Time, worker string) bool {
