--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"savoryhoist.example/savoryhoist/internal/link"
-	"savoryhoist.example/savoryhoist/pkg/endpoint"
 	"savoryhoist.example/savoryhoist/pkg/job"
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
@@ -69,6 +68,8 @@
 		j.workers = make(map[string]*workerView)
 	}
 	j.workers[h.Worker] = &workerView{heartbeat: *h, heard: now}
+	said, uses := report(h)
+	j.scheduler.Heard(now, said, uses)
 	j.taker.Heard(h.Worker, now)
 	answer, records := j.relay.Answer(now, &j.fold, &job.Beat{
 		Worker: h.Worker, Incarnation: h.Incarnation, Round: h.Round,
@@ -77,16 +78,3 @@
 	reading.Lease = answer
 	return records
 }
-
-// observe takes a heartbeat into the table of its service.
-func (r *routes) observe(now time.Time, dataCentre string, h *link.Heartbeat) {
-	if h.Service == "" {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.table(h.Service).Observe(now, endpoint.Report{
-		Name: h.Worker, DataCentre: dataCentre, Service: h.Service, Address: h.Address,
-		Incarnation: h.Incarnation, Slots: h.Slots, InFlight: h.InFlight, Leaving: h.Leaving,
-	})
-}
