--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -20,8 +20,6 @@
 	scheduleEvery = 100 * time.Millisecond
 	// backupDelay is how long an entry leaves a job to the one ranked before it.
 	backupDelay = 1200 * time.Millisecond
-	// decisionPending is how long a task is left alone after a record about it was queued.
-	decisionPending = 2 * time.Second
 )
 
 // jobs is the entry's state of batch work.
@@ -33,9 +31,8 @@
 	began   time.Time
 	changed chan struct{}
 	workers map[string]*workerView
-	// queued is when a record about a hold or a waiting task was last queued.
-	queued  map[waiting]time.Time
-	revoked map[record.Hold]time.Time
+	relay   job.Relay
+	taker   job.Taker
 
 	scheduler queue.Scheduler
 	random    *rand.Rand
@@ -47,11 +44,6 @@
 	looked time.Time
 }
 
-type waiting struct {
-	task    record.TaskID
-	attempt uint32
-}
-
 type workerView struct {
 	heartbeat link.Heartbeat
 	heard     time.Time
@@ -81,8 +73,6 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.changed = make(chan struct{}, 1)
-	j.queued = make(map[waiting]time.Time)
-	j.revoked = make(map[record.Hold]time.Time)
 	if j.workers == nil {
 		j.workers = make(map[string]*workerView)
 	}
