Give each job one home and move the jobs of a lost data centre

Cause: a submission repeated through an entry of another data centre became a second job, since each entry wrote to its own stream; and the jobs of a lost data centre waited for its return.

Change: the home of a job follows from its id and the bundle's data centres. Entries append to any home's stream, ask other data centres for views over the peer link, and take over the stream of a data centre whose entries are silent in the log. Membership is refreshed every 10 s instead of every minute: 21 entries append 2.1 records a second, and a loss is noticed after 30 s.

Ruled out: judging a data centre by pings. A region cut off from another one still reaches the log and goes on; moving its jobs would cost work for nothing.

After (TestLostDataCentre, announcements every 500 ms, takeover time 5 s): all 40 jobs finished, 20 repeated submissions made no new job. A failover that does not wait for the takeover time is told apart by the unit test.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -18,6 +18,7 @@
 			text("listen", "127.0.0.1:8080", "callers' door, IP and port"),
 			text("peer-listen", "127.0.0.1:8443", "where agents and entries reach this entry, IP and port"),
 			text("log-url", "", "URL of the platform's log service"),
+			duration("announce-every", 10*time.Second, "time between two membership records; a data centre without one for three of them is lost"),
 			&cli.BoolFlag{Name: "open", Usage: "let callers in without a token, by the " + entry.HeaderTeam + " header", Sources: env("open")},
 		),
 		Action: runEntry,
@@ -30,6 +31,7 @@
 		Name: c.required("name"), DataCentre: c.required("data-centre"),
 		Listen: c.address("listen"), PeerListen: c.address("peer-listen"), LogURL: c.url("log-url"),
 		Roots: c.operators(), DrainAfter: c.positive("drain-after"), Open: cmd.Bool("open"),
+		AnnounceEvery: c.positive("announce-every"),
 	}
 	id := c.identity(link.RoleEntry)
 	logger := c.logger()
--- /dev/null
+++ b/internal/command/failover_test.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// TestLostDataCentre kills every process of a data centre and loses its VMs.
+// Its jobs go on in the other one: none is lost, and no task of it that had
+// not started before runs more than once.
+func TestLostDataCentre(t *testing.T) {
+	s := newSite(t, 2, 2, "dc-1", "dc-2")
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	load := &traffic{s: s, pick: s.balancer(ctx)}
+	const short = `{"class":"urgent","size":{"milli-cpu":100,"memory-mb":64},"payload":{"run-ms":200}}`
+	const long = `{"class":"urgent","size":{"milli-cpu":100,"memory-mb":64},"payload":{"run-ms":8000}}`
+	for i := range 20 {
+		load.submit(fmt.Sprintf("before-%d", i), long)
+	}
+	s.eventually("jobs run in both data centres", func() bool { return s.runs(0) > 2 && s.runs(2) > 2 })
+	s.lose("dc-2")
+	for i := range 20 {
+		// The home of some of these is the lost data centre.
+		load.submit(fmt.Sprintf("after-%d", i), short)
+	}
+	// A repeated submission through any entry is the same job.
+	for i := range 20 {
+		load.submit(fmt.Sprintf("after-%d", i), short)
+	}
+	for _, f := range load.failures {
+		t.Error(f)
+	}
+	s.eventually("every job succeeded", load.allSucceeded)
+	runs := s.startsByTask()
+	seen := make(map[string]bool)
+	for i, id := range load.jobs {
+		seen[id] = true
+		got := runs[id+".0"]
+		// Tasks that ran when their worker was lost run a second time elsewhere.
+		want := 1
+		if i < 20 && got == 2 {
+			want = 2
+		}
+		if got != want {
+			t.Errorf("starts of job %d, %s: got %d, want %d", i, id, got, want)
+		}
+	}
+	if got, want := len(seen), 40; got != want {
+		t.Errorf("jobs: got %d, want %d", got, want)
+	}
+}
+
+// lose kills a data centre's processes and loses its workers' VMs.
+func (s *site) lose(dataCentre string) {
+	agent := 0
+	for _, p := range s.processes {
+		isAgent := strings.HasPrefix(p.name, "worker-")
+		if p.dataCentre == dataCentre {
+			s.must(p.cmd.Process.Kill())
+			_ = p.cmd.Wait()
+			p.cmd = nil
+			if isAgent {
+				s.workers[agent].LoseVM()
+			}
+		}
+		if isAgent {
+			agent++
+		}
+	}
+}
+
+func (s *site) runs(worker int) int { return len(s.workers[worker].Runs()) }
+
+// startsByTask counts the starts of each task on all workers.
+func (s *site) startsByTask() map[string]int {
+	out := make(map[string]int)
+	for _, w := range s.workers {
+		for _, r := range w.Runs() {
+			task, _, _ := strings.Cut(r.Key, "@")
+			out[task]++
+		}
+	}
+	return out
+}
--- a/internal/command/restart_test.go
+++ b/internal/command/restart_test.go
@@ -97,25 +97,29 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		key := fmt.Sprintf("job-%d", i)
 		const body = `{"class":"shaping","tasks":2,"size":{"milli-cpu":500,"memory-mb":256},"payload":{"run-ms":400}}`
-		resp, err := l.post("/jobs", body, http.Header{"Idempotency-Key": {key}})
-		if err != nil {
-			l.fail("submit %s: %v", key, err)
-			continue
-		}
-		var v entry.JobView
-		err = json.NewDecoder(resp.Body).Decode(&v)
-		_ = resp.Body.Close()
-		if err != nil || v.ID == "" {
-			l.fail("submit %s: status %d: %v", key, resp.StatusCode, err)
-			continue
-		}
-		l.mu.Lock()
-		l.jobs = append(l.jobs, v.ID)
-		l.mu.Unlock()
+		l.submit(key, body)
 		time.Sleep(100 * time.Millisecond)
 	}
 }
 
+// submit submits a job under an idempotency key and notes its id.
+func (l *traffic) submit(key, body string) {
+	resp, err := l.post("/jobs", body, http.Header{"Idempotency-Key": {key}})
+	if err != nil {
+		l.fail("submit %s: %v", key, err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var v entry.JobView
+	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil || v.ID == "" {
+		l.fail("submit %s: status %d: %v", key, resp.StatusCode, err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs = append(l.jobs, v.ID)
+}
+
 func (l *traffic) check(t *testing.T) {
 	t.Helper()
 	for _, f := range l.failures {
--- a/internal/command/site_test.go
+++ b/internal/command/site_test.go
@@ -38,20 +38,27 @@
 	runners   []*standin.Runner
 	processes []*process
 	entryURLs []string
-	peers     []string
+	// peers are the entries' peer addresses by data centre.
+	peers       map[string][]string
+	dataCentres []string
 }
 
 // process is one real process and how to start it again.
 type process struct {
-	name     string
-	args     []string
-	readyURL string
-	cmd      *exec.Cmd
+	name       string
+	dataCentre string
+	args       []string
+	readyURL   string
+	cmd        *exec.Cmd
 }
 
-func newSite(t *testing.T, entries, agents int) *site {
+// newSite starts so many entries and agents in each data centre; none named is one.
+func newSite(t *testing.T, entries, agents int, dataCentres ...string) *site {
 	t.Helper()
-	s := &site{t: t, folder: t.TempDir(), log: new(standin.Log)}
+	if len(dataCentres) == 0 {
+		dataCentres = []string{"dc-1"}
+	}
+	s := &site{t: t, folder: t.TempDir(), log: new(standin.Log), peers: make(map[string][]string), dataCentres: dataCentres}
 	s.binary = filepath.Join(s.folder, "savoryhoist")
 	if out, err := exec.Command("go", "build", "-o", s.binary, "../..").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -64,11 +71,13 @@
 	private, public, err := bundle.GenerateKey(rand.Reader)
 	s.must(err)
 	s.operators = "alice=" + public
-	for i := range entries {
-		s.addEntry(i)
-	}
-	for i := range agents {
-		s.addAgent(i)
+	for i, name := range dataCentres {
+		for k := range entries {
+			s.addEntry(name, i*entries+k)
+		}
+		for k := range agents {
+			s.addAgent(name, i*agents+k)
+		}
 	}
 	t.Cleanup(s.stopAll)
 	for _, p := range s.processes {
@@ -103,37 +112,37 @@
 	return ln.Addr().String()
 }
 
-func (s *site) common(role link.Role, name string) []string {
-	certificate, key, err := s.authority.Issue(time.Now(), time.Hour, link.NewPeer(role, "dc-1", name))
+func (s *site) common(role link.Role, dataCentre, name string) []string {
+	certificate, key, err := s.authority.Issue(time.Now(), time.Hour, link.NewPeer(role, dataCentre, name))
 	s.must(err)
 	s.must(os.WriteFile(s.path(name+".pem"), certificate, publicMode))
 	s.must(os.WriteFile(s.path(name+"-key.pem"), key, secretMode))
 	return []string{
-		string(role), "--name", name, "--data-centre", "dc-1", "--operators", s.operators, "--drain-after", "700ms",
+		string(role), "--name", name, "--data-centre", dataCentre, "--operators", s.operators, "--drain-after", "700ms",
 		"--certificate", s.path(name + ".pem"), "--key", s.path(name + "-key.pem"), "--authorities", s.path("authority.pem"),
 	}
 }
 
-func (s *site) addEntry(i int) {
+func (s *site) addEntry(dataCentre string, i int) {
 	name := fmt.Sprintf("entry-%d", i+1)
 	door, peer := s.freeAddress(), s.freeAddress()
 	s.entryURLs = append(s.entryURLs, "http://"+door)
-	s.peers = append(s.peers, peer)
-	args := append(s.common(link.RoleEntry, name), "--open", "--log-url", s.logURL, "--listen", door, "--peer-listen", peer)
-	s.processes = append(s.processes, &process{name: name, args: args, readyURL: "http://" + door + "/readyz"})
+	s.peers[dataCentre] = append(s.peers[dataCentre], peer)
+	args := append(s.common(link.RoleEntry, dataCentre, name), "--open", "--announce-every", "500ms", "--log-url", s.logURL, "--listen", door, "--peer-listen", peer)
+	s.processes = append(s.processes, &process{name: name, dataCentre: dataCentre, args: args, readyURL: "http://" + door + "/readyz"})
 }
 
-func (s *site) addAgent(i int) {
+func (s *site) addAgent(dataCentre string, i int) {
 	name := fmt.Sprintf("worker-%d", i+1)
 	w := standin.NewWorker(worker.Resources{MilliCPU: 16000, MemoryMB: 60 << 10, Accelerators: 2}, time.Now)
 	r := standin.NewRunner(8)
 	s.workers = append(s.workers, w)
 	s.runners = append(s.runners, r)
 	admin := s.freeAddress()
-	args := append(s.common(link.RoleAgent, name), "--service", "planner", "--listen", s.freeAddress(), "--admin-listen", admin,
+	args := append(s.common(link.RoleAgent, dataCentre, name), "--service", "planner", "--listen", s.freeAddress(), "--admin-listen", admin,
 		"--runner-url", s.host(r.Handler()), "--worker-url", s.host(w.Handler()),
-		"--entries", strings.Join(s.peers, ","), "--heartbeat-every", "200ms")
-	s.processes = append(s.processes, &process{name: name, args: args, readyURL: "http://" + admin + "/readyz"})
+		"--entries", strings.Join(s.peers[dataCentre], ","), "--heartbeat-every", "200ms")
+	s.processes = append(s.processes, &process{name: name, dataCentre: dataCentre, args: args, readyURL: "http://" + admin + "/readyz"})
 }
 
 func (s *site) start(p *process) {
@@ -204,6 +213,11 @@
 	s.must(err)
 	d, err := bundle.ParseTemplate(devDocument, roots)
 	s.must(err)
+	if len(s.dataCentres) > 1 {
+		for _, name := range s.dataCentres {
+			d.DataCentres = append(d.DataCentres, bundle.DataCentre{Name: name})
+		}
+	}
 	content, err := bundle.Format(d)
 	s.must(err)
 	signed := bundle.NewSigned(content)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,8 @@
 	Roots      bundle.Operators
 	// DrainAfter is how long the entry goes on answering after it has said that it leaves.
 	DrainAfter time.Duration
+	// AnnounceEvery is the time between two membership records; 0 is the usual time.
+	AnnounceEvery time.Duration
 	// Open lets callers in without a token, as the team named in a header.
 	Open bool
 }
@@ -76,7 +78,10 @@
 	bundle   bundles
 	memberMu sync.Mutex
 	known    map[string]member
-	carried  carried
+	// refreshes counts this entry's own membership records read back.
+	refreshes uint64
+	foreign   foreign
+	carried   carried
 	// newer holds the address of an agent that has a newer bundle in force.
 	newer chan string
 }
@@ -132,6 +137,7 @@
 	var group sync.WaitGroup
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	e.foreign.start(live)
 	for _, w := range []*platform.Writer{e.writer, e.bundles, e.members} {
 		group.Go(func() { w.Run(live, flushTime) })
 	}
@@ -146,11 +152,13 @@
 	group.Go(func() { e.announce(live) })
 	group.Go(func() { e.carryForward(live) })
 	group.Go(func() { e.learnBundles(live) })
+	group.Go(func() { e.failOver(live) })
 	e.log.Info().Str("address", e.Address()).Str("peer-address", e.PeerAddress()).Msg("entry started")
 	<-ctx.Done()
 	e.drain(live)
 	stop()
 	group.Wait()
+	e.foreign.group.Wait()
 	return errors.CombineErrors(e.agents.Close(), e.entries.Close())
 }
 
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -17,6 +17,7 @@
 	mux.Handle("POST "+link.PathHeartbeat, link.Handle(e.answerHeartbeat))
 	mux.Handle("POST "+link.PathSilence, link.Handle(e.answerSilence))
 	mux.Handle("POST "+link.PathBundle, link.Handle(e.answerBundle))
+	mux.Handle("POST "+link.PathJobs, link.Handle(e.answerJobs))
 	return mux
 }
 
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -62,12 +62,7 @@
 }
 
 func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
-	d := e.document()
-	if d == nil {
-		problem.New(http.StatusServiceUnavailable, "", "no bundle is in force yet").Write(w)
-		return
-	}
-	team, ok := e.team(w, r, d)
+	d, team, ok := e.caller(w, r)
 	if !ok {
 		return
 	}
@@ -83,16 +78,19 @@
 		problem.New(http.StatusBadRequest, field, detail).Write(w)
 		return
 	}
-	spec := newSpec(time.Now(), team, class, &s, r.Header.Get("Idempotency-Key"))
-	if known, ok := e.viewJob(spec.ID, team.Name); ok {
-		writeJSON(w, http.StatusOK, known)
+	spec := newSpec(time.Now(), team, class, &s)
+	spec.ID = e.newID(d, team.Name, r.Header.Get("Idempotency-Key"))
+	home := e.home(d, spec.ID)
+	if views, movedTo := e.localJobs(team.Name, spec.ID); home == e.settings.DataCentre && len(views) == 1 && movedTo == "" {
+		writeJSON(w, http.StatusOK, views[0])
 		return
 	}
-	if p := e.append(r.Context(), &record.Submit{Spec: spec}); p != nil {
+	if p := appendTo(r.Context(), e.jobsWriter(home), &record.Submit{Spec: spec}); p != nil {
 		p.Write(w)
 		return
 	}
-	e.log.Info().Str("decision", "accept-job").Str("job", spec.ID).Str("team", team.Name).Str("class", spec.Class).Msg("")
+	e.log.Info().Str("decision", "accept-job").Str("job", spec.ID).Str("team", team.Name).Str("class", spec.Class).
+		Str("data-centre", home).Msg("")
 	w.Header().Set("Location", "/jobs/"+spec.ID)
 	writeJSON(w, http.StatusCreated, JobView{ID: spec.ID, Team: spec.Team, Class: spec.Class, Phase: job.Pending.String()})
 }
@@ -112,9 +110,9 @@
 	return class, "", ""
 }
 
-func newSpec(now time.Time, team *bundle.Team, class *bundle.BatchClass, s *Submission, key string) record.Spec {
+func newSpec(now time.Time, team *bundle.Team, class *bundle.BatchClass, s *Submission) record.Spec {
 	spec := record.Spec{
-		ID: jobID(team.Name, key), Team: team.Name, Class: s.Class, Tasks: max(s.Tasks, 1), Gang: s.Gang, Size: s.Size,
+		Team: team.Name, Class: s.Class, Tasks: max(s.Tasks, 1), Gang: s.Gang, Size: s.Size,
 		ExpectedMS: s.ExpectedMS, SubmittedAt: now.UnixMilli(), Payload: s.Payload,
 		MaxFailures: uint32(class.MaxAttempts), TakeoverMS: class.TakeoverAfter.Std().Milliseconds(),
 	}
@@ -126,18 +124,31 @@
 
 // jobID is the same for every submission of a team under the same key.
 func jobID(team, key string) string {
-	if key == "" {
-		key = rand.Text()
-	}
 	sum := sha256.Sum256([]byte(team + "\x00" + key))
 	return hex.EncodeToString(sum[:])[:idLength]
 }
 
-// append waits until a caller's record is in the log.
-func (e *Entry) append(ctx context.Context, m record.Message) *problem.Problem {
+// newID returns the id of a submission. Without a key it is a new one whose
+// home is this data centre, if one is found soon.
+func (e *Entry) newID(d *bundle.Document, team, key string) string {
+	if key != "" {
+		return jobID(team, key)
+	}
+	id := jobID(team, rand.Text())
+	for range homeTries {
+		if e.home(d, id) == e.settings.DataCentre {
+			break
+		}
+		id = jobID(team, rand.Text())
+	}
+	return id
+}
+
+// appendTo waits until a caller's record is in the log.
+func appendTo(ctx context.Context, w *platform.Writer, m record.Message) *problem.Problem {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	err := e.writer.Append(ctx, m)
+	err := w.Append(ctx, m)
 	if err == nil {
 		return nil
 	}
@@ -150,74 +161,65 @@
 }
 
 func (e *Entry) serveJobs(w http.ResponseWriter, r *http.Request) {
-	d := e.document()
-	if d == nil {
-		problem.New(http.StatusServiceUnavailable, "", "no bundle is in force yet").Write(w)
-		return
-	}
-	team, ok := e.team(w, r, d)
+	d, team, ok := e.caller(w, r)
 	if !ok {
 		return
 	}
 	out := []JobView{}
-	e.jobs.mu.Lock()
-	e.jobs.fold.Each(func(j *job.Job) bool {
-		if j.Spec().Team == team.Name {
-			out = append(out, viewOf(j, false))
+	for _, name := range e.dataCentres(d) {
+		views, _, p := e.askJobs(r.Context(), name, team.Name, "")
+		if p != nil {
+			w.Header().Add(HeaderPartial, name)
 		}
-		return true
-	})
-	e.jobs.mu.Unlock()
+		out = append(out, views...)
+	}
 	sort.Slice(out, func(i, k int) bool { return out[i].ID < out[k].ID })
 	writeJSON(w, http.StatusOK, out)
 }
 
 func (e *Entry) serveJob(w http.ResponseWriter, r *http.Request) {
-	if v, ok := e.ownJob(w, r); ok {
-		writeJSON(w, http.StatusOK, v)
+	if f, ok := e.callersJob(w, r); ok {
+		writeJSON(w, http.StatusOK, f.view)
 	}
 }
 
 func (e *Entry) serveCancel(w http.ResponseWriter, r *http.Request) {
-	v, ok := e.ownJob(w, r)
+	f, ok := e.callersJob(w, r)
 	if !ok {
 		return
 	}
-	if p := e.append(r.Context(), &record.Cancel{Jobs: []string{v.ID}}); p != nil {
+	m := &record.Cancel{Jobs: []string{f.view.ID}, AtMS: time.Now().UnixMilli()}
+	if p := appendTo(r.Context(), e.jobsWriter(f.dataCentre), m); p != nil {
 		p.Write(w)
 		return
 	}
-	e.log.Info().Str("decision", "cancel-job").Str("job", v.ID).Msg("")
+	e.log.Info().Str("decision", "cancel-job").Str("job", f.view.ID).Str("data-centre", f.dataCentre).Msg("")
 	w.WriteHeader(http.StatusAccepted)
 }
 
-func (e *Entry) ownJob(w http.ResponseWriter, r *http.Request) (JobView, bool) {
+// caller returns the document in force and the caller's team, or writes a refusal.
+func (e *Entry) caller(w http.ResponseWriter, r *http.Request) (*bundle.Document, *bundle.Team, bool) {
 	d := e.document()
 	if d == nil {
 		problem.New(http.StatusServiceUnavailable, "", "no bundle is in force yet").Write(w)
-		return JobView{}, false
+		return nil, nil, false
 	}
 	team, ok := e.team(w, r, d)
-	if !ok {
-		return JobView{}, false
-	}
-	v, ok := e.viewJob(r.PathValue("id"), team.Name)
-	if !ok {
-		problem.New(http.StatusNotFound, "id", "the team has no such job").Write(w)
-	}
-	return v, ok
+	return d, team, ok
 }
 
-func (e *Entry) viewJob(id, team string) (JobView, bool) {
-	e.jobs.mu.Lock()
-	defer e.jobs.mu.Unlock()
-	j, ok := e.jobs.fold.Job(id)
-	if !ok || j.Spec().Team != team {
-		return JobView{}, false
+// callersJob returns the job that a request names, or writes a refusal.
+func (e *Entry) callersJob(w http.ResponseWriter, r *http.Request) (found, bool) {
+	d, team, ok := e.caller(w, r)
+	if !ok {
+		return found{}, false
 	}
-	v := viewOf(j, true)
-	e.explainWaiting(j, &v)
-	return v, true
+	f, p := e.findJob(r.Context(), d, team.Name, r.PathValue("id"))
+	if p != nil {
+		p.Write(w)
+		return found{}, false
+	}
+	return f, true
 }
 
 // explainWaiting fills in why pending tasks wait; jobs.mu is held.
@@ -229,7 +231,8 @@
 	}
 }
 
-func viewOf(j *job.Job, withTasks bool) JobView {
+// viewOf returns what callers see of a job; jobs.mu is held.
+func (e *Entry) viewOf(j *job.Job, withTasks bool) JobView {
 	v := JobView{ID: j.Spec().ID, Team: j.Spec().Team, Class: j.Spec().Class, Phase: j.Phase().String()}
 	if !withTasks {
 		return v
@@ -240,5 +243,6 @@
 			Phase: t.Phase().String(), Worker: t.Worker(), Attempts: t.Attempt(), Checkpoint: t.Checkpoint(), Detail: t.Detail(),
 		})
 	}
+	e.explainWaiting(j, &v)
 	return v
 }
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sort"
 	"time"
@@ -12,22 +13,25 @@
 
 // Times of membership.
 const (
-	// announceEvery is how often an entry refreshes its membership record.
-	announceEvery = time.Minute
+	// announceEvery is how often an entry refreshes its membership record if
+	// its settings name no other time.
+	announceEvery = 10 * time.Second
 	// forgetMemberAfter is how long an entry without a refresh counts as a member.
-	forgetMemberAfter = 3 * announceEvery
+	forgetMemberAfter = 3 * time.Minute
 )
 
 // member is what the members stream says about one entry.
 type member struct {
 	record record.Member
 	seen   time.Time
+	// refresh is the reader's own count of refreshes when the record was read.
+	refresh uint64
 }
 
 func (e *Entry) announce(ctx context.Context) {
 	for {
 		e.tellMembers(ctx, false)
-		if !pause(ctx, announceEvery) {
+		if !pause(ctx, cmp.Or(e.settings.AnnounceEvery, announceEvery)) {
 			return
 		}
 	}
@@ -54,22 +58,20 @@
 		if !ok || m.Incarnation < e.known[m.Name].record.Incarnation {
 			continue
 		}
-		e.known[m.Name] = member{record: *m, seen: now}
+		if m.Name == e.settings.Name && m.Incarnation == uint64(e.jobs.born.UnixNano()) {
+			e.refreshes++
+		}
+		e.known[m.Name] = member{record: *m, seen: now, refresh: e.refreshes}
 	}
 }
 
 // neighbours returns the entries of this data centre, sorted by name.
 func (e *Entry) neighbours(now time.Time) []record.Member {
-	e.memberMu.Lock()
-	defer e.memberMu.Unlock()
-	var out []record.Member
-	for _, m := range e.known {
-		if m.record.DataCentre == e.settings.DataCentre && !m.record.Leaving && now.Sub(m.seen) < forgetMemberAfter {
-			out = append(out, m.record)
-		}
-	}
-	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
-	return out
+	return e.membersOf(e.settings.DataCentre, now)
+}
+
+func sortMembers(members []record.Member) {
+	sort.Slice(members, func(i, k int) bool { return members[i].Name < members[k].Name })
 }
 
 // rank returns this entry's place among neighbours for a job by rendezvous
--- a/internal/entry/recover.go
+++ b/internal/entry/recover.go
@@ -12,7 +12,16 @@
 // restores the newest usable snapshot and returns the offset that it covers; if
 // there is none, what was lost is said, and reading goes on at the first offset kept.
 func (e *Entry) recoverJobs(ctx context.Context, page record.Page) uint64 {
-	snapshots, err := e.findSnapshot(ctx, page.First, page.Next)
+	return e.recoverStream(ctx, JobsStream(e.settings.DataCentre), page, func(parts []*record.Snapshot) error {
+		e.jobs.mu.Lock()
+		defer e.jobs.mu.Unlock()
+		return e.jobs.fold.Restore(parts)
+	})
+}
+
+// recoverStream hands the newest usable snapshot of a stream of jobs to restore.
+func (e *Entry) recoverStream(ctx context.Context, stream string, page record.Page, restore func([]*record.Snapshot) error) uint64 {
+	snapshots, err := e.findSnapshot(ctx, stream, page.First, page.Next)
 	if err != nil {
 		e.log.Warn().Err(err).Msg("searching for a snapshot failed; trying again")
 		return page.First
@@ -21,11 +30,8 @@
 		e.log.Error().Uint64("first", page.First).Msg("jobs were lost to retention: no usable snapshot is kept")
 		return page.First
 	}
-	e.jobs.mu.Lock()
-	err = e.jobs.fold.Restore(snapshots)
-	e.jobs.mu.Unlock()
 	covers := snapshots[0].Covers
-	if err != nil {
+	if err := restore(snapshots); err != nil {
 		e.log.Error().Err(err).Uint64("covers", covers).Msg("restoring a snapshot failed")
 		return page.First
 	}
@@ -35,13 +41,13 @@
 
 // findSnapshot returns the parts of the newest snapshot whose following batches
 // are all kept, or nil. It searches windows that grow back from the stream's end.
-func (e *Entry) findSnapshot(ctx context.Context, first, next uint64) ([]*record.Snapshot, error) {
+func (e *Entry) findSnapshot(ctx context.Context, stream string, first, next uint64) ([]*record.Snapshot, error) {
 	for window := uint64(snapshotBatches / 4); ; window *= 4 {
 		from := first
 		if next > first+window {
 			from = next - window
 		}
-		found, err := e.newestSnapshot(ctx, from, first)
+		found, err := e.newestSnapshot(ctx, stream, from, first)
 		if err != nil || found != nil || from == first {
 			return found, err
 		}
@@ -50,10 +56,10 @@
 
 // newestSnapshot reads from an offset on for the newest complete snapshot that
 // covers the stream up to first or more.
-func (e *Entry) newestSnapshot(ctx context.Context, from, first uint64) ([]*record.Snapshot, error) {
+func (e *Entry) newestSnapshot(ctx context.Context, stream string, from, first uint64) ([]*record.Snapshot, error) {
 	var collector job.Collector
 	var newest []*record.Snapshot
-	err := platform.Scan(ctx, e.logPort, JobsStream(e.settings.DataCentre), from, func(r record.Record) {
+	err := platform.Scan(ctx, e.logPort, stream, from, func(r record.Record) {
 		part, ok := r.Message().(*record.Snapshot)
 		if !ok || part.Covers < first {
 			return
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -13,6 +13,8 @@
 	PathBundle = "/peer/bundle"
 	// PathSilence takes a SilenceQuery and returns a SilenceReply; at an entry.
 	PathSilence = "/peer/silence"
+	// PathJobs takes a JobsQuery and returns a JobsReply; at an entry.
+	PathJobs = "/peer/jobs"
 	// PathFate takes a FateQuery and returns a FateReply; at an agent.
 	PathFate = "/peer/fate"
 	// PathRequests is the prefix of callers' requests; at an agent.
@@ -153,3 +155,18 @@
 type FateReply struct {
 	Fate string `cbor:"1,keyasint"`
 }
+
+// JobsQuery asks an entry of another data centre about a team's jobs.
+type JobsQuery struct {
+	Team string `cbor:"1,keyasint"`
+	// ID asks for one job; empty asks for all.
+	ID string `cbor:"2,keyasint,omitempty"`
+}
+
+// JobsReply carries the jobs found.
+type JobsReply struct {
+	// Views is the JSON form of the jobs, as callers get it.
+	Views []byte `cbor:"1,keyasint"`
+	// MovedTo is the data centre in which the job asked for goes on, or "".
+	MovedTo string `cbor:"2,keyasint,omitempty"`
+}
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -13,13 +13,21 @@
 	// Version counts up from bundle to bundle.
 	Version uint64 `yaml:"version" json:"version"`
 	// Parent is the digest of the bundle that this one follows; empty for the first.
-	Parent       string       `yaml:"parent,omitempty" json:"parent,omitempty"`
-	Operators    Operators    `yaml:"operators"        json:"operators"`
+	Parent    string    `yaml:"parent,omitempty" json:"parent,omitempty"`
+	Operators Operators `yaml:"operators"        json:"operators"`
+	// DataCentres are those that share the work; empty if there is only one.
+	DataCentres  []DataCentre `yaml:"data-centres,omitempty" json:"data-centres,omitempty"`
 	Services     []Service    `yaml:"services"         json:"services"`
 	BatchClasses []BatchClass `yaml:"batch-classes"    json:"batch-classes"`
 	Teams        []Team       `yaml:"teams"            json:"teams"`
 }
 
+// DataCentre is a place with its own entries, workers and stream of jobs.
+type DataCentre struct {
+	Name   string `yaml:"name"             json:"name"`
+	Region string `yaml:"region,omitempty" json:"region,omitempty"`
+}
+
 // Operators says who may sign the next bundle.
 type Operators struct {
 	// Threshold is the number of distinct operators that must sign.
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -44,6 +44,10 @@
 	c.want((d.Version == 1) == (d.Parent == ""), "parent", "must be given from version 2 on, and only then")
 	c.operators(&d.Operators)
 	seen := names{}
+	for i := range d.DataCentres {
+		c.name(fmt.Sprintf("data-centres[%d]", i), d.DataCentres[i].Name, seen)
+	}
+	seen = names{}
 	for i := range d.Services {
 		at := fmt.Sprintf("services[%d]", i)
 		c.name(at, d.Services[i].Name, seen)
--- a/pkg/job/fold.go
+++ b/pkg/job/fold.go
@@ -123,19 +123,14 @@
 }
 
 func (f *Fold) submit(at record.Position, m *record.Submit) error {
-	if _, ok := f.jobs[m.Spec.ID]; ok {
+	if j, ok := f.jobs[m.Spec.ID]; ok && (j.MovedTo() == "" || m.Hops <= j.hops) {
 		return errors.Wrap(ErrVoid, "the job is known")
 	}
 	if m.Spec.ID == "" || m.Spec.Tasks == 0 {
 		return errors.Wrap(ErrVoid, "the job has no id or no tasks")
 	}
-	j := &Job{spec: m.Spec, submitted: at, tasks: make([]Task, m.Spec.Tasks), open: int(m.Spec.Tasks)}
-	for i, ref := range m.Checkpoints {
-		if int(i) < len(j.tasks) {
-			j.tasks[i].checkpoint = ref
-		}
-	}
 	f.init()
+	j := f.newJob(at, m)
 	f.jobs[m.Spec.ID] = j
 	for i := range j.tasks {
 		f.changed(record.TaskID{Job: m.Spec.ID, Index: uint32(i)}, j, &j.tasks[i])
@@ -143,6 +138,29 @@
 	return nil
 }
 
+func (f *Fold) newJob(at record.Position, m *record.Submit) *Job {
+	n := int(m.Spec.Tasks)
+	j := &Job{spec: m.Spec, submitted: at, hops: m.Hops, tasks: make([]Task, n), open: n}
+	for i, ref := range m.Checkpoints {
+		if int(i) < n {
+			j.tasks[i].checkpoint = ref
+		}
+	}
+	for i, outcome := range m.Ended {
+		if int(i) < n {
+			f.end(ending{at, 0}, j, &j.tasks[i], phaseOf(outcome))
+		}
+	}
+	return j
+}
+
+func phaseOf(o record.Outcome) Phase {
+	if o == record.OutcomeSucceeded {
+		return Succeeded
+	}
+	return Failed
+}
+
 func (f *Fold) init() {
 	if f.jobs == nil {
 		f.jobs = make(map[string]*Job)
--- a/pkg/job/snapshot.go
+++ b/pkg/job/snapshot.go
@@ -42,6 +42,7 @@
 	Ended     record.Position `cbor:"5,keyasint,omitempty"`
 	EndedMS   int64           `cbor:"6,keyasint,omitempty"`
 	Tasks     []taskState     `cbor:"7,keyasint"`
+	Hops      uint32          `cbor:"8,keyasint,omitempty"`
 }
 
 type taskState struct {
@@ -125,6 +126,7 @@
 		if first == 0 {
 			c.Spec = &j.spec
 			c.Submitted, c.Cancelled, c.Ended, c.EndedMS = j.submitted, j.cancelled, j.ended, j.endedMS
+			c.Hops = j.hops
 		}
 		for i := first; i < min(first+tasksPerChunk, len(j.tasks)); i++ {
 			c.Tasks = append(c.Tasks, j.tasks[i].state())
@@ -197,6 +199,7 @@
 	if c.Spec != nil {
 		f.restoring = &Job{
 			spec: *c.Spec, submitted: c.Submitted, cancelled: c.Cancelled, ended: c.Ended, endedMS: c.EndedMS,
+			hops: c.Hops,
 		}
 		f.jobs[c.Spec.ID] = f.restoring
 	}
--- a/pkg/job/state.go
+++ b/pkg/job/state.go
@@ -86,6 +86,7 @@
 	cancelled bool
 	tasks     []Task
 	open      int
+	hops      uint32
 	ended     record.Position
 	endedMS   int64
 }
@@ -129,3 +130,16 @@
 	}
 	return phase
 }
+
+// Hops counts the moves of the job between streams before this one.
+func (j *Job) Hops() uint32 { return j.hops }
+
+// MovedTo returns the data centre in whose stream the job goes on, or "".
+func (j *Job) MovedTo() string {
+	for i := range j.tasks {
+		if j.tasks[i].phase == Moved {
+			return j.tasks[i].detail
+		}
+	}
+	return ""
+}
--- a/pkg/record/messages.go
+++ b/pkg/record/messages.go
@@ -105,8 +105,13 @@
 // Submit adds a job. It is void if the job is known.
 type Submit struct {
 	Spec Spec `cbor:"1,keyasint"`
-	// Checkpoints carries the state of a job that moves between streams, by task index.
+	// Checkpoints carries the progress of a job that moves between streams, by task index.
 	Checkpoints map[uint32]string `cbor:"2,keyasint,omitempty"`
+	// Ended carries how tasks of a job that moves had ended before, by task index.
+	Ended map[uint32]Outcome `cbor:"3,keyasint,omitempty"`
+	// Hops counts the moves of the job so far. A job that has left a stream can
+	// come back to it with a higher count.
+	Hops uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Placement gives one task to one worker.
