Add the load tool and experiments on real processes

Cause: nothing checked the promises on whole processes under load. Change: 'savoryhoist load' sends open-loop load by a plan and compares what callers saw with what the stand-ins counted; 'savoryhoist standin' serves log, workers and runners with fault switches; 'make experiments' drives nine data files on real processes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 
-.PHONY: build test lint tools
+.PHONY: build test lint tools experiments bench-capacity
 
 build: ## Builds the program.
 	go build -o bin/savoryhoist .
@@ -14,10 +14,17 @@
 lint: tools ## Checks format, lint and house rules.
 	$(LINT) fmt --diff
 	$(LINT) run $(MODULES)
-	go vet $(MODULES)
+	go vet -tags experiments $(MODULES)
 	sh .ci/house-rules
 
 test: lint ## Runs every check: format, lint, vet, tests with the race detector, build.
 	go test -race $(MODULES)
 	go build $(MODULES)
 	@echo '{"target":"test","passed":true}'
+
+experiments: ## Runs the experiments under experiments/ on real processes; SEED=n repeats one, ONLY=name runs one.
+	go test -v -tags experiments -count=1 -timeout 15m -run 'TestExperiments/$(ONLY)' ./experiments
+	@cat out/experiments/summary.json
+
+bench-capacity: build ## Measures the slopes of docs/CAPACITY.md; savoryhoist bench capacity --help says how to run longer.
+	bin/savoryhoist bench capacity
--- /dev/null
+++ b/experiments/site_test.go
@@ -0,0 +1,272 @@
+//go:build experiments
+
+package experiments
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/link"
+	"savoryhoist.example/savoryhoist/internal/load"
+	"savoryhoist.example/savoryhoist/pkg/bundle"
+)
+
+// Times and modes of the driver.
+const (
+	readyWithin = time.Minute
+	readyPoll   = 20 * time.Millisecond
+	certificate = time.Hour
+	fileMode    = 0o600
+	rackSize    = 3
+	drainAfter  = "700ms"
+	heartbeat   = "500ms"
+	operator    = "alice"
+)
+
+// site is a site of real processes: stand-ins, entries and agents.
+type site struct {
+	t         *testing.T
+	folder    string
+	binary    string
+	authority *link.Authority
+	key       ed25519.PrivateKey
+	roots     bundle.Operators
+	document  *bundle.Document
+	standin   string
+	entries   []*process
+	agents    []*process
+	all       []*process
+	peers     map[string][]string
+}
+
+// process is one real process and how to start it again.
+type process struct {
+	name  string
+	args  []string
+	url   string
+	cmd   *exec.Cmd
+	usage time.Duration
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "savoryhoist")
+	if out, err := exec.Command("go", "build", "-o", binary, "..").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// startSite starts a plan's site and returns when every process is ready.
+func startSite(t *testing.T, binary string, size load.Site) *site {
+	t.Helper()
+	s := &site{t: t, folder: t.TempDir(), binary: binary, peers: make(map[string][]string)}
+	t.Cleanup(s.stopAll)
+	var err error
+	s.authority, err = link.NewAuthority(time.Now(), certificate)
+	s.must(err)
+	s.must(os.WriteFile(s.path("authority.pem"), s.authority.PEM(), fileMode))
+	var public string
+	s.key, public, err = bundle.GenerateKey(rand.Reader)
+	s.must(err)
+	s.roots, err = bundle.ParseRoots(operator+"="+public, 1)
+	s.must(err)
+	template, err := os.ReadFile(size.Bundle + ".yaml")
+	s.must(err)
+	s.document, err = bundle.ParseTemplate(template, s.roots)
+	s.must(err)
+	s.addStandin(size)
+	for i := range size.Entries * len(size.DataCentres) {
+		s.addEntry(i, size.DataCentres[i%len(size.DataCentres)], public)
+	}
+	for i := range size.Workers {
+		s.addAgent(i, size.DataCentres[i%len(size.DataCentres)], public)
+	}
+	for _, p := range s.all {
+		s.start(p)
+	}
+	s.publishFirst()
+	for _, p := range s.all[1:] {
+		s.awaitReady(p)
+	}
+	return s
+}
+
+func (s *site) must(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) path(name string) string { return filepath.Join(s.folder, name) }
+
+func (s *site) freeAddress() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s.must(err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func (s *site) addStandin(size load.Site) {
+	address := s.freeAddress()
+	s.standin = "http://" + address
+	args := []string{"standin", "--listen", address, "--workers", fmt.Sprint(size.Workers), "--slots", fmt.Sprint(size.Slots)}
+	s.all = append(s.all, &process{name: "standin", args: args, url: s.standin + "/counts"})
+}
+
+func (s *site) common(role link.Role, dataCentre, name, public string) []string {
+	pem, key, err := s.authority.Issue(time.Now(), certificate, link.NewPeer(role, dataCentre, name))
+	s.must(err)
+	s.must(os.WriteFile(s.path(name+".pem"), pem, fileMode))
+	s.must(os.WriteFile(s.path(name+"-key.pem"), key, fileMode))
+	return []string{
+		string(role), "--name", name, "--data-centre", dataCentre, "--operators", operator + "=" + public, "--drain-after", drainAfter,
+		"--certificate", s.path(name + ".pem"), "--key", s.path(name + "-key.pem"), "--authorities", s.path("authority.pem"),
+	}
+}
+
+func (s *site) addEntry(i int, dataCentre, public string) {
+	name := fmt.Sprintf("entry-%d", i+1)
+	door, peer := s.freeAddress(), s.freeAddress()
+	s.peers[dataCentre] = append(s.peers[dataCentre], peer)
+	args := append(s.common(link.RoleEntry, dataCentre, name, public),
+		"--open", "--log-url", s.standin+"/log", "--listen", door, "--peer-listen", peer)
+	p := &process{name: name, args: args, url: "http://" + door}
+	s.entries = append(s.entries, p)
+	s.all = append(s.all, p)
+}
+
+func (s *site) addAgent(i int, dataCentre, public string) {
+	name := fmt.Sprintf("worker-%d", i+1)
+	admin := s.freeAddress()
+	args := append(s.common(link.RoleAgent, dataCentre, name, public),
+		"--service", s.document.Services[0].Name, "--rack", fmt.Sprintf("rack-%d", i/rackSize+1),
+		"--listen", s.freeAddress(), "--admin-listen", admin, "--heartbeat-every", heartbeat,
+		"--runner-url", fmt.Sprintf("%s/runners/%d", s.standin, i+1),
+		"--worker-url", fmt.Sprintf("%s/workers/%d", s.standin, i+1),
+		"--entries", strings.Join(s.peers[dataCentre], ","))
+	p := &process{name: name, args: args, url: "http://" + admin}
+	s.agents = append(s.agents, p)
+	s.all = append(s.all, p)
+}
+
+func (s *site) entryURLs() string {
+	var out []string
+	for _, p := range s.entries {
+		out = append(out, p.url)
+	}
+	return strings.Join(out, ",")
+}
+
+func (s *site) find(name string) *process {
+	for _, p := range s.all {
+		if p.name == name {
+			return p
+		}
+	}
+	s.t.Fatalf("no process is called %q", name)
+	return nil
+}
+
+func (s *site) start(p *process) {
+	f, err := os.OpenFile(s.path(p.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+	s.must(err)
+	p.cmd = exec.Command(s.binary, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	s.must(p.cmd.Start())
+	s.must(f.Close())
+}
+
+// end waits for a process that was told to end and notes what it used.
+func (p *process) end() error {
+	err := p.cmd.Wait()
+	p.usage += p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+	p.cmd = nil
+	return err
+}
+
+// stop ends a process as a planned stop and checks that it exits cleanly.
+func (s *site) stop(p *process) {
+	s.must(p.cmd.Process.Signal(syscall.SIGTERM))
+	if err := p.end(); err != nil {
+		s.t.Errorf("%s after SIGTERM: got %v, want a clean exit", p.name, err)
+	}
+}
+
+// stopAll kills what still runs; a failed test keeps the processes' logs.
+func (s *site) stopAll() {
+	for _, p := range s.all {
+		if p.cmd != nil && p.cmd.Process != nil {
+			_ = p.cmd.Process.Kill()
+			_ = p.end()
+		}
+	}
+	if s.t.Failed() {
+		kept := filepath.Join("..", "out", "logs", filepath.Base(s.t.Name()))
+		_ = os.RemoveAll(kept)
+		_ = os.CopyFS(kept, os.DirFS(s.folder))
+		s.t.Logf("logs of the processes are in %s", kept)
+	}
+}
+
+func (s *site) awaitReady(p *process) {
+	s.t.Helper()
+	s.eventually(p.name+" ready", func() bool { return isOK(p.url + "/readyz") })
+}
+
+func isOK(url string) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (s *site) eventually(what string, fn func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(readyPoll) {
+		if fn() {
+			return
+		}
+	}
+	s.t.Fatalf("%s: not within %s", what, readyWithin)
+}
+
+// signed returns the document as a bundle signed by the operator.
+func (s *site) signed(d *bundle.Document) *bundle.Signed {
+	content, err := bundle.Format(d)
+	s.must(err)
+	signed := bundle.NewSigned(content)
+	signed.Sign(operator, s.key)
+	return signed
+}
+
+// publish sends a signed bundle to an entry and returns the status of the answer.
+func (s *site) publish(entry *process, signed *bundle.Signed) int {
+	data, err := signed.Encode()
+	s.must(err)
+	resp, err := http.Post(entry.url+"/bundles", "application/cbor", bytes.NewReader(data))
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (s *site) publishFirst() {
+	signed := s.signed(s.document)
+	s.eventually("first bundle in force", func() bool { return s.publish(s.entries[0], signed) == http.StatusOK })
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -31,6 +31,8 @@
 		certificateCommand(),
 		devCommand(),
 		benchCommand(),
+		loadCommand(),
+		standinCommand(),
 		versionCommand(),
 	}
 }
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -94,13 +94,17 @@
 
 func (c *checker) url(flag string) string {
 	v := c.cmd.String(flag)
-	u, err := url.Parse(v)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+	if !validURL(v) {
 		c.wrong(flag, "want a URL, such as http://127.0.0.1:9000")
 	}
 	return strings.TrimSuffix(v, "/")
 }
 
+func validURL(v string) bool {
+	u, err := url.Parse(v)
+	return err == nil && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https")
+}
+
 func (c *checker) positive(flag string) time.Duration {
 	v := c.cmd.Duration(flag)
 	if v <= 0 {
@@ -109,6 +113,14 @@
 	return v
 }
 
+func (c *checker) count(flag string) int {
+	v := c.cmd.Int(flag)
+	if v < 1 {
+		c.wrong(flag, "must be at least 1")
+	}
+	return v
+}
+
 func (c *checker) operators() bundle.Operators {
 	o, err := bundle.ParseRoots(c.cmd.String("operators"), c.cmd.Int("operator-threshold"))
 	if err != nil {
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,127 @@
+package load
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"savoryhoist.example/savoryhoist/internal/problem"
+	"savoryhoist.example/savoryhoist/internal/standin"
+)
+
+func readCases(t *testing.T, path string, out any) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err == nil {
+		err = yaml.UnmarshalWithOptions(data, out, yaml.Strict())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestRefusedPlans(t *testing.T) {
+	var cases []struct {
+		Name string   `yaml:"name"`
+		Plan string   `yaml:"plan"`
+		Want []string `yaml:"want"`
+	}
+	readCases(t, "testdata/plans.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			_, err := ParsePlan([]byte(c.Plan))
+			if !errors.Is(err, ErrPlan) {
+				t.Fatalf("got %v, want ErrPlan", err)
+			}
+			for _, want := range c.Want {
+				if got := err.Error(); !strings.Contains(got, want) {
+					t.Errorf("got %q, want %q in it", got, want)
+				}
+			}
+		})
+	}
+}
+
+// checkCase is one case of testdata/checks.yaml.
+type checkCase struct {
+	Name     string `yaml:"name"`
+	Requests []struct {
+		ID      string          `yaml:"id"`
+		Status  int             `yaml:"status"`
+		Outcome problem.Outcome `yaml:"outcome"`
+		Whole   bool            `yaml:"whole"`
+		Never   bool            `yaml:"never"`
+	} `yaml:"requests"`
+	Jobs []struct {
+		ID       string `yaml:"id"`
+		Accepted bool   `yaml:"accepted"`
+		Phase    string `yaml:"phase"`
+		Tasks    int    `yaml:"tasks"`
+	} `yaml:"jobs"`
+	Runs        map[string]int           `yaml:"runs"`
+	Tasks       map[string][]standin.Run `yaml:"tasks"`
+	Overfull    []string                 `yaml:"overfull"`
+	MostRefused float64                  `yaml:"most-refused"`
+	Repeats     bool                     `yaml:"repeats"`
+	Want        []string                 `yaml:"want"`
+}
+
+func (c *checkCase) seen() *Seen {
+	s := &Seen{plan: &Plan{Expect: Expect{MostRefused: c.MostRefused, Repeats: c.Repeats}}, checked: []bool{true}}
+	for _, q := range c.Requests {
+		s.requests = append(s.requests, RequestSeen{id: q.ID, status: q.Status, outcome: q.Outcome, whole: q.Whole, never: q.Never})
+	}
+	for _, j := range c.Jobs {
+		s.jobs = append(s.jobs, JobSeen{id: j.ID, accepted: j.Accepted, phase: j.Phase, tasks: j.Tasks})
+	}
+	s.counts = []standin.Counts{{Requests: c.Runs, Tasks: c.Tasks, Overfull: c.Overfull}}
+	return s
+}
+
+func TestViolations(t *testing.T) {
+	var cases []checkCase
+	readCases(t, "testdata/checks.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			got := c.seen().Violations()
+			if len(got) != len(c.Want) {
+				t.Fatalf("got %q, want %q", got, c.Want)
+			}
+			for i, want := range c.Want {
+				if !strings.Contains(got[i], want) {
+					t.Errorf("got %q, want %q in it", got[i], want)
+				}
+			}
+		})
+	}
+}
+
+func TestScheduleFollowsRate(t *testing.T) {
+	p := &Plan{
+		Duration: 10 * time.Second,
+		Requests: []Stream{{Rate: []Step{{At: 0, PerSecond: 100}, {At: 5 * time.Second, PerSecond: 100}, {At: 5 * time.Second, PerSecond: 1000}}}},
+	}
+	first, second := p.Schedule(7, 2), p.Schedule(7, 2)
+	var early, late, variant int
+	for i, a := range first {
+		if a != second[i] {
+			t.Fatalf("arrival %d: got %v and %v from one seed, want the same", i, a, second[i])
+		}
+		if a.At() < 5*time.Second {
+			early++
+		} else {
+			late++
+		}
+		variant += a.variant
+	}
+	if early < 400 || early > 600 || late < 4600 || late > 5400 {
+		t.Errorf("arrivals: got %d and %d, want about 500 and 5000", early, late)
+	}
+	if share := float64(variant) / float64(len(first)); share < 0.45 || share > 0.55 {
+		t.Errorf("share of the second variant: got %f, want about one half", share)
+	}
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,175 @@
+package load
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	hdrhistogram "github.com/HdrHistogram/hdrhistogram-go"
+
+	"savoryhoist.example/savoryhoist/internal/problem"
+)
+
+// Range and precision of latency histograms, in microseconds.
+const (
+	lowestLatency  = 1
+	highestLatency = int64(10 * time.Minute / time.Microsecond)
+	latencyDigits  = 3
+)
+
+// Result is the JSON form of a run's figures.
+type Result struct {
+	Name       string         `json:"name"`
+	Seed       uint64         `json:"seed"`
+	Passed     bool           `json:"passed"`
+	Requests   []StreamResult `json:"requests"`
+	Jobs       []JobResult    `json:"jobs"`
+	Appends    uint64         `json:"appends"`
+	Ratios     []Ratio        `json:"ratios,omitempty"`
+	Violations []string       `json:"violations"`
+}
+
+// StreamResult is the figures of one stream of requests at one variant.
+type StreamResult struct {
+	Stream   string  `json:"stream"`
+	Variant  string  `json:"variant"`
+	Sent     int     `json:"sent"`
+	Answered int     `json:"answered"`
+	Refused  int     `json:"refused"`
+	Unknown  int     `json:"unknown"`
+	P50      float64 `json:"p50-ms"`
+	P99      float64 `json:"p99-ms"`
+	P999     float64 `json:"p999-ms"`
+	Most     float64 `json:"max-ms"`
+
+	histogram *hdrhistogram.Histogram
+}
+
+// JobResult is the figures of one stream of jobs at one variant.
+type JobResult struct {
+	Stream    string  `json:"stream"`
+	Variant   string  `json:"variant"`
+	Submitted int     `json:"submitted"`
+	Accepted  int     `json:"accepted"`
+	Succeeded int     `json:"succeeded"`
+	Cancelled int     `json:"cancelled"`
+	Failed    int     `json:"failed"`
+	Starts    int     `json:"starts"`
+	P50       float64 `json:"p50-ms"`
+	Most      float64 `json:"max-ms"`
+
+	histogram *hdrhistogram.Histogram
+}
+
+// Ratio compares the last variant of a run with the first.
+type Ratio struct {
+	Stream string  `json:"stream"`
+	P50    float64 `json:"p50"`
+	P99    float64 `json:"p99"`
+}
+
+// mostViolations is how many violations a result names.
+const mostViolations = 20
+
+// Result returns the figures of a run.
+func (s *Seen) Result() *Result {
+	violations := s.Violations()
+	r := &Result{Name: s.plan.Name, Seed: s.seed, Passed: len(violations) == 0, Violations: violations}
+	if n := len(violations); n > mostViolations {
+		r.Violations = append(slices.Clone(violations[:mostViolations]), fmt.Sprintf("and %d more", n-mostViolations))
+	}
+	for _, c := range s.counts {
+		r.Appends += c.Appends
+	}
+	for v, variant := range s.variants {
+		for i := range s.plan.Requests {
+			r.Requests = append(r.Requests, s.streamResult(i, v, variant))
+		}
+		for i := range s.plan.Jobs {
+			r.Jobs = append(r.Jobs, s.jobResult(i, v, variant))
+		}
+	}
+	r.Ratios = s.ratios(r)
+	return r
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
+}
+
+// record notes a latency; one out of range counts as the highest.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), lowestLatency), highestLatency))
+}
+
+func milliseconds(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
+
+func (s *Seen) streamResult(stream, variant int, name string) StreamResult {
+	out := StreamResult{Stream: s.plan.Requests[stream].Name, Variant: name, histogram: newHistogram()}
+	for i := range s.requests {
+		q := &s.requests[i]
+		if q.stream != stream || q.variant != variant {
+			continue
+		}
+		out.Sent++
+		switch q.outcome {
+		case problem.Run:
+			out.Answered++
+			record(out.histogram, q.latency)
+		case problem.NotRun:
+			out.Refused++
+		default:
+			out.Unknown++
+		}
+	}
+	out.P50, out.P99 = milliseconds(out.histogram, 50), milliseconds(out.histogram, 99)
+	out.P999, out.Most = milliseconds(out.histogram, 99.9), milliseconds(out.histogram, 100)
+	return out
+}
+
+func (s *Seen) jobResult(stream, variant int, name string) JobResult {
+	out := JobResult{Stream: s.plan.Jobs[stream].Name, Variant: name, histogram: newHistogram()}
+	for i := range s.jobs {
+		j := &s.jobs[i]
+		if j.stream != stream || j.variant != variant {
+			continue
+		}
+		out.Submitted++
+		if !j.accepted {
+			continue
+		}
+		out.Accepted++
+		for t := range j.tasks {
+			out.Starts += len(s.counts[variant].Tasks[fmt.Sprintf("%s.%d", j.id, t)])
+		}
+		switch j.phase {
+		case "succeeded":
+			out.Succeeded++
+			record(out.histogram, j.ended)
+		case "cancelled":
+			out.Cancelled++
+		case "failed", "parked":
+			out.Failed++
+		}
+	}
+	out.P50, out.Most = milliseconds(out.histogram, 50), milliseconds(out.histogram, 100)
+	return out
+}
+
+func (s *Seen) ratios(r *Result) []Ratio {
+	if len(s.variants) < 2 {
+		return nil
+	}
+	var out []Ratio
+	n := len(s.plan.Requests)
+	for i := range n {
+		first, last := &r.Requests[i], &r.Requests[(len(s.variants)-1)*n+i]
+		if first.P50 == 0 || first.P99 == 0 {
+			continue
+		}
+		out = append(out, Ratio{Stream: first.Stream, P50: last.P50 / first.P50, P99: last.P99 / first.P99})
+	}
+	return out
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,11 +22,31 @@
 // defaultRun is how long a task without a payload runs.
 const defaultRun = 100 * time.Millisecond
 
-// Run is one stretch of a task's execution, for checks after a test.
+// WorkerFaults says how a worker misbehaves.
+type WorkerFaults struct {
+	// FailAll makes every task that starts from now on fail at once.
+	FailAll bool `json:"fail-all"`
+	// LoseVM drops every task once, as when the VM is replaced.
+	LoseVM bool `json:"lose-vm"`
+	// UsageLagMS is how old usage reports are.
+	UsageLagMS int64 `json:"usage-lag-ms"`
+}
+
+// Run is one start of a task, for checks after a test.
 type Run struct {
-	Key   string
-	Epoch uint64
-	Ended platform.TaskState
+	Key   string             `json:"key"`
+	Epoch uint64             `json:"epoch"`
+	Ended platform.TaskState `json:"ended,omitempty"`
+	// Worker is filled in by Site.Counts.
+	Worker string `json:"worker,omitempty"`
+	// Spans are when the task made progress.
+	Spans []Span `json:"spans,omitempty"`
+}
+
+// Span is a stretch of time in Unix microseconds.
+type Span struct {
+	From int64 `json:"from"`
+	To   int64 `json:"to"`
 }
 
 // Worker is an in-memory worker that runs tasks under leases. Progress is
@@ -40,10 +61,18 @@
 	tasks    map[string]*task
 	runs     []Run
 	overfull bool
-	failAll  bool
+	faults   WorkerFaults
+	usage    []timedUsage
+}
+
+// timedUsage is what the worker used at a moment.
+type timedUsage struct {
+	at    time.Time
+	usage platform.Usage
 }
 
 type task struct {
+	run     int
 	order   platform.StartOrder
 	state   platform.TaskState
 	need    time.Duration
@@ -63,6 +92,11 @@
 func (w *Worker) LoseVM() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.loseVM()
+}
+
+func (w *Worker) loseVM() {
+	w.progress()
 	w.restarts++
 	w.born = w.now()
 	w.tasks = make(map[string]*task)
@@ -72,14 +106,30 @@
 func (w *Worker) FailAll(on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.failAll = on
+	w.faults.FailAll = on
+}
+
+// SetFaults switches the worker's faults.
+func (w *Worker) SetFaults(f WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if f.LoseVM {
+		w.loseVM()
+	}
+	w.faults = f
 }
 
 // Runs returns every start so far.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return append([]Run(nil), w.runs...)
+	w.progress()
+	out := make([]Run, len(w.runs))
+	for i, r := range w.runs {
+		r.Spans = slices.Clone(r.Spans)
+		out[i] = r
+	}
+	return out
 }
 
 // Overfull reports whether running tasks ever exceeded the worker's size.
@@ -149,14 +199,14 @@
 		_ = json.Unmarshal(order.Payload, &p)
 	}
 	t := &task{
-		order: order, state: platform.TaskRunning, seen: w.now(), percent: 100,
-		need: time.Duration(p.RunMS) * time.Millisecond, fail: p.Fail || w.failAll,
+		run: len(w.runs), order: order, state: platform.TaskRunning, seen: w.now(), percent: 100,
+		need: time.Duration(p.RunMS) * time.Millisecond, fail: p.Fail || w.faults.FailAll,
 	}
 	var ms int64
 	if _, err := fmt.Sscanf(order.Ref, "done-ms=%d", &ms); err == nil {
 		t.done = time.Duration(ms) * time.Millisecond
 	}
-	if w.failAll {
+	if w.faults.FailAll {
 		t.need = 0
 	}
 	return t
@@ -190,18 +240,38 @@
 			end = until
 			t.state = platform.TaskHeld
 		}
-		if end.After(t.seen) {
-			t.done += end.Sub(t.seen) * time.Duration(t.percent) / 100
-		}
+		w.run(t, end)
 		t.seen = now
-		if t.done >= t.need {
-			t.state = platform.TaskSucceeded
-			if t.fail {
-				t.state = platform.TaskFailed
-				t.order.Detail = "the task failed"
-			}
+	}
+}
+
+// run lets a task make progress until end.
+func (w *Worker) run(t *task, end time.Time) {
+	if end.After(t.seen) && t.percent > 0 {
+		t.done += end.Sub(t.seen) * time.Duration(t.percent) / 100
+		if over := t.done - t.need; over > 0 {
+			end = end.Add(-over * 100 / time.Duration(t.percent))
 		}
+		w.runs[t.run].extend(t.seen, end)
+	}
+	if t.done < t.need {
+		return
 	}
+	t.state = platform.TaskSucceeded
+	if t.fail {
+		t.state = platform.TaskFailed
+		t.order.Detail = "the task failed"
+	}
+	w.runs[t.run].Ended = t.state
+}
+
+// extend notes that the task made progress from one moment to another.
+func (r *Run) extend(from, to time.Time) {
+	if n := len(r.Spans); n > 0 && r.Spans[n-1].To == from.UnixMicro() {
+		r.Spans[n-1].To = to.UnixMicro()
+		return
+	}
+	r.Spans = append(r.Spans, Span{From: from.UnixMicro(), To: to.UnixMicro()})
 }
 
 func (w *Worker) serveRenew(rw http.ResponseWriter, r *http.Request) {
@@ -254,6 +324,7 @@
 	w.withTask(rw, r, func(_ string, t *task) {
 		if !t.state.Ended() {
 			t.state = platform.TaskStopped
+			w.runs[t.run].Ended = t.state
 		}
 	})
 }
@@ -268,10 +339,33 @@
 	})
 }
 
+// usageKeep is the most usage reports that are remembered for the lag.
+const usageKeep = 1024
+
 func (w *Worker) serveUsage(rw http.ResponseWriter, _ *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.progress()
+	w.usage = append(w.usage, timedUsage{at: w.now(), usage: w.used()})
+	if len(w.usage) > usageKeep {
+		w.usage = slices.Clone(w.usage[len(w.usage)-usageKeep:])
+	}
+	writeJSON(rw, http.StatusOK, w.laggingUsage())
+}
+
+// laggingUsage returns the newest report that is as old as the lag.
+func (w *Worker) laggingUsage() platform.Usage {
+	until := w.now().Add(-time.Duration(w.faults.UsageLagMS) * time.Millisecond)
+	out := platform.Usage{Tasks: make(map[string]worker.Resources)}
+	for _, u := range w.usage {
+		if !u.at.After(until) {
+			out = u.usage
+		}
+	}
+	return out
+}
+
+func (w *Worker) used() platform.Usage {
 	out := platform.Usage{Tasks: make(map[string]worker.Resources)}
 	for k, t := range w.tasks {
 		if t.state == platform.TaskRunning {
@@ -279,5 +373,5 @@
 			out.Used = out.Used.Plus(t.order.Size)
 		}
 	}
-	writeJSON(rw, http.StatusOK, out)
+	return out
 }
