--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,8 +16,7 @@
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/endpoint"
-	"savoryhoist.example/savoryhoist/pkg/record"
-	"savoryhoist.example/savoryhoist/pkg/worker"
+	"savoryhoist.example/savoryhoist/pkg/lease"
 )
 
 // Settings configure an agent.
@@ -57,19 +56,25 @@
 	// mu guards what requests and heartbeats share.
 	mu       sync.Mutex
 	book     endpoint.Book
-	inFlight int
+	gate     endpoint.Gate
+	times    endpoint.Times
+	flights  map[endpoint.AttemptID]*flight
+	waiting  map[*endpoint.Ticket]*flight
 	leaving  bool
 	chain    *bundle.Chain
 	entries  []string
 	failedAt map[string]time.Time
 	primary  string
 
-	// tasksMu guards the tasks and the ledger. It is taken before mu.
+	// tasksMu guards the holder. It is taken before mu.
 	tasksMu sync.Mutex
-	tasks   tasks
-	ledger  worker.Ledger
+	holder  lease.Holder
 }
 
+// predecessorSettles is how long a start that this agent's predecessor ordered
+// may still be on its way to the worker beside it.
+const predecessorSettles = time.Second
+
 // New returns an agent that is bound to its address but does not run yet.
 func New(now time.Time, s Settings, id *link.Identity, logger *log.Logger) (*Agent, error) {
 	a := &Agent{
@@ -84,8 +89,10 @@
 		chain:       bundle.NewChain(s.Roots),
 		entries:     s.Entries,
 		failedAt:    make(map[string]time.Time),
+		flights:     make(map[endpoint.AttemptID]*flight),
+		waiting:     make(map[*endpoint.Ticket]*flight),
 	}
-	a.tasks.noStartBefore = now
+	a.holder.Ledger().AdmitFrom(now.Add(predecessorSettles))
 	server, err := link.Listen(s.Listen, id, a.peerHandler(), link.RoleEntry)
 	if err != nil {
 		return nil, err
@@ -145,7 +152,7 @@
 func (a *Agent) flying() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.inFlight
+	return len(a.flights)
 }
 
 // Ready reports whether the worker's ledger is rebuilt and an entry has answered.
@@ -154,7 +161,7 @@
 	defer a.tasksMu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ledger.Ready() && a.primary != "" && !a.leaving
+	return a.holder.Ledger().Ready() && a.primary != "" && !a.leaving
 }
 
 // AdminHandler serves metrics and health.
@@ -177,16 +184,6 @@
 	return mux
 }
 
-func (a *Agent) answerFate(_ context.Context, _ link.Peer, q *link.FateQuery) (*link.FateReply, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if q.Incarnation != a.incarnation {
-		return &link.FateReply{Fate: endpoint.FateUnknown.String()}, nil
-	}
-	fate := a.book.Ask(time.Now(), endpoint.AttemptID{Request: q.Request, Attempt: q.Attempt})
-	return &link.FateReply{Fate: fate.String()}, nil
-}
-
 // pause waits for d and reports whether ctx is still live.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -198,6 +195,3 @@
 		return false
 	}
 }
-
-// taskKey names a task under one epoch on the worker.
-func taskKey(h record.Hold) string { return platform.TaskKey(h) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,7 @@
 	settings Settings
 	id       *link.Identity
 	agents   *link.Client
+	entries  *link.Client
 	log      *log.Logger
 	logPort  record.Log
 	registry gometrics.Registry
@@ -63,6 +64,8 @@
 	members  *platform.Writer
 	name     string
 	leaving  atomic.Bool
+	// requestTimer times callers' requests.
+	requestTimer gometrics.Timer
 
 	// Lock order: jobs.mu, routes.mu, bundleMu, memberMu. No lock is held
 	// during a call to another process.
@@ -85,6 +88,7 @@
 		settings: s,
 		id:       id,
 		agents:   link.NewClient(id, link.RoleAgent, link.RoleEntry),
+		entries:  link.NewClient(id, link.RoleEntry),
 		log:      logger,
 		logPort:  port,
 		registry: gometrics.NewRegistry(),
@@ -95,7 +99,8 @@
 		chain:    bundle.NewChain(s.Roots),
 		known:    make(map[string]member),
 	}
-	e.jobs.born = now
+	e.jobs.attach(now)
+	e.requestTimer = gometrics.GetOrRegisterTimer("requests", e.registry)
 	e.routes.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name)))) //nolint:gosec // load balancing only
 	var err error
 	if e.doorLn, err = new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen); err != nil {
@@ -135,13 +140,14 @@
 	group.Go(func() { e.serve("peers over QUIC", e.peers.ServeQUIC) })
 	group.Go(func() { e.serve("callers", func() error { return e.door.Serve(e.doorLn) }) })
 	group.Go(func() { e.schedule(live) })
+	group.Go(func() { e.confirmSilence(live) })
 	group.Go(func() { e.announce(live) })
 	e.log.Info().Str("address", e.Address()).Str("peer-address", e.PeerAddress()).Msg("entry started")
 	<-ctx.Done()
 	e.drain(live)
 	stop()
 	group.Wait()
-	return e.agents.Close()
+	return errors.CombineErrors(e.agents.Close(), e.entries.Close())
 }
 
 func (e *Entry) serve(what string, fn func() error) {
@@ -184,7 +190,7 @@
 	if !caughtUp || d == nil || e.leaving.Load() {
 		return false
 	}
-	return age > readyAnyway || (age > warmUp && e.routes.covers(d))
+	return age > readyAnyway || (age > warmUp && e.routes.covers(now, d))
 }
 
 func (e *Entry) document() *bundle.Document {
