Guard the service beside a worker from batch tasks

Cause: nothing reacted when batch tasks raised a service's tail latency.

Change: the agent keeps the latest latencies of its service, and a guard decides by their tail against the objective: throttle the tasks that a learned model blames, in as large a step as it expects to be needed; checkpoint and move one only after long pressure at full throttle, within a budget; release by steps after a calm. The pressure and the use by class go out with heartbeats, so that placement learns which class presses which service.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,6 +71,7 @@
 	tasksMu sync.Mutex
 	tasks   tasks
 	ledger  worker.Ledger
+	guard   guard
 }
 
 // predecessorSettles is how long a start that this agent's predecessor ordered
--- a/internal/agent/flight.go
+++ b/internal/agent/flight.go
@@ -25,6 +25,7 @@
 	id         endpoint.AttemptID
 	ticket     *endpoint.Ticket
 	repeatable bool
+	arrived    time.Time
 	// granted gets one verdict for an attempt that waits.
 	granted chan endpoint.Verdict
 	// end is closed when the attempt has ended.
@@ -46,6 +47,7 @@
 		return a.flights[in.id], admission, ""
 	}
 	f = a.newFlight(in)
+	f.arrived = now
 	verdict, victim, _ := a.offer(now, f)
 	if victim != nil {
 		a.grant(now, victim, endpoint.Shed)
@@ -151,6 +153,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.finish(now, f, fate, answer)
+	a.noteLatency(now, f)
 	a.gate.Release(now, f.ticket)
 	for {
 		t, verdict := a.gate.Next(now)
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -45,6 +45,7 @@
 		a.follow(ctx, clock, answer)
 	}
 	a.renew(ctx, clock, &listing)
+	a.protect(ctx, time.Now(), &listing)
 }
 
 // answer is one entry's reading and when it began at the latest.
@@ -174,7 +175,7 @@
 	h := link.Heartbeat{
 		Worker: a.settings.Name, Rack: a.settings.Rack, Service: a.settings.Service, Address: a.Address(),
 		Incarnation: a.incarnation, Ready: listing != nil && a.ledger.Ready(),
-		Total: a.ledger.Total(), Free: a.ledger.Free(),
+		Total: a.ledger.Total(), Free: a.ledger.Free(), Pressure: a.guard.pressure, Uses: a.guard.uses,
 	}
 	a.mu.Lock()
 	h.Leaving, h.Bundle = a.leaving, a.chain.Digest()
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -154,6 +154,7 @@
 		return
 	}
 	a.ledger.Confirm(time.Now(), key)
+	a.guard.decide.Started(time.Now(), key)
 	a.tasks.fresh[o.Hold] = began
 	a.log.Info().Str("decision", "start-task").Str("task", key).Str("from", o.Checkpoint).Msg("")
 }
