--- a/internal/agent/guard.go
+++ b/internal/agent/guard.go
@@ -49,7 +49,7 @@
 	a.guard.pressure = reading.Pressure
 	a.guard.uses = usesOf(listing, &usage)
 	for _, action := range a.guard.decide.Decide(now, &reading, a.guardTasks(listing)) {
-		a.act(ctx, now, &action)
+		a.restrain(ctx, now, &action)
 	}
 }
 
@@ -112,8 +112,8 @@
 	return out
 }
 
-// act does what the guard asks for.
-func (a *Agent) act(ctx context.Context, now time.Time, action *worker.Action) {
+// restrain does what the guard asks for.
+func (a *Agent) restrain(ctx context.Context, now time.Time, action *worker.Action) {
 	key := action.Key()
 	var err error
 	switch action.Kind() {
@@ -142,9 +142,5 @@
 	if _, err := a.worker.Checkpoint(ctx, key); err != nil {
 		return err
 	}
-	if err := a.worker.Stop(ctx, key); err != nil {
-		return err
-	}
-	a.ledger.Release(key)
-	return nil
+	return a.worker.Stop(ctx, key)
 }
