--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,9 +66,10 @@
 	failedAt map[string]time.Time
 	primary  string
 
-	// tasksMu guards the holder. It is taken before mu.
+	// tasksMu guards the holder and the guard. It is taken before mu.
 	tasksMu sync.Mutex
 	holder  lease.Holder
+	guard   guard
 }
 
 // predecessorSettles is how long a start that this agent's predecessor ordered
@@ -181,6 +182,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(link.PathRequests+"{service}/", a.serveRequest)
 	mux.Handle("POST "+link.PathFate, link.Handle(a.answerFate))
+	mux.Handle("POST "+link.PathBundle, link.Handle(a.answerBundle))
 	return mux
 }
 
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -39,6 +39,7 @@
 	}
 	a.holder.Observe(asked, listingOf(&listing))
 	a.follow(ctx, a.tell(ctx, a.heartbeat(&listing)))
+	a.protect(ctx, time.Now(), &listing)
 }
 
 // answer is one entry's reading.
@@ -140,47 +141,15 @@
 	a.failedAt[address] = time.Now()
 }
 
-// updateBundle fetches the bundle if an entry has another one in force.
-func (a *Agent) updateBundle(ctx context.Context, answers []answer) {
-	for _, o := range answers {
-		a.mu.Lock()
-		same := o.reading.Bundle == "" || o.reading.Bundle == a.chain.Digest()
-		a.mu.Unlock()
-		if same {
-			continue
-		}
-		var reply link.BundleReply
-		if err := a.client.Call(ctx, o.entry, link.PathBundle, &link.BundleQuery{}, &reply); err != nil {
-			a.log.Warn().Err(err).Str("entry", o.entry).Msg("fetching the bundle failed")
-			continue
-		}
-		a.offerBundle(reply.Signed)
-	}
-}
-
-func (a *Agent) offerBundle(data []byte) {
-	signed, err := bundle.DecodeSigned(data)
-	if err == nil {
-		a.mu.Lock()
-		err = a.chain.Offer(signed)
-		a.mu.Unlock()
-	}
-	if err != nil {
-		a.log.Warn().Err(err).Str("decision", "refuse-bundle").Msg("")
-		return
-	}
-	a.log.Info().Str("decision", "accept-bundle").Uint64("version", a.chain.Version()).Str("digest", a.chain.Digest()).Msg("")
-}
-
 // heartbeat says what the agent knows; a nil listing means that the worker did not answer.
 func (a *Agent) heartbeat(listing *platform.Listing) link.Heartbeat {
 	h := link.Heartbeat{
 		Worker: a.settings.Name, Rack: a.settings.Rack, Service: a.settings.Service, Address: a.Address(),
 		Incarnation: a.incarnation, Round: a.holder.Round(), Ready: listing != nil && a.holder.Ledger().Ready(),
-		Total: a.holder.Ledger().Total(), Free: a.holder.Ledger().Free(),
+		Total: a.holder.Ledger().Total(), Free: a.holder.Ledger().Free(), Pressure: a.guard.pressure, Uses: a.guard.uses,
 	}
 	a.mu.Lock()
-	h.Leaving, h.Bundle = a.leaving, a.chain.Digest()
+	h.Leaving, h.Bundle, h.BundleVersion = a.leaving, a.chain.Digest(), a.chain.Version()
 	load := a.load()
 	h.InFlight, h.InFlightLong, h.Reserved, h.Mark = load.InFlight, load.Long, load.Reserved, a.book.Advance()
 	if s, ok := a.service(); ok {
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -9,7 +9,7 @@
 const (
 	// PathHeartbeat takes a Heartbeat and returns a Reading; at an entry.
 	PathHeartbeat = "/peer/heartbeat"
-	// PathBundle takes a BundleQuery and returns a BundleReply; at an entry.
+	// PathBundle takes a BundleQuery and returns a BundleReply; at an entry or agent.
 	PathBundle = "/peer/bundle"
 	// PathSilence takes a SilenceQuery and returns a SilenceReply; at an entry.
 	PathSilence = "/peer/silence"
@@ -66,6 +66,8 @@
 	// Primary asks this entry to record the reports in the log.
 	Primary bool   `cbor:"13,keyasint,omitempty"`
 	Bundle  string `cbor:"14,keyasint,omitempty"`
+	// BundleVersion is the version of Bundle.
+	BundleVersion uint64 `cbor:"20,keyasint,omitempty"`
 	// Round counts the agent's heartbeats.
 	Round uint64 `cbor:"18,keyasint"`
 	// InFlightLong, Reserved and Mark describe the endpoint; see endpoint.Report.
@@ -96,6 +98,8 @@
 	Entries []string `cbor:"6,keyasint,omitempty"`
 	// Leaving entries should not be asked again.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// BundleVersion is the version of Bundle; 0 if the entry does not say.
+	BundleVersion uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // SilenceQuery asks when workers were heard.
@@ -117,11 +121,22 @@
 }
 
 // BundleQuery asks for the bundle in force.
-type BundleQuery struct{}
+type BundleQuery struct {
+	// Have is the digest of the bundle that the asker has; the answer may refer to it.
+	Have string `cbor:"1,keyasint,omitempty"`
+}
 
-// BundleReply carries the signed bundle in force; empty if there is none.
+// BundleReply carries the bundle in force and what proves it; it is empty if
+// there is none.
 type BundleReply struct {
+	// Signed is the signed bundle.
 	Signed []byte `cbor:"1,keyasint,omitempty"`
+	// Lineage holds the earlier bundles that changed the operators.
+	Lineage [][]byte `cbor:"2,keyasint,omitempty"`
+	// Packed is the signed bundle, compressed with the content of the bundle
+	// with digest Base as dictionary. It stands in place of Signed.
+	Packed []byte `cbor:"3,keyasint,omitempty"`
+	Base   string `cbor:"4,keyasint,omitempty"`
 }
 
 // FateQuery asks what became of an attempt.
