Tell few entries and do not wait for those that hang

Cause: an agent told every entry of its data centre and waited up to 2 s for the slowest, so that one hung entry held up lease renewals and starts of all workers. Configured addresses were told in every round, so that a balancer's address doubled the heartbeats. Heartbeats vary by a tenth. An entry always names itself, also before it has read the members stream. Conclusion: leases go on at the heartbeat's pace while an entry hangs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -53,6 +53,9 @@
 	server      *link.Server
 	incarnation uint64
 
+	// calls are the heartbeats under way.
+	calls sync.WaitGroup
+
 	// mu guards what requests and heartbeats share.
 	mu       sync.Mutex
 	book     endpoint.Book
@@ -62,8 +65,7 @@
 	waiting  map[*endpoint.Ticket]*flight
 	leaving  bool
 	chain    *bundle.Chain
-	entries  []string
-	failedAt map[string]time.Time
+	contacts contacts
 	primary  string
 
 	// tasksMu guards the holder. It is taken before mu.
@@ -87,8 +89,7 @@
 		registry:    gometrics.NewRegistry(),
 		incarnation: uint64(now.UnixNano()),
 		chain:       bundle.NewChain(s.Roots),
-		entries:     s.Entries,
-		failedAt:    make(map[string]time.Time),
+		contacts:    contacts{name: s.Name, configured: s.Entries},
 		flights:     make(map[endpoint.AttemptID]*flight),
 		waiting:     make(map[*endpoint.Ticket]*flight),
 	}
@@ -117,6 +118,7 @@
 	a.drain(live)
 	stop()
 	group.Wait()
+	a.calls.Wait()
 	return a.client.Close()
 }
 
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/link"
@@ -11,16 +11,21 @@
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 )
 
-// callTimeout bounds a heartbeat.
-const callTimeout = 2 * time.Second
-
-// skipFailed is how long an entry that did not answer is not asked.
-const skipFailed = time.Second
+// Times of a round.
+const (
+	// callTimeout bounds a heartbeat.
+	callTimeout = 2 * time.Second
+	// answerGrace is how long a round waits for further answers after the first.
+	answerGrace = 100 * time.Millisecond
+	// beatJitter is the part of the heartbeat period by which a pause varies.
+	beatJitter = 10
+)
 
 func (a *Agent) beat(ctx context.Context) {
 	for {
 		a.round(ctx)
-		if !pause(ctx, a.settings.HeartbeatEvery) {
+		jitter := a.settings.HeartbeatEvery / beatJitter
+		if !pause(ctx, a.settings.HeartbeatEvery-jitter+rand.N(2*jitter+1)) {
 			return
 		}
 	}
@@ -47,39 +52,59 @@
 	reading *link.Reading
 }
 
-// tell sends the heartbeat to every entry at once and returns the answers.
+// tell sends the heartbeat to a few entries at once and returns the answers
+// that come in time: an entry that hangs does not hold up the round.
 func (a *Agent) tell(ctx context.Context, h link.Heartbeat) []answer {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	entries, primary := a.targets(time.Now())
-	out := make([]answer, len(entries))
-	var group sync.WaitGroup
-	for i, address := range entries {
-		group.Go(func() {
-			own := h
-			own.Primary = address == primary
-			out[i] = a.tellOne(ctx, address, &own)
-		})
+	replies := make(chan answer, len(entries))
+	for _, address := range entries {
+		own := h
+		own.Primary = address == primary
+		a.calls.Go(func() { replies <- a.tellOne(ctx, address, &own) })
 	}
-	group.Wait()
-	answers := out[:0]
-	for _, o := range out {
-		if o.reading != nil {
+	answers := collect(ctx, replies, len(entries))
+	a.choosePrimary(answers, primary)
+	a.updateBundle(ctx, answers)
+	return answers
+}
+
+// collect returns the answers that arrive until all have, or until answerGrace
+// after the first.
+func collect(ctx context.Context, replies <-chan answer, count int) []answer {
+	var answers []answer
+	var grace <-chan time.Time
+	for range count {
+		select {
+		case o := <-replies:
+			if o.reading == nil {
+				continue
+			}
 			answers = append(answers, o)
+			if grace == nil {
+				grace = time.After(answerGrace)
+			}
+		case <-grace:
+			return answers
+		case <-ctx.Done():
+			return answers
 		}
 	}
-	a.choosePrimary(answers, primary)
-	a.updateBundle(ctx, answers)
 	return answers
 }
 
 func (a *Agent) tellOne(ctx context.Context, address string, h *link.Heartbeat) answer {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	reading := new(link.Reading)
-	if err := a.client.Call(ctx, address, link.PathHeartbeat, h, reading); err != nil {
+	err := a.client.Call(ctx, address, link.PathHeartbeat, h, reading)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
 		a.log.Warn().Err(err).Str("entry", address).Msg("heartbeat failed")
-		a.noteFailure(address)
+		a.contacts.failed(time.Now(), address)
 		return answer{}
 	}
+	a.contacts.answered(address)
 	return answer{entry: address, reading: reading}
 }
 
@@ -87,20 +112,11 @@
 func (a *Agent) targets(now time.Time) ([]string, string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var out []string
-	for _, e := range a.entries {
-		if now.Sub(a.failedAt[e]) > skipFailed {
-			out = append(out, e)
-		}
-	}
-	if len(out) == 0 {
-		out = a.settings.Entries
-	}
-	primary := out[0]
+	out := a.contacts.targets(now)
 	if slices.Contains(out, a.primary) {
-		primary = a.primary
+		return out, a.primary
 	}
-	return out, primary
+	return out, out[0]
 }
 
 // staleRounds is how many heartbeats an entry's reading of the log may be
@@ -113,7 +129,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.primary = ""
-	known := slices.Clone(a.settings.Entries)
+	var known []string
 	var newest uint64
 	for _, o := range answers {
 		newest = max(newest, o.reading.Lease.Heard)
@@ -130,14 +146,7 @@
 			a.primary = o.entry
 		}
 	}
-	slices.Sort(known)
-	a.entries = slices.Compact(known)
-}
-
-func (a *Agent) noteFailure(address string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.failedAt[address] = time.Now()
+	a.contacts.learned(known)
 }
 
 // heartbeat says what the agent knows; a nil listing means that the worker did not answer.
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -36,15 +36,22 @@
 func (e *Entry) tellMembers(ctx context.Context, leaving bool) {
 	ctx, cancel := context.WithTimeout(ctx, flushTime)
 	defer cancel()
-	m := &record.Member{
-		Name: e.settings.Name, DataCentre: e.settings.DataCentre, Address: e.PeerAddress(),
-		Incarnation: uint64(e.jobs.born.UnixNano()), Leaving: leaving,
-	}
-	if err := e.members.Append(ctx, m); err != nil {
+	m := e.self()
+	m.Leaving = leaving
+	m.WrittenMS = time.Now().UnixMilli()
+	if err := e.members.Append(ctx, &m); err != nil {
 		e.log.Warn().Err(err).Msg("membership record not appended yet")
 	}
 }
 
+// self returns this entry's membership record.
+func (e *Entry) self() record.Member {
+	return record.Member{
+		Name: e.settings.Name, DataCentre: e.settings.DataCentre, Address: e.PeerAddress(),
+		Incarnation: uint64(e.jobs.born.UnixNano()),
+	}
+}
+
 func (e *Entry) deliverMembers(records []record.Record, _ uint64, _ time.Time) {
 	now := time.Now()
 	e.memberMu.Lock()
@@ -64,10 +71,16 @@
 	defer e.memberMu.Unlock()
 	var out []record.Member
 	for _, m := range e.known {
+		if m.record.Name == e.settings.Name {
+			continue
+		}
 		if m.record.DataCentre == e.settings.DataCentre && !m.record.Leaving && now.Sub(m.seen) < forgetMemberAfter {
 			out = append(out, m.record)
 		}
 	}
+	if !e.leaving.Load() {
+		out = append(out, e.self())
+	}
 	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
 	return out
 }
