--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,9 +68,10 @@
 	contacts contacts
 	primary  string
 
-	// tasksMu guards the holder. It is taken before mu.
+	// tasksMu guards the holder and the guard. It is taken before mu.
 	tasksMu sync.Mutex
 	holder  lease.Holder
+	guard   guard
 }
 
 // predecessorSettles is how long a start that this agent's predecessor ordered
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -44,6 +44,7 @@
 	}
 	a.holder.Observe(asked, listingOf(&listing))
 	a.follow(ctx, a.tell(ctx, a.heartbeat(&listing)))
+	a.protect(ctx, time.Now(), &listing)
 }
 
 // answer is one entry's reading.
@@ -154,7 +155,7 @@
 	h := link.Heartbeat{
 		Worker: a.settings.Name, Rack: a.settings.Rack, Service: a.settings.Service, Address: a.Address(),
 		Incarnation: a.incarnation, Round: a.holder.Round(), Ready: listing != nil && a.holder.Ledger().Ready(),
-		Total: a.holder.Ledger().Total(), Free: a.holder.Ledger().Free(),
+		Total: a.holder.Ledger().Total(), Free: a.holder.Ledger().Free(), Pressure: a.guard.pressure, Uses: a.guard.uses,
 	}
 	a.mu.Lock()
 	h.Leaving, h.Bundle, h.BundleVersion = a.leaving, a.chain.Digest(), a.chain.Version()
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -161,13 +161,16 @@
 	}
 }
 
-// rebuild brings the ledger in line with the tasks that need room.
+// rebuild brings the ledger in line with the tasks that need room. A task that
+// is listed as ended needs none, and its start is no longer on its way.
 func (h *Holder) rebuild(now time.Time, total worker.Resources) {
 	grants := make([]worker.Grant, 0, len(h.tasks))
 	for hold, t := range h.tasks {
-		if !t.state.Ended() || !t.listed {
-			grants = append(grants, worker.NewGrant(key(hold), t.size))
+		size := t.size
+		if t.state.Ended() && t.listed {
+			size = worker.Resources{}
 		}
+		grants = append(grants, worker.NewGrant(key(hold), size))
 	}
 	h.ledger.Rebuild(total, grants, now)
 }
--- a/pkg/worker/ledger_test.go
+++ b/pkg/worker/ledger_test.go
@@ -183,3 +183,15 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+func TestTaskListedAsEndedGivesBackItsRoomAtOnce(t *testing.T) {
+	var l worker.Ledger
+	l.Rebuild(cpu(1000), nil, epoch)
+	if err := l.Admit(epoch, "short", cpu(1000)); err != nil {
+		t.Fatal(err)
+	}
+	l.Rebuild(cpu(1000), []worker.Grant{worker.NewGrant("short", worker.Resources{})}, epoch)
+	if got, want := l.Free(), cpu(1000); got != want {
+		t.Errorf("got %+v free, want %+v", got, want)
+	}
+}
