--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -78,7 +78,11 @@
 	key := taskKey(c.Hold())
 	switch c.Act() {
 	case lease.ActStart:
-		return a.worker.Start(ctx, startOrder(c))
+		if err := a.worker.Start(ctx, startOrder(c)); err != nil {
+			return err
+		}
+		a.guard.decide.Started(time.Now(), key)
+		return nil
 	case lease.ActCheckpointStop:
 		if _, err := a.worker.Checkpoint(ctx, key); err != nil {
 			a.log.Warn().Err(err).Str("task", key).Msg("checkpoint before a stop failed")
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -40,15 +41,22 @@
 func (e *Entry) tellMembers(ctx context.Context, leaving bool) {
 	ctx, cancel := context.WithTimeout(ctx, flushTime)
 	defer cancel()
-	m := &record.Member{
-		Name: e.settings.Name, DataCentre: e.settings.DataCentre, Address: e.PeerAddress(),
-		Incarnation: uint64(e.jobs.born.UnixNano()), Leaving: leaving,
-	}
-	if err := e.members.Append(ctx, m); err != nil {
+	m := e.self()
+	m.Leaving = leaving
+	m.WrittenMS = time.Now().UnixMilli()
+	if err := e.members.Append(ctx, &m); err != nil {
 		e.log.Warn().Err(err).Msg("membership record not appended yet")
 	}
 }
 
+// self returns this entry's membership record.
+func (e *Entry) self() record.Member {
+	return record.Member{
+		Name: e.settings.Name, DataCentre: e.settings.DataCentre, Address: e.PeerAddress(),
+		Incarnation: uint64(e.jobs.born.UnixNano()),
+	}
+}
+
 func (e *Entry) deliverMembers(records []record.Record, _ uint64, _ time.Time) {
 	now := time.Now()
 	e.memberMu.Lock()
@@ -67,7 +75,13 @@
 
 // neighbours returns the entries of this data centre, sorted by name.
 func (e *Entry) neighbours(now time.Time) []record.Member {
-	return e.membersOf(e.settings.DataCentre, now)
+	out := e.membersOf(e.settings.DataCentre, now)
+	out = slices.DeleteFunc(out, func(m record.Member) bool { return m.Name == e.settings.Name })
+	if !e.leaving.Load() {
+		out = append(out, e.self())
+	}
+	sortMembers(out)
+	return out
 }
 
 func sortMembers(members []record.Member) {
