--- a/pkg/job/failover_test.go
+++ b/pkg/job/failover_test.go
@@ -57,13 +57,11 @@
 	return s
 }
 
-func drive(s *streams, o *Failover, start time.Time, span time.Duration, heir func(string) string) time.Time {
-	now := start
-	for ; now.Sub(start) < span; now = now.Add(500 * time.Millisecond) {
+func drive(s *streams, o *Failover, start time.Time, span time.Duration, heir func(string) string) {
+	for now := start; now.Sub(start) < span; now = now.Add(500 * time.Millisecond) {
 		there, here := o.Decide(now, &s.lost, &s.own, "dc-1", heir)
 		s.apply(now, there, here)
 	}
-	return now
 }
 
 func toOne(string) string { return "dc-1" }
