--- a/internal/command/restart_test.go
+++ b/internal/command/restart_test.go
@@ -68,7 +68,12 @@
 }
 
 func (l *traffic) sendOne(body string) error {
-	resp, err := l.post("/services/planner/preview", body, http.Header{"Standin-Work": {"5ms"}})
+	return l.send(body, http.Header{"Standin-Work": {"5ms"}})
+}
+
+// send sends a request and wants its own body back.
+func (l *traffic) send(body string, header http.Header) error {
+	resp, err := l.post("/services/planner/preview", body, header)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -66,6 +66,9 @@
 	return maps.Clone(r.runs)
 }
 
+// Working returns the number of requests being worked on.
+func (r *Runner) Working() int { return len(r.slots) }
+
 // Handler serves the runner over HTTP.
 func (r *Runner) Handler() http.Handler {
 	mux := http.NewServeMux()
