Take test ports that nothing else takes, and bind both transports or neither

Cause: TestLostDataCentre failed once with "listen udp: address already in use": the port had been found free for TCP only, and lay in the range from which outgoing QUIC connections take theirs.

Change: tests take ports below that range after trying both transports; a process that may choose its port tries another if UDP has no room.

Ruled out: starting the process again on a bind error, which would hide a process that does not let go of its port.

--- a/experiments/site_test.go
+++ b/experiments/site_test.go
@@ -7,7 +7,6 @@
 	"crypto/ed25519"
 	"crypto/rand"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/load"
+	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 )
 
@@ -113,10 +113,9 @@
 func (s *site) path(name string) string { return filepath.Join(s.folder, name) }
 
 func (s *site) freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standin.FreeAddress()
 	s.must(err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return address
 }
 
 func (s *site) addStandin(size load.Site) {
--- a/internal/command/site_test.go
+++ b/internal/command/site_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -106,10 +105,9 @@
 }
 
 func (s *site) freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standin.FreeAddress()
 	s.must(err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return address
 }
 
 func (s *site) common(role link.Role, dataCentre, name string) []string {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -38,15 +38,10 @@
 // Listen binds address, an IP and port, for both transports. Peers must show
 // a certificate of one of roles.
 func Listen(address string, id *Identity, handler http.Handler, roles ...Role) (*Server, error) {
-	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	ln, udp, err := bind(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	udp, err := new(net.ListenConfig).ListenPacket(context.Background(), "udp", ln.Addr().String())
-	if err != nil {
-		_ = ln.Close()
-		return nil, errors.Wrap(err, "listen for peers")
-	}
 	return &Server{
 		ln: tls.NewListener(ln, id.serverTLS([]string{"http/1.1"}, roles)), udp: udp,
 		tcp:  &http.Server{Handler: handler, ReadHeaderTimeout: idleTimeout, IdleTimeout: time.Minute},
@@ -54,6 +49,30 @@
 	}, nil
 }
 
+// bindTries is how often a free port is looked for that both transports can use.
+const bindTries = 16
+
+// bind binds the same port for TCP and UDP. For port 0 another one is tried if
+// UDP has no room at the port found for TCP.
+func bind(address string) (net.Listener, net.PacketConn, error) {
+	_, port, _ := net.SplitHostPort(address)
+	var config net.ListenConfig
+	for try := 1; ; try++ {
+		ln, err := config.Listen(context.Background(), "tcp", address)
+		if err != nil {
+			return nil, nil, err
+		}
+		udp, err := config.ListenPacket(context.Background(), "udp", ln.Addr().String())
+		if err == nil {
+			return ln, udp, nil
+		}
+		_ = ln.Close()
+		if port != "0" || try == bindTries {
+			return nil, nil, err
+		}
+	}
+}
+
 // Address returns the IP and port that the server is bound to.
 func (s *Server) Address() string { return s.ln.Addr().String() }
 
