Measure placement, the guard and urgent starts with make bench-batch

Cause: nothing measured the decisions about batch work at the target size.

Misses no longer cost a scan: work larger than what found no room steps aside with it, woken work is compared with the workers that got more room only, each team keeps its first item. The guard has finer steps and a shorter calm.

--- /dev/null
+++ b/internal/bench/batch/cpu.go
@@ -0,0 +1,15 @@
+package batch
+
+import (
+	"syscall"
+	"time"
+)
+
+// processTime returns the processor time that the process has used.
+func processTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/bench/batch/report.go
@@ -0,0 +1,135 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrPromise means that something that must always hold did not.
+var ErrPromise = errors.New("a promise was broken")
+
+// Report is what one run of the bench prints.
+type Report struct {
+	PlaceUS11          float64 `json:"place-us-11"`
+	PlaceUS200         float64 `json:"place-us-200"`
+	PlaceUS1400        float64 `json:"place-us-1400"`
+	PlaceUS1400Varied  float64 `json:"place-us-1400-varied-sizes"`
+	LongestTickMS1400  float64 `json:"longest-tick-ms-1400"`
+	MemoryMB11         float64 `json:"memory-mb-11"`
+	MemoryMB200        float64 `json:"memory-mb-200"`
+	MemoryMB1400       float64 `json:"memory-mb-1400"`
+	CPUPercentStarts   float64 `json:"cpu-percent-300-starts"`
+	CPUPercentOneEntry float64 `json:"cpu-percent-300-starts-one-entry"`
+	EvictionsNone      int     `json:"evictions-none"`
+	EvictionsGuard     int     `json:"evictions-guard"`
+	EvictionsEvict     int     `json:"evictions-evict-at-once"`
+	EvictionsRatio     float64 `json:"evictions-ratio-to-evict-at-once"`
+	ThroughputNone     float64 `json:"throughput-ratio-to-none"`
+	ThroughputRatio    float64 `json:"throughput-ratio-to-evict-at-once"`
+	LostHoursGuard     float64 `json:"lost-core-hours-guard"`
+	LostHoursEvict     float64 `json:"lost-core-hours-evict-at-once"`
+	TailNone           float64 `json:"tail-to-objective-none"`
+	TailGuard          float64 `json:"tail-to-objective-guard"`
+	TailEvict          float64 `json:"tail-to-objective-evict-at-once"`
+	PastNone           float64 `json:"past-objective-none"`
+	PastGuard          float64 `json:"past-objective-guard"`
+	PastEvict          float64 `json:"past-objective-evict-at-once"`
+	UrgentStart        float64 `json:"urgent-start-s-after-entry-death"`
+	UrgentStartFull    float64 `json:"urgent-start-s-after-entry-death-full"`
+	Violations         int     `json:"violations"`
+}
+
+// placeSeconds is the virtual length of each placement drive.
+const placeSeconds = 5
+
+// surgeSeeds is the number of surges that are driven and added up.
+const surgeSeeds = 3
+
+// Run runs the whole bench. An error marked ErrPromise or ErrOverfull means
+// that a promise was broken; the report is then still filled in.
+func Run() (Report, error) {
+	var r Report
+	if err := r.place(); err != nil {
+		return r, err
+	}
+	if err := r.surge(); err != nil {
+		return r, err
+	}
+	urgent, err := MeasureUrgent()
+	if err != nil {
+		return r, err
+	}
+	r.UrgentStart, r.UrgentStartFull = urgent.Longest.Seconds(), urgent.LongestFull.Seconds()
+	if max(urgent.Longest, urgent.LongestFull) > urgentAim {
+		return r, errors.Wrapf(ErrPromise, "urgent work started after %v", max(urgent.Longest, urgent.LongestFull))
+	}
+	return r, nil
+}
+
+func (r *Report) place() error {
+	drives := []struct {
+		workers int
+		varied  bool
+		us, mb  *float64
+	}{
+		{surgeWorkers, false, &r.PlaceUS11, &r.MemoryMB11},
+		{targetWorkers / targetDataCentres, false, &r.PlaceUS200, &r.MemoryMB200},
+		{targetWorkers, true, &r.PlaceUS1400Varied, &r.MemoryMB1400},
+		{targetWorkers, false, &r.PlaceUS1400, &r.MemoryMB1400},
+	}
+	for _, d := range drives {
+		p, err := Place(Load{Workers: d.workers, Running: targetRunning, Queue: targetQueue, Starts: targetStarts, Seconds: placeSeconds, Varied: d.varied})
+		if err != nil {
+			return r.broken(err)
+		}
+		*d.us = float64(p.PerPlacement) / float64(time.Microsecond)
+		*d.mb = p.MemoryMB
+		r.CPUPercentOneEntry = p.CPU * 100
+		r.LongestTickMS1400 = float64(p.LongestTick) / float64(time.Millisecond)
+	}
+	// A data centre's stream carries its own share of the starts, and only its
+	// entries follow it.
+	p, err := Place(Load{
+		Workers: targetWorkers / targetDataCentres, Running: targetRunning / targetDataCentres, Queue: targetQueue / targetDataCentres,
+		Starts: roundUp(targetStarts/targetDataCentres, int(time.Second/tickEvery)), Seconds: 4 * placeSeconds,
+	})
+	r.CPUPercentStarts = p.CPU * 100
+	return r.broken(err)
+}
+
+// broken counts an error that is a broken promise.
+func (r *Report) broken(err error) error {
+	if errors.Is(err, ErrOverfull) {
+		r.Violations++
+	}
+	return err
+}
+
+func roundUp(n, step int) int { return (n + step - 1) / step * step }
+
+func (r *Report) surge() error {
+	var sums [3]Surge
+	for seed := range uint64(surgeSeeds) {
+		for p := range sums {
+			s, err := RunSurge(Policy(p), seed)
+			if err != nil {
+				return r.broken(err)
+			}
+			sums[p].Evictions += s.Evictions
+			sums[p].Work += s.Work
+			sums[p].Lost += s.Lost
+			sums[p].Tail += s.Tail / surgeSeeds
+			sums[p].Past += s.Past / surgeSeeds
+		}
+	}
+	none, guard, evict := sums[PolicyNone], sums[PolicyGuard], sums[PolicyEvict]
+	r.EvictionsNone, r.EvictionsGuard, r.EvictionsEvict = none.Evictions, guard.Evictions, evict.Evictions
+	r.EvictionsRatio = float64(guard.Evictions) / float64(max(evict.Evictions, 1))
+	r.ThroughputNone = guard.Work.Hours() / none.Work.Hours()
+	r.ThroughputRatio = guard.Work.Hours() / evict.Work.Hours()
+	r.LostHoursGuard, r.LostHoursEvict = guard.Lost.Hours(), evict.Lost.Hours()
+	r.TailNone, r.TailGuard, r.TailEvict = none.Tail, guard.Tail, evict.Tail
+	r.PastNone, r.PastGuard, r.PastEvict = none.Past, guard.Past, evict.Past
+	return nil
+}
--- /dev/null
+++ b/internal/bench/batch/surge_test.go
@@ -0,0 +1,38 @@
+package batch
+
+import "testing"
+
+func TestGuardHoldsTailWithFewEvictions(t *testing.T) {
+	var got [3]Surge
+	for _, p := range []Policy{PolicyNone, PolicyGuard, PolicyEvict} {
+		s, err := RunSurge(p, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[p] = s
+		t.Logf("policy %d: %+v work %.0f lost %.0f", p, s, s.Work.Hours(), s.Lost.Hours())
+	}
+	guard, none, evict := got[PolicyGuard], got[PolicyNone], got[PolicyEvict]
+	if guard.Past >= none.Past {
+		t.Errorf("got %.3f of the requests past the objective, want less than %.3f without a guard", guard.Past, none.Past)
+	}
+	if guard.Evictions*10 > evict.Evictions {
+		t.Errorf("got %d evictions, want at most a tenth of %d", guard.Evictions, evict.Evictions)
+	}
+	if guard.Work < evict.Work {
+		t.Errorf("got work %v, want at least %v of evicting at once", guard.Work, evict.Work)
+	}
+}
+
+func TestUrgentStartsAfterEntryDeath(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		got, err := urgentStart(1, full)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("full %v: %v", full, got)
+		if want := urgentAim; got > want {
+			t.Errorf("got %v on a full site %v, want at most %v", got, full, want)
+		}
+	}
+}
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -18,8 +18,6 @@
 const (
 	// scheduleEvery is the longest time between two looks at the queue.
 	scheduleEvery = 100 * time.Millisecond
-	// backupDelay is how long an entry leaves a job to the one ranked before it.
-	backupDelay = 1200 * time.Millisecond
 )
 
 // jobs is the entry's state of batch work.
@@ -124,7 +122,7 @@
 	e.configure(now, document)
 	e.dropSilent(now)
 	backup := func(jobID string) time.Duration {
-		return time.Duration(rank(e.settings.Name, jobID, neighbours)) * backupDelay
+		return time.Duration(rank(e.settings.Name, jobID, neighbours)) * queue.BackupDelay
 	}
 	decisions := e.jobs.scheduler.Decide(now, &e.jobs.fold, backup, e.jobs.random)
 	for i := range decisions {
--- a/pkg/queue/decision.go
+++ b/pkg/queue/decision.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"savoryhoist.example/savoryhoist/pkg/job"
 	"savoryhoist.example/savoryhoist/pkg/record"
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -114,7 +112,7 @@
 
 // misplaced puts an item aside for which there is no room, or makes room for it.
 func (s *Scheduler) misplaced(now time.Time, item *Item, owner *job.Job, err error, random *rand.Rand) Decision {
-	if errors.Is(err, worker.ErrTooLarge) {
+	if s.fleet.FitsNone(item.demand.Size) {
 		s.queue.Park(item.key)
 		return Decision{kind: KindPark, job: owner, reason: err.Error()}
 	}
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -15,7 +16,10 @@
 type Queue struct {
 	items   map[Key]*Item
 	teams   map[string]*team
+	order   []*team
 	shapes  map[shape]*shapeState
+	blocked []*shapeState
+	woken   []*shapeState
 	delayed itemHeap
 	parked  map[Key]*Item
 }
@@ -56,13 +60,14 @@
 	delete(q.items, key)
 	s := item.bucket.shape
 	s.items--
-	if s.items == 0 {
-		delete(q.shapes, s.shape)
+	if s.items > 0 {
+		return
 	}
-	if len(item.bucket.ready.items) == 0 && s.items == 0 {
-		for _, t := range q.teams {
-			delete(t.buckets, s.shape)
-		}
+	delete(q.shapes, s.shape)
+	q.blocked = slices.DeleteFunc(q.blocked, func(o *shapeState) bool { return o == s })
+	q.woken = slices.DeleteFunc(q.woken, func(o *shapeState) bool { return o == s })
+	for _, b := range s.buckets {
+		b.team.drop(b)
 	}
 }
 
@@ -89,19 +94,19 @@
 func (q *Queue) Next(now time.Time) (*Item, bool) {
 	nowMS := now.UnixMilli()
 	q.wake(nowMS)
-	for _, urgent := range [...]bool{true, false} {
-		if item := q.next(nowMS, urgent); item != nil {
+	for i := range tiers {
+		if item := q.next(nowMS, i); item != nil {
 			return item, true
 		}
 	}
 	return nil, false
 }
 
-func (q *Queue) next(nowMS int64, urgent bool) *Item {
+func (q *Queue) next(nowMS int64, tierIndex int) *Item {
 	var best *Item
 	var standing float64
-	for _, t := range q.teams {
-		head := t.head(urgent)
+	for _, t := range q.order {
+		head := t.head(tierIndex)
 		if head == nil {
 			continue
 		}
@@ -122,13 +127,27 @@
 }
 
 // Block notes that no worker has room for key now. All work of about its size
-// waits until RoomFor or UnblockAll.
+// or larger waits until RoomFor or UnblockAll.
 func (q *Queue) Block(key Key) {
 	item, ok := q.items[key]
 	if !ok {
 		return
 	}
-	item.bucket.shape.blocked = true
+	own := item.bucket.shape
+	q.block(own, item.demand.Size)
+	for _, s := range q.shapes {
+		if !s.blocked && s.shape.urgent == own.shape.urgent && s.shape.count >= own.shape.count && item.demand.Size.Fits(s.shape.size) {
+			q.block(s, s.shape.size)
+		}
+	}
+}
+
+func (q *Queue) block(s *shapeState, need worker.Resources) {
+	s.need = need
+	if !s.blocked {
+		s.blocked = true
+		q.blocked = append(q.blocked, s)
+	}
 }
 
 // Starving returns the blocked item that is overdue the longest, if any is
@@ -136,9 +155,9 @@
 func (q *Queue) Starving(now time.Time, after time.Duration) (*Item, bool) {
 	limit := now.Add(-after).UnixMilli()
 	var worst *Item
-	for _, t := range q.teams {
-		for _, b := range t.buckets {
-			if !b.shape.blocked || len(b.ready.items) == 0 {
+	for _, s := range q.blocked {
+		for _, b := range s.buckets {
+			if len(b.ready.items) == 0 {
 				continue
 			}
 			head := b.ready.items[0]
@@ -165,18 +184,57 @@
 // RoomFor notes that some worker now has free left: blocked work that may fit
 // there is looked at again.
 func (q *Queue) RoomFor(free worker.Resources) {
-	for _, s := range q.shapes {
-		if s.blocked && s.shape.size.Fits(free) {
-			s.blocked = false
+	still := q.blocked[:0]
+	for _, s := range q.blocked {
+		if s.need.Fits(free) {
+			s.unblock()
+			q.wakeShape(s)
+			continue
 		}
+		still = append(still, s)
 	}
+	clear(q.blocked[len(still):])
+	q.blocked = still
+}
+
+func (q *Queue) wakeShape(s *shapeState) {
+	if !s.woken {
+		s.woken = true
+		q.woken = append(q.woken, s)
+	}
+}
+
+// Reblock has work step aside again that was woken by RoomFor, if fits says
+// that the room has been taken since.
+func (q *Queue) Reblock(fits func(size worker.Resources) bool) {
+	still := q.woken[:0]
+	for _, s := range q.woken {
+		switch {
+		case s.blocked:
+			s.woken = false
+		case fits(s.need):
+			still = append(still, s)
+		default:
+			s.woken = false
+			q.block(s, s.need)
+		}
+	}
+	clear(q.woken[len(still):])
+	q.woken = still
 }
 
 // UnblockAll has all blocked work looked at again.
 func (q *Queue) UnblockAll() {
-	for _, s := range q.shapes {
-		s.blocked = false
+	for _, s := range q.woken {
+		s.woken = false
+	}
+	clear(q.woken)
+	q.woken = q.woken[:0]
+	for _, s := range q.blocked {
+		s.unblock()
 	}
+	clear(q.blocked)
+	q.blocked = q.blocked[:0]
 }
 
 // Reexamine has all parked and blocked work looked at again, as after a change
@@ -212,7 +270,8 @@
 		if q.teams == nil {
 			q.teams = make(map[string]*team)
 		}
-		t = &team{buckets: make(map[shape]*bucket)}
+		t = new(team)
+		q.order = append(q.order, t)
 		q.teams[name] = t
 	}
 	return t
@@ -225,13 +284,7 @@
 		s = &shapeState{shape: key}
 		q.shapes[key] = s
 	}
-	t := q.team(d.Team)
-	b, ok := t.buckets[key]
-	if !ok {
-		b = &bucket{team: t, shape: s}
-		t.buckets[key] = b
-	}
-	return b
+	return q.team(d.Team).bucket(s)
 }
 
 func (q *Queue) delay(item *Item, until time.Time, reason Reason) {
--- a/pkg/queue/scheduler.go
+++ b/pkg/queue/scheduler.go
@@ -15,6 +15,8 @@
 const (
 	// PlacementPending is how long a decision may take to show in the log.
 	PlacementPending = 2 * time.Second
+	// BackupDelay is how long an entry leaves a job to the one ranked before it.
+	BackupDelay = 1200 * time.Millisecond
 	// housekeepingEvery is how often blocked work is looked at in any case.
 	housekeepingEvery = time.Second
 )
@@ -22,7 +24,7 @@
 // Limits of one call of Decide.
 const (
 	maxPlacements = 500
-	maxMisses     = 32
+	maxMisses     = 64
 )
 
 // Scheduler decides which waiting task runs where. It is told of every change
@@ -130,6 +132,7 @@
 	for misses := 0; misses < maxMisses && len(out) < maxPlacements; {
 		item, ok := s.queue.Next(now)
 		if !ok {
+			s.fleet.ForgetGrown()
 			break
 		}
 		if ready := item.Since().Add(backup(item.key.Job)); ready.After(now) {
@@ -141,8 +144,14 @@
 			s.queue.Remove(item.key)
 			continue
 		}
+		if item.bucket.shape.woken && !s.fleet.FitsGrown(item.demand.Size) {
+			s.queue.Block(item.key)
+			continue
+		}
 		d, placed := s.place(now, item, owner, random)
-		if !placed {
+		if placed {
+			s.queue.Reblock(s.fleet.FitsGrown)
+		} else {
 			misses++
 		}
 		if d.kind != 0 {
--- a/pkg/queue/shape.go
+++ b/pkg/queue/shape.go
@@ -8,7 +8,7 @@
 )
 
 // shape is a range of sizes that find room or not together: every amount is
-// rounded down to an eighth of a power of two.
+// rounded down to a quarter of a power of two.
 type shape struct {
 	size   worker.Resources
 	count  int
@@ -20,6 +20,11 @@
 	shape shape
 	// blocked shapes found no room and wait for some worker to get more.
 	blocked bool
+	// woken shapes were blocked: only workers that got more room since may have enough.
+	woken bool
+	// need is the size that found no room.
+	need    worker.Resources
+	buckets []*bucket
 	// items counts the items of the shape, so that unused shapes are dropped.
 	items int
 }
@@ -32,7 +37,7 @@
 }
 
 // roundingBits is the number of leading binary digits kept, after the first.
-const roundingBits = 3
+const roundingBits = 2
 
 func roundDown(n int64) int64 {
 	drop := bits.Len64(uint64(max(n, 0))) - 1 - roundingBits
@@ -55,9 +60,13 @@
 func (b *bucket) push(item *Item) {
 	item.state = ready
 	heap.Push(&b.ready, item)
+	b.team.offer(b.head())
 }
 
-func (b *bucket) remove(item *Item) { heap.Remove(&b.ready, item.index) }
+func (b *bucket) remove(item *Item) {
+	heap.Remove(&b.ready, item.index)
+	b.team.dropped(item)
+}
 
 // head returns the bucket's first item, or nil if the shape is blocked or the bucket empty.
 func (b *bucket) head() *Item {
@@ -66,3 +75,10 @@
 	}
 	return b.ready.items[0]
 }
+
+func (s *shapeState) unblock() {
+	s.blocked = false
+	for _, b := range s.buckets {
+		b.team.offer(b.head())
+	}
+}
--- a/pkg/queue/team.go
+++ b/pkg/queue/team.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -20,8 +21,69 @@
 	quota worker.Resources
 	used  worker.Resources
 	// share is the dominant share of used in quota.
-	share   float64
-	buckets map[shape]*bucket
+	share float64
+	tiers [tiers]tier
+}
+
+// The tiers of a team's work; the first goes first.
+const (
+	tierUrgent = iota
+	tierOther
+	tiers
+)
+
+// tier holds a team's buckets of one tier and the first item of them all.
+type tier struct {
+	buckets []*bucket
+	first   *Item
+	// stale is set while first has to be looked for.
+	stale bool
+}
+
+func tierOf(urgent bool) int {
+	if urgent {
+		return tierUrgent
+	}
+	return tierOther
+}
+
+// bucket returns the team's bucket of a shape.
+func (t *team) bucket(s *shapeState) *bucket {
+	for _, b := range s.buckets {
+		if b.team == t {
+			return b
+		}
+	}
+	b := &bucket{team: t, shape: s}
+	s.buckets = append(s.buckets, b)
+	own := &t.tiers[tierOf(s.shape.urgent)]
+	own.buckets = append(own.buckets, b)
+	return b
+}
+
+// drop forgets an empty bucket.
+func (t *team) drop(b *bucket) {
+	own := &t.tiers[tierOf(b.shape.shape.urgent)]
+	own.buckets = slices.DeleteFunc(own.buckets, func(o *bucket) bool { return o == b })
+}
+
+// offer takes the head of a bucket that has changed into account.
+func (t *team) offer(head *Item) {
+	if head == nil {
+		return
+	}
+	own := &t.tiers[tierOf(head.demand.Urgent)]
+	if !own.stale && (own.first == nil || before(head, own.first)) {
+		own.first = head
+	}
+}
+
+// dropped notes that an item is ready no more.
+func (t *team) dropped(item *Item) {
+	own := &t.tiers[tierOf(item.demand.Urgent)]
+	if own.first == item {
+		own.stale = true
+	}
 }
 
 func (t *team) charge(size worker.Resources) {
@@ -52,18 +114,19 @@
 	return min(float64(used)/float64(quota), largestShare)
 }
 
-// head returns the team's next item among the urgent or the others.
-func (t *team) head(urgent bool) *Item {
-	var best *Item
-	for _, b := range t.buckets {
-		if b.shape.shape.urgent != urgent {
-			continue
-		}
-		if h := b.head(); h != nil && (best == nil || before(h, best)) {
-			best = h
+// head returns the team's next item of a tier.
+func (t *team) head(tierIndex int) *Item {
+	own := &t.tiers[tierIndex]
+	if !own.stale && (own.first == nil || !own.first.bucket.shape.blocked) {
+		return own.first
+	}
+	own.first, own.stale = nil, false
+	for _, b := range own.buckets {
+		if h := b.head(); h != nil && (own.first == nil || before(h, own.first)) {
+			own.first = h
 		}
 	}
-	return best
+	return own.first
 }
 
 // standing orders teams: the lowest goes first. A team's share of its quota
--- a/pkg/worker/fleet.go
+++ b/pkg/worker/fleet.go
@@ -67,8 +67,10 @@
 	// reserved is the task that room is kept for until reservedUntil.
 	reserved      TaskKey
 	reservedUntil time.Time
-	// ended workers sent no heartbeat for too long.
+	// known is false for workers that were never heard of or are lost.
 	known bool
+	// grown is set while the worker is in Fleet.grown.
+	grown bool
 }
 
 // Fleet is an entry's view of all workers of its data centre. Free room is
@@ -78,7 +80,9 @@
 	index map[string]int
 	views []view
 	// free is what each worker has left; it is apart so that a scan is short.
-	free         []Resources
+	free []Resources
+	// grown are the workers that got more room since ForgetGrown.
+	grown        []int
 	holds        map[TaskKey]Hold
 	interference Interference
 	// largest is the largest amount of each resource that one worker has.
@@ -230,5 +234,29 @@
 
 func (f *Fleet) recount(i int) {
 	v := &f.views[i]
+	before := f.free[i]
 	f.free[i] = v.report.Total.Minus(v.used).Minus(v.foreign)
+	if !v.grown && !f.free[i].Fits(before) {
+		v.grown = true
+		f.grown = append(f.grown, i)
+	}
+}
+
+// FitsGrown reports whether size fits a worker that got more room since the
+// last ForgetGrown.
+func (f *Fleet) FitsGrown(size Resources) bool {
+	for _, i := range f.grown {
+		if size.Fits(f.free[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// ForgetGrown notes that all work has been looked at with the present room.
+func (f *Fleet) ForgetGrown() {
+	for _, i := range f.grown {
+		f.views[i].grown = false
+	}
+	f.grown = f.grown[:0]
 }
--- a/pkg/worker/guard.go
+++ b/pkg/worker/guard.go
@@ -8,14 +8,14 @@
 // Limits of the guard. Pressure is the tail latency divided by its objective.
 const (
 	// pressedAbove and calmBelow bound the band in which nothing changes.
-	pressedAbove = 1.0
-	calmBelow    = 0.75
+	pressedAbove = 0.95
+	calmBelow    = 0.8
 	// aimFor is the pressure that a step tries to reach.
-	aimFor = 0.9
+	aimFor = 0.95
 	// pressedFor is how long a service is pressed before the first step.
 	pressedFor = time.Second
 	// calmFor is how long a service is calm before the first release.
-	calmFor = 8 * time.Second
+	calmFor = 3 * time.Second
 	// settle is how long a step's effect takes to show in lagging readings.
 	settle = 3 * time.Second
 	// moveAfter is how long a service stays pressed at full throttle before a task is moved.
@@ -28,7 +28,7 @@
 )
 
 // throttleSteps are the percentages of its processors that a task may have.
-var throttleSteps = [...]int{100, 50, 20, 5}
+var throttleSteps = [...]int{100, 70, 50, 35, 20, 10, 5}
 
 // ActionKind says what the guard asks for.
 type ActionKind uint8
