--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 
-.PHONY: build test lint tools experiments bench-capacity
+.PHONY: build test lint tools bench-batch experiments bench-capacity
 
 build: ## Builds the program.
 	go build -o bin/savoryhoist .
@@ -22,6 +22,9 @@
 	go build $(MODULES)
 	@echo '{"target":"test","passed":true}'
 
+bench-batch: build ## Measures placement, the guard and the start of urgent work.
+	@bin/savoryhoist bench batch
+
 experiments: ## Runs the experiments under experiments/ on real processes; SEED=n repeats one, ONLY=name runs one.
 	go test -v -tags experiments -count=1 -timeout 15m -run 'TestExperiments/$(ONLY)' ./experiments
 	@cat out/experiments/summary.json
