Spill requests to another data centre when that saves more than the link costs

Cause: a data centre whose endpoints of a service were all leaving or busy refused requests while another one had free slots. The rule for spilling was there, but nothing told entries about other data centres.

Change: entries ask one entry of each other data centre for its sums once a second; repeatable requests go there when the wait here is at least twice the round trip. The attempt counts in the request's fate, so a refusal afterwards says not-run only if the attempt over there is known not to have run.

Found: the rule counted all requests sent since the report, so 8 slots let 8 requests a second through. After: 50 of 50 answered, and a request that must not be repeated is refused as not-run with Retry-After.

--- /dev/null
+++ b/internal/command/spill_test.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"savoryhoist.example/savoryhoist/internal/problem"
+)
+
+// TestSpillToAnotherDataCentre stops the only endpoint of a data centre. Its
+// entry sends repeatable requests to the other data centre, and refuses those
+// that must not be repeated truthfully.
+func TestSpillToAnotherDataCentre(t *testing.T) {
+	s := newSite(t, 1, 1, "dc-1", "dc-2")
+	second := s.entryURLs[1]
+	load := &traffic{s: s, pick: func() string { return second }}
+	s.stop(s.agentOf("dc-2"))
+	s.eventually("a request is answered from dc-1", func() bool { return load.sendOne("probe") == nil })
+	for i := range 50 {
+		if err := load.sendOne(fmt.Sprintf("request %d", i)); err != nil {
+			t.Error(err)
+		}
+	}
+	resp, err := load.post("/services/planner/preview", "once", http.Header{"Savoryhoist-Repeat": {"never"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var p problem.Problem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := p.Outcome, problem.NotRun; got != want || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("request that must not be repeated: got status %d, outcome %q, want 503, %q", resp.StatusCode, got, want)
+	}
+	if got, want := resp.Header.Get("Retry-After"), ""; got == want {
+		t.Error("refusal without Retry-After")
+	}
+}
+
+func (s *site) agentOf(dataCentre string) *process {
+	for _, p := range s.processes {
+		if p.dataCentre == dataCentre && strings.HasPrefix(p.name, "worker-") {
+			return p
+		}
+	}
+	s.t.Fatalf("no agent in %s", dataCentre)
+	return nil
+}
--- a/internal/entry/door.go
+++ b/internal/entry/door.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/metrics"
 	"savoryhoist.example/savoryhoist/internal/problem"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
@@ -41,6 +42,9 @@
 
 // team returns the caller's team, or writes a refusal.
 func (e *Entry) team(w http.ResponseWriter, r *http.Request, d *bundle.Document) (*bundle.Team, bool) {
+	if r.TLS != nil {
+		return teamOfPeer(w, r, d)
+	}
 	if e.settings.Open {
 		if t, ok := d.Team(r.Header.Get(HeaderTeam)); ok {
 			return t, true
@@ -59,6 +63,17 @@
 	return nil, false
 }
 
+// teamOfPeer returns the team for which another entry sends a request.
+func teamOfPeer(w http.ResponseWriter, r *http.Request, d *bundle.Document) (*bundle.Team, bool) {
+	peer, err := link.PeerOfRequest(r)
+	t, ok := d.Team(r.Header.Get(link.HeaderCallerTeam))
+	if err != nil || peer.Role() != link.RoleEntry || !ok {
+		problem.New(http.StatusForbidden, link.HeaderCallerTeam, "want an entry's certificate and a team in the bundle").Write(w)
+		return nil, false
+	}
+	return t, true
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,6 +81,7 @@
 	// refreshes counts this entry's own membership records read back.
 	refreshes uint64
 	foreign   foreign
+	spills    spills
 	carried   carried
 	// newer holds the address of an agent that has a newer bundle in force.
 	newer chan string
@@ -153,6 +154,7 @@
 	group.Go(func() { e.carryForward(live) })
 	group.Go(func() { e.learnBundles(live) })
 	group.Go(func() { e.failOver(live) })
+	group.Go(func() { e.exchangeSums(live) })
 	e.log.Info().Str("address", e.Address()).Str("peer-address", e.PeerAddress()).Msg("entry started")
 	<-ctx.Done()
 	e.drain(live)
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -18,6 +18,8 @@
 	mux.Handle("POST "+link.PathSilence, link.Handle(e.answerSilence))
 	mux.Handle("POST "+link.PathBundle, link.Handle(e.answerBundle))
 	mux.Handle("POST "+link.PathJobs, link.Handle(e.answerJobs))
+	mux.Handle("POST "+link.PathSums, link.Handle(e.answerSums))
+	mux.HandleFunc("/services/{service}/", e.serveRequest)
 	return mux
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -36,6 +36,9 @@
 	deadline := start.Add(useful)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	if other := e.spillTo(start, r, q, deadline); other != "" && e.spill(ctx, w, r, q, other) {
+		return
+	}
 	e.routes.first(q.service.Name)
 	skip := ""
 	for {
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -15,6 +15,8 @@
 	PathSilence = "/peer/silence"
 	// PathJobs takes a JobsQuery and returns a JobsReply; at an entry.
 	PathJobs = "/peer/jobs"
+	// PathSums takes a SumsQuery and returns a SumsReply; at an entry.
+	PathSums = "/peer/sums"
 	// PathFate takes a FateQuery and returns a FateReply; at an agent.
 	PathFate = "/peer/fate"
 	// PathRequests is the prefix of callers' requests; at an agent.
@@ -170,3 +172,21 @@
 	// MovedTo is the data centre in which the job asked for goes on, or "".
 	MovedTo string `cbor:"2,keyasint,omitempty"`
 }
+
+// SumsQuery asks what the services of a data centre can take.
+type SumsQuery struct{}
+
+// SumsReply says what the services of a data centre can take.
+type SumsReply struct {
+	Services []ServiceSum `cbor:"1,keyasint,omitempty"`
+	// Askers is the number of entries elsewhere that may send requests here.
+	Askers int `cbor:"2,keyasint,omitempty"`
+}
+
+// ServiceSum is the sum over a service's endpoints in a data centre.
+type ServiceSum struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Slots    int
+	InFlight int
+}
--- a/pkg/endpoint/course.go
+++ b/pkg/endpoint/course.go
@@ -38,6 +38,9 @@
 // more than once.
 func NewCourse(repeat bool) Course { return Course{repeat: repeat} }
 
+// Repeatable reports whether the request may run more than once.
+func (c *Course) Repeatable() bool { return c.repeat }
+
 // together returns the fate of a request of which one part has fate a and
 // another one b.
 func together(a, b Fate) Fate {
--- a/pkg/endpoint/spill.go
+++ b/pkg/endpoint/spill.go
@@ -34,15 +34,17 @@
 type neighbour struct {
 	sum   Sum
 	heard time.Time
-	// sent counts what this process sent since the report.
-	sent int
+	// sent counts this process's own requests in flight there, and counted
+	// those among them that the report knew of.
+	sent, counted int
 }
 
 // Observe takes in a sum that replaces the data centre's earlier one.
 func (n *Neighbours) Observe(now time.Time, s Sum) {
 	for i := range n.sums {
 		if n.sums[i].sum.DataCentre == s.DataCentre {
-			n.sums[i] = neighbour{sum: s, heard: now}
+			sent := n.sums[i].sent
+			n.sums[i] = neighbour{sum: s, heard: now, sent: sent, counted: sent}
 			return
 		}
 	}
@@ -52,7 +54,8 @@
 // Spill returns the data centre that a request should go to instead of
 // waiting here, and the reason. It does so only if the wait saved outweighs
 // the link by a margin. Each process takes no more than its part of the free
-// slots until the next report, so that entries do not crowd into one place.
+// slots at a time, so that entries do not crowd into one place. The caller must
+// call Done when the request has ended.
 func (n *Neighbours) Spill(now time.Time, random *rand.Rand, wait time.Duration) (dataCentre, reason string) {
 	free := 0
 	for i := range n.sums {
@@ -72,11 +75,20 @@
 	return "", ""
 }
 
-// free returns how many more requests may be sent there until the next report.
+// Done notes that a request sent to a data centre has ended.
+func (n *Neighbours) Done(dataCentre string) {
+	for i := range n.sums {
+		if n.sums[i].sum.DataCentre == dataCentre {
+			n.sums[i].sent--
+		}
+	}
+}
+
+// free returns how many more requests may be sent there now.
 func (s *neighbour) free(now time.Time, wait time.Duration) int {
 	if now.Sub(s.heard) > sumStaleAfter || wait < spillMargin*s.sum.RoundTrip {
 		return 0
 	}
 	part := (s.sum.Slots - s.sum.InFlight) / max(s.sum.Entries, 1)
-	return max(0, part-s.sent)
+	return max(0, part-max(0, s.sent-s.counted))
 }
