--- /dev/null
+++ b/internal/explore/batch/machine.go
@@ -0,0 +1,166 @@
+package batch
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/lease"
+	"savoryhoist.example/savoryhoist/pkg/record"
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// machineSize is what each worker has.
+var machineSize = worker.Resources{MilliCPU: 5000, MemoryMB: 8192}
+
+// machine is the platform's worker: it runs tasks under leases in true time.
+type machine struct {
+	w           *world
+	name        string
+	rate        float64
+	born        time.Duration
+	incarnation int
+	tasks       map[record.Hold]*running
+}
+
+type running struct {
+	order lease.Order
+	state lease.State
+	until time.Duration
+	done  time.Duration
+	saved time.Duration
+	seen  time.Duration
+}
+
+func newMachine(w *world, name string) *machine {
+	return &machine{w: w, name: name, rate: w.drift(), tasks: make(map[record.Hold]*running)}
+}
+
+func (m *machine) index() int { return slices.Index(m.w.workers, m) }
+
+// uptime is the worker's own clock.
+func (m *machine) uptime() time.Duration {
+	return time.Duration(float64(m.w.now-m.born) * m.rate)
+}
+
+// trueTime returns the true moment at which the worker's clock shows uptime.
+func (m *machine) trueTime(uptime time.Duration) time.Duration {
+	return m.born + time.Duration(float64(uptime)/m.rate)
+}
+
+// lose replaces the machine's VM.
+func (m *machine) lose() {
+	m.progress()
+	m.incarnation++
+	m.born = m.w.now
+	m.tasks = make(map[record.Hold]*running)
+}
+
+// progress brings all tasks up to the present.
+func (m *machine) progress() {
+	for hold, t := range m.tasks {
+		m.advance(hold, t)
+	}
+}
+
+func (m *machine) advance(hold record.Hold, t *running) {
+	from, now := t.seen, m.w.now
+	t.seen = now
+	if t.state != lease.Runs {
+		return
+	}
+	end := min(now, m.trueTime(t.until))
+	if end <= from {
+		return
+	}
+	need := time.Duration(t.order.Spec.ExpectedMS) * time.Millisecond
+	if t.done+end-from >= need {
+		end = from + need - t.done
+		t.state = lease.Succeeded
+	}
+	t.done += end - from
+	m.w.history.ran(hold, m, from, end)
+}
+
+func (m *machine) list() *lease.Listing {
+	m.progress()
+	l := &lease.Listing{Incarnation: strconv.Itoa(m.incarnation), Uptime: m.uptime(), Total: machineSize}
+	for hold, t := range m.tasks {
+		l.Tasks = append(l.Tasks, lease.Task{
+			Hold: hold, Size: t.order.Spec.Size, State: t.state, Ref: ref(t.saved), Until: t.until,
+			Terms: lease.FromMS(t.order.Spec.TakeoverMS),
+		})
+	}
+	slices.SortFunc(l.Tasks, func(a, b lease.Task) int { return compareHolds(a.Hold, b.Hold) })
+	return l
+}
+
+func compareHolds(a, b record.Hold) int {
+	if a.String() < b.String() {
+		return -1
+	}
+	return 1
+}
+
+func ref(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
+// do carries out an action that was meant for one incarnation.
+func (m *machine) do(a *lease.Action, incarnation int) {
+	if incarnation != m.incarnation {
+		return
+	}
+	m.progress()
+	t := m.tasks[a.Hold()]
+	if a.Act() == lease.ActStart {
+		m.start(a)
+		return
+	}
+	if t == nil {
+		return
+	}
+	switch a.Act() {
+	case lease.ActRenew:
+		t.until = max(t.until, a.Until())
+	case lease.ActCheckpointStop:
+		t.saved = t.done
+		m.stop(t)
+	case lease.ActStop:
+		m.stop(t)
+	case lease.ActRemove:
+		if t.state.Ended() {
+			delete(m.tasks, a.Hold())
+		}
+	}
+}
+
+func (m *machine) stop(t *running) {
+	if t.state == lease.Runs {
+		t.state = lease.Stopped
+	}
+}
+
+// start runs a task unless it is listed or its lease has ended.
+func (m *machine) start(a *lease.Action) {
+	if m.tasks[a.Hold()] != nil || a.Until() <= m.uptime() {
+		return
+	}
+	saved, _ := time.ParseDuration(a.Order().Checkpoint)
+	m.tasks[a.Hold()] = &running{
+		order: *a.Order(), state: lease.Runs, until: a.Until(), done: saved, saved: saved, seen: m.w.now,
+	}
+	var sum worker.Resources
+	for _, t := range m.tasks {
+		if !t.state.Ended() {
+			sum = sum.Plus(t.order.Spec.Size)
+		}
+	}
+	m.w.history.started(a.Hold(), m)
+	if !sum.Fits(machineSize) {
+		m.w.history.violate("worker %s over-full with %s", m.name, a.Hold())
+	}
+}
--- /dev/null
+++ b/internal/explore/batch/mutant_test.go
@@ -0,0 +1,61 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/lease"
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// mutantSeeds bounds the schedules within which a broken rule must be found.
+const mutantSeeds = 600
+
+// TestFindsBrokenRules replaces one rule of the protocol at a time.
+func TestFindsBrokenRules(t *testing.T) {
+	mutants := map[string]func(*Rules){
+		"takeover does not wait": func(r *Rules) {
+			r.Taker.TakeoverAt = func(_ lease.Terms, _, seen time.Time) time.Time { return seen }
+		},
+		"takeover counts from before the append": func(r *Rules) {
+			r.Taker.TakeoverAt = func(t lease.Terms, decided, seen time.Time) time.Time {
+				if decided.IsZero() {
+					return t.TakeoverAt(seen)
+				}
+				return t.TakeoverAt(decided)
+			}
+		},
+		"renewal ignores the reading's age": func(r *Rules) {
+			r.Holder.HoldAt = func(t lease.Terms, _, now time.Duration) time.Duration { return t.HoldAt(now) }
+		},
+		"entry claims a newer reading": func(r *Rules) {
+			r.Relay.Heard = func(h *lease.Heard, began time.Time) uint64 { return h.Before(began.Add(time.Hour)) }
+		},
+		"agent starts a settled task on an old reading": func(r *Rules) {
+			r.Holder.Outdated = func(uint64, uint64) bool { return false }
+		},
+		"agent forgets what its predecessor refused": func(r *Rules) {
+			r.Holder.Predates = func(record.Position, record.Position) bool { return false }
+		},
+		"ended task is removed at once": func(r *Rules) {
+			r.Holder.Removable = func(time.Duration, time.Duration) bool { return true }
+		},
+		"silence about an unreported task renews it": func(r *Rules) {
+			r.Holder.Covered = func(bool) bool { return true }
+		},
+	}
+	for name, mutate := range mutants {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var rules Rules
+			mutate(&rules)
+			for seed := range uint64(mutantSeeds) {
+				if err := run(seed, rules); err != nil {
+					t.Logf("found by seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Errorf("got no violation in %d schedules, want one", mutantSeeds)
+		})
+	}
+}
--- a/pkg/job/relay.go
+++ b/pkg/job/relay.go
@@ -31,8 +31,28 @@
 	agents map[string]*agentRounds
 	claims claims
 	pruned time.Time
+	rules  RelayRules
 }
 
+// RelayRules are the rules on which the safety of a Relay rests. A nil field
+// stands for the rule of the protocol. A check of the protocol replaces them,
+// to prove that it finds what then goes wrong.
+type RelayRules struct {
+	// Heard returns the newest round that a read which began at began can
+	// answer.
+	Heard func(h *lease.Heard, began time.Time) uint64
+}
+
+func (r *RelayRules) heard(h *lease.Heard, began time.Time) uint64 {
+	if r.Heard != nil {
+		return r.Heard(h, began)
+	}
+	return h.Before(began)
+}
+
+// SetRules replaces rules of the protocol, for a check of it.
+func (r *Relay) SetRules(rules RelayRules) { r.rules = rules }
+
 type agentRounds struct {
 	incarnation uint64
 	heard       lease.Heard
@@ -53,7 +73,7 @@
 	if b.Incarnation < a.incarnation || r.began.IsZero() {
 		return lease.Reading{}, nil
 	}
-	reading := lease.Reading{Heard: a.heard.Before(r.began), Next: record.At(f.Next(), 0)}
+	reading := lease.Reading{Heard: r.rules.heard(&a.heard, r.began), Next: record.At(f.Next(), 0)}
 	records := r.judge(now, f, b, &reading)
 	if b.Ready {
 		orders(f, b, &reading)
--- a/pkg/job/taker.go
+++ b/pkg/job/taker.go
@@ -31,22 +31,37 @@
 	heard     map[string]time.Time
 	confirmed map[string]time.Time
 	// known is when this entry first saw that a task was revoked.
-	known  map[record.Hold]time.Time
+	known  map[record.Hold]revocation
 	claims claims
-	faults TakerFaults
+	rules  TakerRules
 }
 
-// TakerFaults are deviations that a check of the protocol must find.
-type TakerFaults struct {
-	// NoWait releases a revoked task at once.
-	NoWait bool
-	// CountFromDecision counts the takeover time from before the revocation is
-	// in the log.
-	CountFromDecision bool
+// revocation is when this entry decided on a revocation, if it did, and when it
+// first saw it in the log.
+type revocation struct {
+	decided time.Time
+	seen    time.Time
 }
 
-// SetFaults makes the taker deviate, to prove that a check finds it.
-func (t *Taker) SetFaults(f TakerFaults) { t.faults = f }
+// TakerRules are the rules on which the safety of a Taker rests. A nil field
+// stands for the rule of the protocol. A check of the protocol replaces them
+// one by one, to prove that it finds what then goes wrong.
+type TakerRules struct {
+	// TakeoverAt returns when a task may be released whose revocation was
+	// decided and first seen in the log at these times; decided is zero if
+	// another entry decided it.
+	TakeoverAt func(t lease.Terms, decided, seen time.Time) time.Time
+}
+
+func (r *TakerRules) takeoverAt(t lease.Terms, decided, seen time.Time) time.Time {
+	if r.TakeoverAt != nil {
+		return r.TakeoverAt(t, decided, seen)
+	}
+	return t.TakeoverAt(seen)
+}
+
+// SetRules replaces rules of the protocol, for a check of it.
+func (t *Taker) SetRules(r TakerRules) { t.rules = r }
 
 // Heard notes that worker was heard at at, here or by another entry.
 func (t *Taker) Heard(worker string, at time.Time) {
@@ -71,7 +86,7 @@
 		t.born = now
 		t.heard = make(map[string]time.Time)
 		t.confirmed = make(map[string]time.Time)
-		t.known = make(map[record.Hold]time.Time)
+		t.known = make(map[record.Hold]revocation)
 	}
 }
 
@@ -128,13 +143,13 @@
 // see notes when revoked tasks were first seen, and drops those released.
 func (t *Taker) see(now time.Time, f *Fold) {
 	for hold := range t.known {
-		if !f.isRevoked(hold) && !t.faults.CountFromDecision {
+		if !f.isRevoked(hold) {
 			delete(t.known, hold)
 		}
 	}
 	f.Revoked(func(hold record.Hold, _ *Job, _ *Task) {
 		if _, ok := t.known[hold]; !ok {
-			t.known[hold] = now
+			t.known[hold] = revocation{decided: t.claims.first(hold, record.KindRevoke), seen: now}
 		}
 	})
 }
@@ -143,7 +158,8 @@
 	var due []*record.Released
 	f.Revoked(func(hold record.Hold, j *Job, task *Task) {
 		terms := lease.FromMS(j.Spec().TakeoverMS)
-		if !now.After(terms.TakeoverAt(t.known[hold])) && !t.faults.NoWait {
+		known := t.known[hold]
+		if !now.After(t.rules.takeoverAt(terms, known.decided, known.seen)) {
 			return
 		}
 		if t.claims.take(now, hold, record.KindReleased) {
@@ -169,9 +185,6 @@
 				return
 			}
 			lost = append(lost, hold)
-			if t.faults.CountFromDecision {
-				t.known[hold] = now
-			}
 		})
 	})
 	if len(lost) == 0 {
--- a/pkg/lease/action.go
+++ b/pkg/lease/action.go
@@ -66,7 +66,7 @@
 	case t.state.Ended():
 		a.act = ActRemove
 		// An earlier start of the task may still reach the worker until then.
-		return a, t.settled && (h.uptime > t.until || h.faults.RemoveAtOnce)
+		return a, t.settled && h.rules.removable(h.uptime, t.until)
 	case t.settled:
 		a.act = ActStop
 		return a, true
@@ -81,10 +81,7 @@
 
 // renewal returns how far the newest reading extends a task's lease.
 func (h *Holder) renewal(t *held) (time.Duration, bool) {
-	if h.faults.RenewFromNow {
-		return t.terms.HoldAt(h.uptime), true
-	}
 	uptime, ok := h.uptimes[t.fresh]
-	until := t.terms.HoldAt(uptime)
+	until := h.rules.holdAt(t.terms, uptime, h.uptime)
 	return until, ok && t.fresh > 0 && until > t.lease
 }
--- a/pkg/lease/follow.go
+++ b/pkg/lease/follow.go
@@ -38,7 +38,7 @@
 		return nil
 	}
 	for hold, t := range h.tasks {
-		if (t.reported || h.faults.ExtendUnreported) && !stopped[hold] && hold.Epoch < r.Next {
+		if h.rules.covered(t.reported) && !stopped[hold] && hold.Epoch < r.Next {
 			t.fresh = max(t.fresh, r.Heard)
 		}
 	}
@@ -59,20 +59,20 @@
 		return
 	}
 	if s.Settled {
-		if _, ok := h.refused[s.Hold]; ok {
-			delete(h.refused, s.Hold)
+		if _, ok := h.unlisted[s.Hold]; ok {
+			delete(h.unlisted, s.Hold)
 			h.gone[s.Hold] = h.round
 		}
 		return
 	}
-	if h.bornNext > 0 && s.Hold.Epoch >= h.bornNext {
-		h.refused[s.Hold] = "revoked before the start"
+	if h.bornNext > 0 && s.Hold.Epoch >= h.bornNext && !h.known(s.Hold) {
+		h.report(s.Hold, Stopped, "revoked before the start")
 	}
 }
 
 // presume keeps room for a start that the agent's predecessor may have sent.
 func (h *Holder) presume(o *Order) {
-	if o.Hold.Epoch >= h.bornNext || o.Started || h.known(o.Hold) || h.faults.ForgetPredecessor {
+	if !h.rules.predates(o.Hold.Epoch, h.bornNext) || o.Started || h.known(o.Hold) {
 		return
 	}
 	terms := FromMS(o.Spec.TakeoverMS)
@@ -80,27 +80,27 @@
 }
 
 func (h *Holder) known(hold record.Hold) bool {
-	_, refused := h.refused[hold]
-	return refused || h.tasks[hold] != nil
+	_, unlisted := h.unlisted[hold]
+	return unlisted || h.tasks[hold] != nil
 }
 
 func (h *Holder) followOrder(now time.Time, o *Order, heard uint64, leaving bool) []Decision {
 	terms := FromMS(o.Spec.TakeoverMS)
-	until := terms.HoldAt(h.uptimes[heard])
+	until := h.rules.holdAt(terms, h.uptimes[heard], h.uptime)
 	if t := h.tasks[o.Hold]; t != nil {
 		if !t.listed && !t.revoked && t.fresh > 0 && until > h.uptime {
 			t.order, t.fresh, t.until = o, max(t.fresh, heard), max(t.until, until)
 		}
 		return nil
 	}
-	if _, ok := h.refused[o.Hold]; ok || !h.ledger.Ready() || until <= h.uptime {
+	if _, ok := h.unlisted[o.Hold]; ok || !h.ledger.Ready() || until <= h.uptime {
 		return nil
 	}
-	if round, ok := h.gone[o.Hold]; ok && heard <= round && !h.faults.StartOnOldReading {
+	if round, ok := h.gone[o.Hold]; ok && h.rules.outdated(heard, round) {
 		return nil
 	}
 	if reason := h.refusal(now, o, leaving); reason != "" {
-		h.refused[o.Hold] = reason
+		h.report(o.Hold, Stopped, reason)
 		return []Decision{{hold: o.Hold, name: "refuse-task", reason: reason}}
 	}
 	h.tasks[o.Hold] = &held{size: o.Spec.Size, terms: terms, until: until, fresh: heard, order: o}
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -25,9 +25,10 @@
 	// uptimes tells what the worker's clock showed before a round's heartbeat.
 	uptimes map[uint64]time.Duration
 	tasks   map[record.Hold]*held
-	// refused tasks are never started; they are reported until settled.
-	refused map[record.Hold]string
-	// gone tells in which round a task was last known. A reading that is not
+	// unlisted tasks are never started, again or at all; the reports on them
+	// are repeated until settled.
+	unlisted map[record.Hold]Report
+	// gone tells in which round a settled task was last known. A reading that is not
 	// newer may not show the task's end, so it cannot start it again. Readings
 	// older than maxUptimes rounds start nothing, which bounds the map.
 	gone map[record.Hold]uint64
@@ -35,27 +36,9 @@
 	// end soon after: older orders may have been refused by a predecessor.
 	born     time.Duration
 	bornNext record.Position
-	faults   HolderFaults
+	rules    Rules
 }
 
-// HolderFaults are deviations that a check of the protocol must find.
-type HolderFaults struct {
-	// StartOnOldReading follows orders of readings that are too old.
-	StartOnOldReading bool
-	// ForgetPredecessor follows orders that a predecessor may have refused.
-	ForgetPredecessor bool
-	// RenewFromNow renews leases from the present, whatever the reading's age.
-	RenewFromNow bool
-	// RemoveAtOnce drops an ended task while a late start may revive it.
-	RemoveAtOnce bool
-	// ExtendUnreported takes a reading's silence about a task that the
-	// heartbeat did not name for a sign that the task stays in place.
-	ExtendUnreported bool
-}
-
-// SetFaults makes the holder deviate, to prove that a check finds it.
-func (h *Holder) SetFaults(f HolderFaults) { h.faults = f }
-
 // held is a task that the worker runs, has run, or may still begin to run.
 type held struct {
 	size   worker.Resources
@@ -63,7 +46,8 @@
 	listed bool
 	state  State
 	// reported tasks were named in this round's heartbeat.
-	reported bool
+	reported    bool
+	ref, detail string
 	// lease is the end of the lease that the worker lists, and until that of
 	// the longest one that a start may still bring.
 	lease, until time.Duration
@@ -75,6 +59,9 @@
 	settled bool
 }
 
+// SetRules replaces rules of the protocol, for a check of it.
+func (h *Holder) SetRules(r Rules) { h.rules = r }
+
 // Ledger returns what the worker has granted.
 func (h *Holder) Ledger() *worker.Ledger { return &h.ledger }
 
@@ -87,7 +74,7 @@
 	h.round++
 	if h.tasks == nil {
 		h.tasks = make(map[record.Hold]*held)
-		h.refused = make(map[record.Hold]string)
+		h.unlisted = make(map[record.Hold]Report)
 		h.gone = make(map[record.Hold]uint64)
 		h.uptimes = make(map[uint64]time.Duration)
 		h.born = l.Uptime
@@ -116,7 +103,9 @@
 	h.incarnation = l.Incarnation
 	h.born = l.Uptime
 	clear(h.uptimes)
-	clear(h.tasks)
+	for hold, t := range h.tasks {
+		h.lose(hold, t)
+	}
 }
 
 // merge takes the listing into the tasks.
@@ -143,22 +132,42 @@
 	}
 	t.listed, t.reported = true, false
 	t.size, t.terms, t.state, t.lease = l.Size, l.Terms, l.State, l.Until
+	t.ref, t.detail = l.Ref, l.Detail
 	t.until = max(t.until, l.Until)
 }
 
 func (h *Holder) mergeUnlisted(hold record.Hold, t *held) {
 	if t.listed {
-		delete(h.tasks, hold)
-		h.gone[hold] = h.round - 1
+		h.lose(hold, t)
 		return
 	}
 	if h.uptime <= t.until {
 		return // its start may still reach the worker
 	}
 	delete(h.tasks, hold)
-	if !t.settled {
-		h.refused[hold] = "the start did not reach the worker in time"
+	if t.settled {
+		h.gone[hold] = h.round
+		return
 	}
+	h.report(hold, Stopped, "the start did not reach the worker in time")
+}
+
+// lose takes a task that the worker lists no more, or has lost with its VM. It
+// may have been reported before, so it is not started again under this epoch.
+func (h *Holder) lose(hold record.Hold, t *held) {
+	delete(h.tasks, hold)
+	switch {
+	case t.settled:
+		h.gone[hold] = h.round
+	case t.listed && t.state.Ended():
+		h.unlisted[hold] = Report{Hold: hold, State: t.state, Ref: t.ref, Detail: t.detail}
+	default:
+		h.report(hold, Stopped, "the worker has lost the task")
+	}
+}
+
+func (h *Holder) report(hold record.Hold, s State, detail string) {
+	h.unlisted[hold] = Report{Hold: hold, State: s, Detail: detail}
 }
 
 // rebuild brings the ledger in line with the tasks that need room.
@@ -176,7 +185,7 @@
 
 // Reports returns what the heartbeat of this round says about the tasks.
 func (h *Holder) Reports(l *Listing) []Report {
-	out := make([]Report, 0, len(l.Tasks)+len(h.refused))
+	out := make([]Report, 0, len(l.Tasks)+len(h.unlisted))
 	for i := range l.Tasks {
 		task := &l.Tasks[i]
 		t := h.tasks[task.Hold]
@@ -186,8 +195,8 @@
 		t.reported = true
 		out = append(out, Report{Hold: task.Hold, State: task.State, Ref: task.Ref, Detail: task.Detail})
 	}
-	for hold, reason := range h.refused {
-		out = append(out, Report{Hold: hold, State: Stopped, Detail: reason})
+	for _, r := range h.unlisted {
+		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b Report) int { return compareHolds(a.Hold, b.Hold) })
 	return out
