--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -170,13 +170,16 @@
 	h.unlisted[hold] = Report{Hold: hold, State: s, Detail: detail}
 }
 
-// rebuild brings the ledger in line with the tasks that need room.
+// rebuild brings the ledger in line with the tasks that need room. A task that
+// is listed as ended needs none, and its start is no longer on its way.
 func (h *Holder) rebuild(now time.Time, total worker.Resources) {
 	grants := make([]worker.Grant, 0, len(h.tasks))
 	for hold, t := range h.tasks {
-		if !t.state.Ended() || !t.listed {
-			grants = append(grants, worker.NewGrant(key(hold), t.size))
+		size := t.size
+		if t.state.Ended() && t.listed {
+			size = worker.Resources{}
 		}
+		grants = append(grants, worker.NewGrant(key(hold), size))
 	}
 	h.ledger.Rebuild(total, grants, now)
 }
