--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 
-.PHONY: build test lint tools experiments bench-capacity
+.PHONY: build test lint tools explore experiments bench-capacity
 
 build: ## Builds the program.
 	go build -o bin/savoryhoist .
@@ -28,3 +28,8 @@
 
 bench-capacity: build ## Measures the slopes of docs/CAPACITY.md; savoryhoist bench capacity --help says how to run longer.
 	bin/savoryhoist bench capacity
+
+SEEDS ?= 10000
+
+explore: build ## Explores the deciding code over 10,000 seeds; SEEDS=n explores fewer, SEED=n repeats one.
+	bin/savoryhoist bench explore $(if $(SEED),--first-seed $(SEED) --seeds 1,--seeds $(SEEDS))
--- a/internal/explore/batch/machine.go
+++ b/internal/explore/batch/machine.go
@@ -91,17 +91,10 @@
 			Terms: lease.FromMS(t.order.Spec.TakeoverMS),
 		})
 	}
-	slices.SortFunc(l.Tasks, func(a, b lease.Task) int { return compareHolds(a.Hold, b.Hold) })
+	slices.SortFunc(l.Tasks, func(a, b lease.Task) int { return a.Hold.Compare(b.Hold) })
 	return l
 }
 
-func compareHolds(a, b record.Hold) int {
-	if a.String() < b.String() {
-		return -1
-	}
-	return 1
-}
-
 func ref(d time.Duration) string {
 	if d == 0 {
 		return ""
--- a/internal/explore/batch/world.go
+++ b/internal/explore/batch/world.go
@@ -87,13 +87,23 @@
 	w.schedule(faultGap, w.fault)
 	w.runUntil(faultsFor)
 	w.heal()
-	for end := faultsFor + settleFor; w.now < end && !w.history.ended(); {
+	for end := faultsFor + settleFor; w.now < end && !w.settled(); {
 		w.runUntil(w.now + settleStep)
 	}
 	w.runUntil(w.now + lastLook)
 	return w.check()
 }
 
+// settled reports whether every job has ended and no record waits for the log.
+func (w *world) settled() bool {
+	for _, e := range w.entries {
+		if e.sending || len(e.waiting) > 0 {
+			return false
+		}
+	}
+	return w.history.ended()
+}
+
 func (w *world) upTo(d time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(d) + 1))
 }
--- a/pkg/job/relay.go
+++ b/pkg/job/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"savoryhoist.example/savoryhoist/pkg/lease"
@@ -184,6 +183,6 @@
 		})
 	})
 	slices.SortFunc(reading.Start, func(a, b lease.Order) int {
-		return strings.Compare(a.Hold.String(), b.Hold.String())
+		return a.Hold.Compare(b.Hold)
 	})
 }
--- a/pkg/job/taker.go
+++ b/pkg/job/taker.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"savoryhoist.example/savoryhoist/pkg/lease"
@@ -166,7 +165,7 @@
 			due = append(due, &record.Released{Hold: hold, Reason: reasonWaited, Revoked: task.RevokedAt(), AtMS: now.UnixMilli()})
 		}
 	})
-	slices.SortFunc(due, func(a, b *record.Released) int { return strings.Compare(a.Hold.String(), b.Hold.String()) })
+	slices.SortFunc(due, func(a, b *record.Released) int { return a.Hold.Compare(b.Hold) })
 	var out []record.Message
 	for _, m := range due {
 		out = append(out, m)
@@ -190,7 +189,7 @@
 	if len(lost) == 0 {
 		return nil
 	}
-	slices.SortFunc(lost, func(a, b record.Hold) int { return strings.Compare(a.String(), b.String()) })
+	slices.SortFunc(lost, record.Hold.Compare)
 	return &record.Revoke{Holds: lost, Reason: reasonSilent}
 }
 
--- a/pkg/lease/action.go
+++ b/pkg/lease/action.go
@@ -53,7 +53,7 @@
 			out = append(out, a)
 		}
 	}
-	slices.SortFunc(out, func(a, b Action) int { return compareHolds(a.hold, b.hold) })
+	slices.SortFunc(out, func(a, b Action) int { return a.hold.Compare(b.hold) })
 	return out
 }
 
--- a/pkg/lease/follow.go
+++ b/pkg/lease/follow.go
@@ -43,8 +43,8 @@
 		}
 	}
 	var out []Decision
-	for i := range r.Start {
-		h.presume(&r.Start[i])
+	if h.presume(r.Start) {
+		h.rebuild(now, h.ledger.Total())
 	}
 	for i := range r.Start {
 		out = append(out, h.followOrder(now, &r.Start[i], r.Heard, leaving)...)
@@ -70,13 +70,20 @@
 	}
 }
 
-// presume keeps room for a start that the agent's predecessor may have sent.
-func (h *Holder) presume(o *Order) {
-	if !h.rules.predates(o.Hold.Epoch, h.bornNext) || o.Started || h.known(o.Hold) {
-		return
+// presume keeps room for starts that the agent's predecessor may have sent, and
+// reports whether there are any.
+func (h *Holder) presume(orders []Order) bool {
+	found := false
+	for i := range orders {
+		o := &orders[i]
+		if !h.rules.predates(o.Hold.Epoch, h.bornNext) || o.Started || h.known(o.Hold) {
+			continue
+		}
+		terms := FromMS(o.Spec.TakeoverMS)
+		h.tasks[o.Hold] = &held{size: o.Spec.Size, terms: terms, until: terms.HoldAt(h.born)}
+		found = true
 	}
-	terms := FromMS(o.Spec.TakeoverMS)
-	h.tasks[o.Hold] = &held{size: o.Spec.Size, terms: terms, until: terms.HoldAt(h.born)}
+	return found
 }
 
 func (h *Holder) known(hold record.Hold) bool {
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"savoryhoist.example/savoryhoist/pkg/record"
@@ -201,19 +200,6 @@
 	for _, r := range h.unlisted {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b Report) int { return compareHolds(a.Hold, b.Hold) })
+	slices.SortFunc(out, func(a, b Report) int { return a.Hold.Compare(b.Hold) })
 	return out
 }
-
-func compareHolds(a, b record.Hold) int {
-	if c := strings.Compare(a.Task.Job, b.Task.Job); c != 0 {
-		return c
-	}
-	if a.Task.Index != b.Task.Index {
-		return int(a.Task.Index) - int(b.Task.Index)
-	}
-	if a.Epoch < b.Epoch {
-		return -1
-	}
-	return 1
-}
--- a/pkg/record/messages.go
+++ b/pkg/record/messages.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"cmp"
 	"fmt"
 
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -79,6 +80,15 @@
 // String returns the name under which a worker lists the task.
 func (h Hold) String() string { return fmt.Sprintf("%s@%d", h.Task, h.Epoch) }
 
+// Compare orders holds by job, task and epoch.
+func (h Hold) Compare(o Hold) int {
+	return cmp.Or(
+		cmp.Compare(h.Task.Job, o.Task.Job),
+		cmp.Compare(h.Task.Index, o.Task.Index),
+		cmp.Compare(h.Epoch, o.Epoch),
+	)
+}
+
 // Spec is what a team asks for.
 type Spec struct {
 	ID    string           `cbor:"1,keyasint"           json:"id"`
