--- a/pkg/lease/follow.go
+++ b/pkg/lease/follow.go
@@ -66,7 +66,7 @@
 		return
 	}
 	if h.bornNext > 0 && s.Hold.Epoch >= h.bornNext && !h.known(s.Hold) {
-		h.report(s.Hold, Stopped, "revoked before the start")
+		h.report(s.Hold, "revoked before the start")
 	}
 }
 
@@ -107,7 +107,7 @@
 		return nil
 	}
 	if reason := h.refusal(now, o, leaving); reason != "" {
-		h.report(o.Hold, Stopped, reason)
+		h.report(o.Hold, reason)
 		return []Decision{{hold: o.Hold, name: "refuse-task", reason: reason}}
 	}
 	h.tasks[o.Hold] = &held{size: o.Spec.Size, terms: terms, until: until, fresh: heard, order: o}
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -148,7 +148,7 @@
 		h.gone[hold] = h.round
 		return
 	}
-	h.report(hold, Stopped, "the start did not reach the worker in time")
+	h.report(hold, "the start did not reach the worker in time")
 }
 
 // lose takes a task that the worker lists no more, or has lost with its VM. It
@@ -161,12 +161,13 @@
 	case t.listed && t.state.Ended():
 		h.unlisted[hold] = Report{Hold: hold, State: t.state, Ref: t.ref, Detail: t.detail}
 	default:
-		h.report(hold, Stopped, "the worker has lost the task")
+		h.report(hold, "the worker has lost the task")
 	}
 }
 
-func (h *Holder) report(hold record.Hold, s State, detail string) {
-	h.unlisted[hold] = Report{Hold: hold, State: s, Detail: detail}
+// report notes that a task does not run and can be started elsewhere.
+func (h *Holder) report(hold record.Hold, detail string) {
+	h.unlisted[hold] = Report{Hold: hold, State: Stopped, Detail: detail}
 }
 
 // rebuild brings the ledger in line with the tasks that need room. A task that
