--- a/internal/agent/guard.go
+++ b/internal/agent/guard.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -48,6 +50,7 @@
 	reading := a.reading(now)
 	a.guard.pressure = reading.Pressure
 	a.guard.uses = usesOf(listing, &usage)
+	gometrics.GetOrRegisterGaugeFloat64("guard-pressure", a.registry).Update(reading.Pressure)
 	for _, action := range a.guard.decide.Decide(now, &reading, a.guardTasks(listing)) {
 		a.restrain(ctx, now, &action)
 	}
@@ -129,6 +132,7 @@
 		a.log.Warn().Err(err).Str("decision", action.Kind().String()).Str("task", key).Msg("the worker did not follow")
 		return
 	}
+	gometrics.GetOrRegisterCounter("guard-"+action.Kind().String(), a.registry).Inc(1)
 	if action.Kind() == worker.ActionCheckpoint {
 		a.guard.decide.Saved(now, key)
 	}
--- /dev/null
+++ b/internal/command/urgent_test.go
@@ -0,0 +1,68 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/entry"
+)
+
+// TestUrgentWorkOnAFullSite fills the only worker with one long task, submits
+// urgent work, and expects it to run at once and the long task to go on once
+// from its checkpoint.
+func TestUrgentWorkOnAFullSite(t *testing.T) {
+	s := newSite(t, 1, 1)
+	load := &traffic{s: s, pick: func() string { return s.entryURLs[0] }}
+	load.submit("long", `{"class":"archive","size":{"milli-cpu":16000,"memory-mb":1000},"payload":{"run-ms":6000}}`)
+	s.eventually("the long task runs", func() bool { return len(s.workers[0].Runs()) == 1 })
+	submitted := time.Now()
+	load.submit("quick", `{"class":"urgent","size":{"milli-cpu":1000,"memory-mb":1000},"payload":{"run-ms":100}}`)
+	quick := load.jobs[1]
+	s.eventually("the urgent task runs", func() bool {
+		runs := s.workers[0].Runs()
+		return strings.HasPrefix(runs[len(runs)-1].Key, quick)
+	})
+	t.Logf("urgent work started after %v", time.Since(submitted))
+	s.eventually("every job succeeded", load.allSucceeded)
+	runs := make(map[string]int)
+	for _, r := range s.workers[0].Runs() {
+		task, _, _ := strings.Cut(r.Key, "@")
+		runs[task]++
+	}
+	if got, want := fmt.Sprint(runs[load.jobs[0]+".0"], runs[quick+".0"]), "2 1"; got != want {
+		t.Errorf("got runs of the long and the urgent task %s, want %s", got, want)
+	}
+	if s.workers[0].Overfull() {
+		t.Error("the worker was given more than it has")
+	}
+}
+
+// TestJobThatFitsNoWorkerSaysSo submits a job that can never run beside one that can.
+func TestJobThatFitsNoWorkerSaysSo(t *testing.T) {
+	s := newSite(t, 1, 1)
+	load := &traffic{s: s, pick: func() string { return s.entryURLs[0] }}
+	load.submit("huge", `{"class":"shaping","size":{"milli-cpu":1000000},"payload":{"run-ms":1}}`)
+	load.submit("small", `{"class":"shaping","size":{"milli-cpu":100},"payload":{"run-ms":1}}`)
+	view := func(i int) (v entry.JobView) {
+		req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, s.entryURLs[0]+"/jobs/"+load.jobs[i], nil)
+		s.must(err)
+		req.Header.Set(entry.HeaderTeam, "nursery")
+		resp, err := http.DefaultClient.Do(req)
+		s.must(err)
+		defer func() { _ = resp.Body.Close() }()
+		s.must(json.NewDecoder(resp.Body).Decode(&v))
+		return v
+	}
+	s.eventually("the job behind it succeeded", func() bool { return view(1).Phase == "succeeded" })
+	if got, want := view(0).Tasks[0].Waiting, "asks for more than any known worker has"; got != want {
+		t.Errorf("got reason %q, want %q", got, want)
+	}
+	if got, want := len(s.workers[0].Runs()), 1; got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
+}
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/job"
@@ -125,6 +127,7 @@
 		return time.Duration(rank(e.settings.Name, jobID, neighbours)) * queue.BackupDelay
 	}
 	decisions := e.jobs.scheduler.Decide(now, &e.jobs.fold, backup, e.jobs.random)
+	e.countQueue()
 	for i := range decisions {
 		e.logDecision(&decisions[i])
 		if m := decisions[i].Message(); m != nil {
@@ -156,8 +159,17 @@
 	}
 }
 
+// countQueue keeps the gauges of waiting work; jobs.mu is held.
+func (e *Entry) countQueue() {
+	q := e.jobs.scheduler.Queue()
+	gometrics.GetOrRegisterGauge("queue-waiting", e.registry).Update(int64(q.Len()))
+	gometrics.GetOrRegisterGauge("queue-parked", e.registry).Update(int64(q.Parked()))
+	gometrics.GetOrRegisterGauge("tasks-held", e.registry).Update(int64(e.jobs.scheduler.Fleet().Holds()))
+}
+
 func (e *Entry) logDecision(d *queue.Decision) {
 	spec := d.Job().Spec()
+	gometrics.GetOrRegisterCounter("decisions-"+d.Kind().String(), e.registry).Inc(1)
 	if len(d.Placements()) == 0 && len(d.Holds()) == 0 {
 		e.log.Info().Str("decision", d.Kind().String()).Str("job", spec.ID).Str("class", spec.Class).
 			Str("reason", d.Reason()).Msg("")
