Spread a job's tasks over racks and forget replaced workers

Cause: only gangs were spread; workers that were replaced under new names stayed in the fleet for ever; with no worker known every job was parked as too large.

--- a/pkg/queue/decision.go
+++ b/pkg/queue/decision.go
@@ -97,6 +97,7 @@
 		Expected: s.learned.use(spec.Class, spec.Size), Class: spec.Class, Failures: s.failures[item.key.Job],
 	}
 	if item.key.Task != WholeGang {
+		base.Racks = s.racks(owner)
 		return []worker.Task{base}
 	}
 	out := make([]worker.Task, 0, item.demand.Count)
@@ -110,6 +111,23 @@
 	return out
 }
 
+// spreadTasks is the most tasks of a job that are spread over racks.
+const spreadTasks = 64
+
+// racks counts by rack the tasks of a job that run.
+func (s *Scheduler) racks(owner *job.Job) map[string]int {
+	if owner.Tasks() < 2 || owner.Tasks() > spreadTasks {
+		return nil
+	}
+	out := make(map[string]int)
+	for i := range owner.Tasks() {
+		if h, ok := s.fleet.Held(worker.TaskKey{Job: owner.Spec().ID, Index: uint32(i)}); ok {
+			out[s.fleet.Rack(h.Worker)]++
+		}
+	}
+	return out
+}
+
 // misplaced puts an item aside for which there is no room, or makes room for it.
 func (s *Scheduler) misplaced(now time.Time, item *Item, owner *job.Job, err error, random *rand.Rand) Decision {
 	if s.fleet.FitsNone(item.demand.Size) {
--- a/pkg/queue/scheduler_test.go
+++ b/pkg/queue/scheduler_test.go
@@ -212,6 +212,49 @@
 	}
 }
 
+func TestTasksOfAJobSpreadOverRacks(t *testing.T) {
+	s := newSite(9, cpu(16000))
+	s.submit("job", "shaping", 3, false, cpu(1000))
+	s.tick()
+	racks := make(map[string]bool)
+	for i := range 3 {
+		racks[s.scheduler.Fleet().Rack(s.task("job", i).Worker())] = true
+	}
+	if got, want := len(racks), 3; got != want {
+		t.Errorf("got tasks in %d racks, want %d", got, want)
+	}
+}
+
+// TestLargeTaskGetsRoomInTheEnd keeps every worker busy with small tasks that
+// would leave no room for a large one for ever.
+func TestLargeTaskGetsRoomInTheEnd(t *testing.T) {
+	s := newSite(3, cpu(4000))
+	var running []record.Hold
+	for i := range 20_000 {
+		if i == 100 {
+			s.submit("large", "shaping", 1, false, cpu(4000))
+		}
+		for s.scheduler.Queue().Len() < 10 {
+			s.submit(fmt.Sprint("small", i, "-", s.offset), "shaping", 1, false, cpu(1000))
+		}
+		s.now = s.now.Add(3 * time.Second)
+		for _, d := range s.tick() {
+			for _, p := range d.Placements() {
+				running = append(running, s.hold(p.Task.Job, 0))
+			}
+		}
+		if i > 100 && s.task("large", 0).Phase() == job.Assigned {
+			t.Logf("room after %v", s.now.Sub(epoch))
+			return
+		}
+		if len(running) > 8 {
+			s.apply(&record.Finished{Hold: running[0], Outcome: record.OutcomeSucceeded})
+			running = running[1:]
+		}
+	}
+	t.Errorf("got no room for the large task in %v, want some", s.now.Sub(epoch))
+}
+
 // TestLostDecisionIsRepeated drops the record of a placement.
 func TestLostDecisionIsRepeated(t *testing.T) {
 	s := newSite(1, cpu(1000))
--- a/pkg/worker/fleet.go
+++ b/pkg/worker/fleet.go
@@ -87,6 +87,8 @@
 	interference Interference
 	// largest is the largest amount of each resource that one worker has.
 	largest Resources
+	// known is the number of workers that are not lost.
+	known int
 	// version counts changes of the workers known and their sizes.
 	version uint64
 }
@@ -104,37 +106,64 @@
 func (f *Fleet) Heard(now time.Time, r *Report) Resources {
 	i := f.at(r.Name)
 	v := &f.views[i]
-	if !v.known || v.report.Total != r.Total {
-		f.version++
-	}
+	changed := !v.known || v.report.Total != r.Total
 	v.known = true
 	v.report = *r
+	if changed {
+		f.version++
+		f.measure()
+	}
 	v.heard = now
 	v.foreign = Resources{}
 	if r.Ready {
 		v.foreign = r.Total.Minus(r.Free).Minus(v.used).Max(Resources{})
 	}
-	f.largest = f.largest.Max(r.Total)
 	f.recount(i)
 	return f.free[i]
 }
 
-// Lost drops what a silent worker reported; its holds stay until the log ends them.
+// Lost drops what a silent worker reported. Its holds stay until the log ends
+// them; once it has none, the worker is forgotten.
 func (f *Fleet) Lost(name string) {
 	i, ok := f.index[name]
-	if !ok || !f.views[i].known {
+	if !ok {
 		return
 	}
-	f.views[i].known = false
-	f.version++
+	if f.views[i].known {
+		f.views[i].known = false
+		f.version++
+		f.measure()
+	}
+	if len(f.views[i].tasks) == 0 {
+		f.remove(i)
+	}
+}
+
+// measure finds the largest amounts of the workers known.
+func (f *Fleet) measure() {
 	f.largest = Resources{}
+	f.known = 0
 	for k := range f.views {
 		if f.views[k].known {
+			f.known++
 			f.largest = f.largest.Max(f.views[k].report.Total)
 		}
 	}
 }
 
+// remove forgets the worker at i; the last one takes its place.
+func (f *Fleet) remove(i int) {
+	f.ForgetGrown()
+	last := len(f.views) - 1
+	delete(f.index, f.views[i].report.Name)
+	if i != last {
+		f.views[i], f.free[i] = f.views[last], f.free[last]
+		f.index[f.views[i].report.Name] = i
+	}
+	f.views[last] = view{}
+	f.views, f.free = f.views[:last], f.free[:last]
+}
+
 // Hold notes that a task holds part of a worker, in place of what it held before.
 func (f *Fleet) Hold(key TaskKey, h Hold) {
 	f.Drop(key)
@@ -197,8 +226,12 @@
 	return f.views[i].report.Rack
 }
 
-// FitsNone reports whether size is larger than every worker known.
+// FitsNone reports whether size is larger than every worker known. As long as
+// no worker is known, that cannot be said.
 func (f *Fleet) FitsNone(size Resources) bool {
+	if f.known == 0 {
+		return false
+	}
 	if !size.Fits(f.largest) {
 		return true
 	}
