Let a batch class give a size and explore in bench-batch

Cause: every submission had to name a size; the bench said nothing about the fold, the leases and the ledger together; the entry kept every worker that it ever heard of.

Change: BatchClass.Size is used for submissions without one. make bench-batch runs 300 seeds of the exploration of jobs. Workers without tasks that have been silent for ten minutes are forgotten.

--- a/internal/bench/batch/report.go
+++ b/internal/bench/batch/report.go
@@ -1,9 +1,13 @@
 package batch
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/internal/explore"
+	exploration "savoryhoist.example/savoryhoist/internal/explore/batch"
 )
 
 // ErrPromise means that something that must always hold did not.
@@ -37,19 +41,29 @@
 	PastEvict          float64 `json:"past-objective-evict-at-once"`
 	UrgentStart        float64 `json:"urgent-start-s-after-entry-death"`
 	UrgentStartFull    float64 `json:"urgent-start-s-after-entry-death-full"`
+	Explored           int     `json:"explored-schedules"`
 	Violations         int     `json:"violations"`
 }
 
 // placeSeconds is the virtual length of each placement drive.
 const placeSeconds = 5
 
+// Limits of the exploration that goes with the bench.
+const (
+	exploreSeeds    = 300
+	exploreParallel = 2
+)
+
 // surgeSeeds is the number of surges that are driven and added up.
 const surgeSeeds = 3
 
 // Run runs the whole bench. An error marked ErrPromise or ErrOverfull means
 // that a promise was broken; the report is then still filled in.
-func Run() (Report, error) {
+func Run(ctx context.Context) (Report, error) {
 	var r Report
+	if err := r.explore(ctx); err != nil {
+		return r, err
+	}
 	if err := r.place(); err != nil {
 		return r, err
 	}
@@ -67,6 +81,18 @@
 	return r, nil
 }
 
+// explore checks the fold, the leases and the ledger together over some seeds.
+func (r *Report) explore(ctx context.Context) error {
+	jobs := []explore.Part{{Name: "jobs", Run: exploration.Run}}
+	found, explored := explore.Run(ctx, jobs, 1, exploreSeeds, exploreParallel)
+	r.Explored = int(explored)
+	r.Violations += len(found)
+	if len(found) > 0 {
+		return errors.Mark(errors.Wrapf(found[0].Err, "seed %d", found[0].Seed), ErrPromise)
+	}
+	return nil
+}
+
 func (r *Report) place() error {
 	drives := []struct {
 		workers int
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -95,8 +95,13 @@
 	writeJSON(w, http.StatusCreated, JobView{ID: spec.ID, Team: spec.Team, Class: spec.Class, Phase: job.Pending.String()})
 }
 
+// checkSubmission names the first wrong field. A submission without a size gets
+// that of its class.
 func checkSubmission(d *bundle.Document, s *Submission) (class *bundle.BatchClass, field, detail string) {
 	class, ok := d.BatchClass(s.Class)
+	if ok && s.Size == (worker.Resources{}) {
+		s.Size = class.Size
+	}
 	switch {
 	case !ok:
 		return nil, "class", "the bundle in force has no such batch class"
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -146,6 +146,10 @@
 	e.jobs.scheduler.Configure(now, d, &e.jobs.fold)
 }
 
+// forgetWorkerAfter is how long a worker without tasks may be silent before
+// nothing is kept of it.
+const forgetWorkerAfter = 10 * time.Minute
+
 // dropSilent tells the scheduler of workers that fell silent; jobs.mu is held.
 func (e *Entry) dropSilent(now time.Time) {
 	if now.Sub(e.jobs.looked) < workerLostAfter/2 {
@@ -153,9 +157,13 @@
 	}
 	e.jobs.looked = now
 	for name, v := range e.jobs.workers {
-		if now.Sub(v.heard) > workerLostAfter {
+		silent := now.Sub(v.heard)
+		if silent > workerLostAfter {
 			e.jobs.scheduler.Fleet().Lost(name)
 		}
+		if silent > forgetWorkerAfter && !e.jobs.scheduler.Fleet().Knows(name) {
+			delete(e.jobs.workers, name)
+		}
 	}
 }
 
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -75,6 +75,8 @@
 	TakeoverAfter Duration `yaml:"takeover-after" json:"takeover-after"`
 	// MaxAttempts is the number of failed runs after which a task is parked.
 	MaxAttempts int `yaml:"max-attempts" json:"max-attempts"`
+	// Size is what a task asks for if its submission does not say.
+	Size worker.Resources `yaml:"size,omitempty" json:"size,omitzero"`
 	// Urgent jobs go before all others.
 	Urgent bool `yaml:"urgent,omitempty" json:"urgent,omitempty"`
 }
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -123,6 +123,7 @@
 	c.priority(at, b.Priority)
 	c.want(b.TakeoverAfter > 0, at+".takeover-after", "must be longer than 0")
 	c.want(b.MaxAttempts > 0, at+".max-attempts", "must be at least 1")
+	c.want(b.Size.Valid(), at+".size", "must not be negative")
 }
 
 func (c *checker) priority(at string, p int) {
--- a/pkg/worker/fleet.go
+++ b/pkg/worker/fleet.go
@@ -96,6 +96,12 @@
 // Len returns the number of workers known.
 func (f *Fleet) Len() int { return len(f.views) }
 
+// Knows reports whether anything is kept of a worker.
+func (f *Fleet) Knows(name string) bool {
+	_, ok := f.index[name]
+	return ok
+}
+
 // Version changes when a worker comes in or changes its size.
 func (f *Fleet) Version() uint64 { return f.version }
 
