Draw plots by a program of their own

Cause: the plot library added 5 MB of mapped pages to every process (resident 25.7 MB before, 31.4 MB with it, in the embedded mode). Change: 'savoryhoist load' writes the points into result.json; tools/plot draws them, called by 'make experiments'.

--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,10 @@
 	@echo '{"target":"test","passed":true}'
 
 experiments: ## Runs the experiments under experiments/ on real processes; SEED=n repeats one, ONLY=name runs one.
-	go test -v -tags experiments -count=1 -timeout 15m -run 'TestExperiments/$(ONLY)' ./experiments
-	@cat out/experiments/summary.json
+	@rm -rf out/experiments
+	@go test -v -tags experiments -count=1 -timeout 15m -run 'TestExperiments/$(ONLY)' ./experiments; status=$$?; \
+		go run ./tools/plot $$(dirname out/experiments/*/result.json); \
+		cat out/experiments/summary.json; exit $$status
 
 bench-capacity: build ## Measures the slopes of docs/CAPACITY.md; savoryhoist bench capacity --help says how to run longer.
 	bin/savoryhoist bench capacity
--- a/experiments/experiments_test.go
+++ b/experiments/experiments_test.go
@@ -148,6 +148,9 @@
 
 // report prints one line of figures.
 func report(c conclusion) {
+	for i := range c.Requests {
+		c.Requests[i].Quantiles, c.Requests[i].Series = nil, nil
+	}
 	line, _ := json.Marshal(c)
 	fmt.Println(string(line))
 }
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -24,7 +24,7 @@
 		ArgsUsage: "plan",
 		Description: "Sends requests and jobs by an open-loop schedule, switches the plan's faults at the stand-ins,\n" +
 			"and ends by itself. Latency counts from the moment a request was due. The result is one line of\n" +
-			"JSON; a report with plots is written to a folder. Exit code 1 says that a promise was broken.",
+			"JSON; a report is written to a folder, and tools/plot draws its plots. Exit code 1 says that a promise was broken.",
 		Flags: []cli.Flag{
 			text("entry-urls", "http://127.0.0.1:8080", "URLs of the entries, separated by commas"),
 			text("standin-url", "", "URL of the site's stand-ins; empty to skip the checks against them"),
@@ -73,6 +73,9 @@
 	if err := seen.WriteReport(folder, result); err != nil {
 		return err
 	}
+	for i := range result.Requests {
+		result.Requests[i].Quantiles, result.Requests[i].Series = nil, nil
+	}
 	data, err := json.Marshal(result)
 	if err != nil {
 		return err
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -41,8 +42,15 @@
 	P99      float64 `json:"p99-ms"`
 	P999     float64 `json:"p999-ms"`
 	Most     float64 `json:"max-ms"`
+	// Quantiles and Series are the points of the plots.
+	Quantiles []Point `json:"quantiles,omitempty"`
+	Series    []Point `json:"series,omitempty"`
+}
 
-	histogram *hdrhistogram.Histogram
+// Point is a point of a plot: milliseconds by nines, or by seconds after the start.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
 }
 
 // JobResult is the figures of one stream of jobs at one variant.
@@ -57,8 +65,6 @@
 	Starts    int     `json:"starts"`
 	P50       float64 `json:"p50-ms"`
 	Most      float64 `json:"max-ms"`
-
-	histogram *hdrhistogram.Histogram
 }
 
 // Ratio compares the last variant of a run with the first.
@@ -107,7 +113,8 @@
 }
 
 func (s *Seen) streamResult(stream, variant int, name string) StreamResult {
-	out := StreamResult{Stream: s.plan.Requests[stream].Name, Variant: name, histogram: newHistogram()}
+	out := StreamResult{Stream: s.plan.Requests[stream].Name, Variant: name}
+	histogram := newHistogram()
 	for i := range s.requests {
 		q := &s.requests[i]
 		if q.stream != stream || q.variant != variant {
@@ -117,20 +124,26 @@
 		switch q.outcome {
 		case problem.Run:
 			out.Answered++
-			record(out.histogram, q.latency)
+			record(histogram, q.latency)
 		case problem.NotRun:
 			out.Refused++
 		default:
 			out.Unknown++
 		}
 	}
-	out.P50, out.P99 = milliseconds(out.histogram, 50), milliseconds(out.histogram, 99)
-	out.P999, out.Most = milliseconds(out.histogram, 99.9), milliseconds(out.histogram, 100)
+	out.P50, out.P99 = milliseconds(histogram, 50), milliseconds(histogram, 99)
+	out.P999, out.Most = milliseconds(histogram, 99.9), milliseconds(histogram, 100)
+	for _, nines := range []float64{0, 1, 2, 3} {
+		quantile := 100 * (1 - math.Pow(10, -nines))
+		out.Quantiles = append(out.Quantiles, Point{X: nines, Y: milliseconds(histogram, quantile)})
+	}
+	out.Series = s.series(stream, variant)
 	return out
 }
 
 func (s *Seen) jobResult(stream, variant int, name string) JobResult {
-	out := JobResult{Stream: s.plan.Jobs[stream].Name, Variant: name, histogram: newHistogram()}
+	out := JobResult{Stream: s.plan.Jobs[stream].Name, Variant: name}
+	histogram := newHistogram()
 	for i := range s.jobs {
 		j := &s.jobs[i]
 		if j.stream != stream || j.variant != variant {
@@ -147,14 +160,14 @@
 		switch j.phase {
 		case "succeeded":
 			out.Succeeded++
-			record(out.histogram, j.ended)
+			record(histogram, j.ended)
 		case "cancelled":
 			out.Cancelled++
 		case "failed", "parked":
 			out.Failed++
 		}
 	}
-	out.P50, out.Most = milliseconds(out.histogram, 50), milliseconds(out.histogram, 100)
+	out.P50, out.Most = milliseconds(histogram, 50), milliseconds(histogram, 100)
 	return out
 }
 
@@ -173,3 +186,29 @@
 	}
 	return out
 }
+
+// seriesSlot is the time that one point of a series stands for.
+const seriesSlot = 500 * time.Millisecond
+
+// series returns the 99th percentile of a stream by time of arrival.
+func (s *Seen) series(stream, variant int) []Point {
+	slots := make([]*hdrhistogram.Histogram, int(s.plan.Duration/seriesSlot)+1)
+	for i := range s.requests {
+		q := &s.requests[i]
+		if q.stream != stream || q.variant != variant || q.outcome != problem.Run {
+			continue
+		}
+		slot := int(q.due / seriesSlot)
+		if slots[slot] == nil {
+			slots[slot] = newHistogram()
+		}
+		record(slots[slot], q.latency)
+	}
+	var out []Point
+	for i, h := range slots {
+		if h != nil {
+			out = append(out, Point{X: (time.Duration(i) * seriesSlot).Seconds(), Y: milliseconds(h, 99)})
+		}
+	}
+	return out
+}
