--- a/experiments/site_test.go
+++ b/experiments/site_test.go
@@ -112,11 +112,43 @@
 
 func (s *site) path(name string) string { return filepath.Join(s.folder, name) }
 
+// Ports below those that the system gives to outgoing connections, so that a
+// process that is started again finds its port free.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// nextPort starts at a place of this process's own.
+var nextPort = firstPort + os.Getpid()*97%(lastPort-firstPort)
+
 func (s *site) freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	s.must(err)
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if isFree(address) {
+			return address
+		}
+	}
+	s.t.Fatal("no port is free")
+	return ""
+}
+
+func isFree(address string) bool {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
 	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = udp.Close()
+	return true
 }
 
 func (s *site) addStandin(size load.Site) {
--- /dev/null
+++ b/internal/bench/capacity/appends.go
@@ -0,0 +1,80 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/standin"
+	"savoryhoist.example/savoryhoist/pkg/record"
+)
+
+// streamGap is the time between appends to one stream under load, of all its
+// writers together, as in internal/entry.
+const streamGap = 28 * time.Millisecond
+
+// measureAppends returns the appends a second in one data centre's stream by
+// task starts a second there.
+func measureAppends(ctx context.Context, length time.Duration) (Slope, error) {
+	out := Slope{Name: "appends-per-start", Unit: "appends a second"}
+	for _, starts := range []int{2, 10, targetStarts / targetDataCentres, 2 * targetStarts / targetDataCentres} {
+		appends, err := appendsAt(ctx, starts, length)
+		if err != nil {
+			return out, err
+		}
+		out.add(float64(starts), appends)
+	}
+	out.fit()
+	return out, nil
+}
+
+// appendsAt lets the entries of one data centre record task starts at a rate.
+func appendsAt(ctx context.Context, starts int, length time.Duration) (float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	ln, err := new(net.ListenConfig).Listen(ctx, "tcp", loopback)
+	if err != nil {
+		return 0, err
+	}
+	l := new(standin.Log)
+	server := &http.Server{Handler: l.Handler(), ReadHeaderTimeout: readLimit}
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer func() { _ = server.Close() }()
+	group.Go(func() { _ = server.Serve(ln) })
+	port := platform.NewLog(&http.Client{}, "http://"+ln.Addr().String())
+	var writers []*platform.Writer
+	var running sync.WaitGroup
+	for i := range entriesPerDataCentre {
+		w := platform.NewWriter(port, "jobs-dc-1", fmt.Sprintf("entry-%d@1", i), streamGap*entriesPerDataCentre)
+		writers = append(writers, w)
+		running.Go(func() { w.Run(ctx, 0) })
+	}
+	random := rand.New(rand.NewPCG(uint64(starts), 1))
+	mean := float64(time.Second) / float64(starts*recordsPerTask)
+	for wait(ctx, time.Duration(random.ExpFloat64()*mean)) {
+		task := record.Hold{Task: record.TaskID{Job: "00000000000000000000"}, Epoch: 1}
+		if err := writers[random.IntN(len(writers))].Enqueue(&record.Started{Holds: []record.Hold{task}}); err != nil {
+			return 0, err
+		}
+	}
+	running.Wait()
+	return float64(l.Appends()) / length.Seconds(), nil
+}
+
+// wait waits for d and reports whether ctx is still live.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/command/bench_capacity.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"savoryhoist.example/savoryhoist/internal/bench/capacity"
+)
+
+func benchCapacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure what each worker, job, heartbeat and request costs, and work out the target size",
+		Flags: []cli.Flag{
+			duration("append-time", 5*time.Second, "how long appends are counted at each of four rates; longer is more exact"),
+			number("heartbeats", 1000, "heartbeats measured at each of four sizes"),
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			c := &checker{cmd: cmd}
+			s := capacity.Settings{AppendTime: c.positive("append-time"), Heartbeats: c.count("heartbeats")}
+			if c.err != nil {
+				return c.err
+			}
+			result, err := capacity.Run(ctx, time.Now(), s)
+			if err != nil {
+				return err
+			}
+			return printCapacity(cmd.Root().Writer, result)
+		},
+	}
+}
+
+// printCapacity prints slopes and lines for people, then one line of JSON.
+func printCapacity(w io.Writer, r *capacity.Result) error {
+	for i := range r.Slopes {
+		s := &r.Slopes[i]
+		_, _ = fmt.Fprintf(w, "%-36s %10.3g + %10.3g per unit (%s), measured at %v\n", s.Name, s.Base, s.Per, s.Unit, s.Sizes)
+	}
+	for i := range r.Lines {
+		l := &r.Lines[i]
+		bound, holds := "no bound", ""
+		if l.Bound > 0 {
+			bound, holds = fmt.Sprintf("bound %.5g", l.Bound), "holds"
+			if !l.Holds {
+				holds = "DOES NOT HOLD"
+			}
+		}
+		_, _ = fmt.Fprintf(w, "%s: %s: %.4g %s, %s %s (%s)\n", l.Role, l.What, l.Value, l.Unit, bound, holds, l.How)
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(w, string(data))
+	return err
+}
