--- a/experiments/site_test.go
+++ b/experiments/site_test.go
@@ -7,7 +7,6 @@
 	"crypto/ed25519"
 	"crypto/rand"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/load"
+	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 )
 
@@ -112,43 +112,10 @@
 
 func (s *site) path(name string) string { return filepath.Join(s.folder, name) }
 
-// Ports below those that the system gives to outgoing connections, so that a
-// process that is started again finds its port free.
-const (
-	firstPort = 12000
-	lastPort  = 32000
-)
-
-// nextPort starts at a place of this process's own.
-var nextPort = firstPort + os.Getpid()*97%(lastPort-firstPort)
-
 func (s *site) freeAddress() string {
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort > lastPort {
-			nextPort = firstPort
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		if isFree(address) {
-			return address
-		}
-	}
-	s.t.Fatal("no port is free")
-	return ""
-}
-
-func isFree(address string) bool {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = ln.Close() }()
-	udp, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-	_ = udp.Close()
-	return true
+	address, err := standin.FreeAddress()
+	s.must(err)
+	return address
 }
 
 func (s *site) addStandin(size load.Site) {
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -9,6 +9,7 @@
 		Commands: []*cli.Command{
 			benchBatchCommand(),
 			benchCapacityCommand(),
+			benchExploreCommand(),
 		},
 	}
 }
