Refuse bad input by name at every command and door

Cause: no test covered bad input; a wrong flag of a subcommand exited with 1. Change: usage errors of every command exit with 2; tables of bad input for commands and HTTP doors; agents run on two processors and collect garbage at 50 %, entries at 50 %.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -48,6 +48,8 @@
 	if c.err != nil {
 		return c.err
 	}
+	tuneMemory()
+	tuneProcessors()
 	a, err := agent.New(time.Now(), s, id, logger)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/command/bad_input_test.go
@@ -0,0 +1,140 @@
+package command
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+
+	"savoryhoist.example/savoryhoist/internal/entry"
+	"savoryhoist.example/savoryhoist/internal/problem"
+)
+
+func readTable(t *testing.T, path string, out any) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err == nil {
+		err = yaml.UnmarshalWithOptions(data, out, yaml.Strict())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestBadArguments runs every command with bad input: each exits with its code
+// and names all that is wrong.
+func TestBadArguments(t *testing.T) {
+	var cases []struct {
+		Args []string `yaml:"args"`
+		Exit int      `yaml:"exit"`
+		Want []string `yaml:"want"`
+	}
+	readTable(t, "testdata/bad-arguments.yaml", &cases)
+	binary := filepath.Join(t.TempDir(), "savoryhoist")
+	if out, err := exec.Command("go", "build", "-o", binary, "../..").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, c := range cases {
+		t.Run(strings.Join(c.Args, " "), func(t *testing.T) {
+			cmd := exec.Command(binary, c.Args...)
+			var message strings.Builder
+			cmd.Stderr = &message
+			_ = cmd.Run()
+			if got := cmd.ProcessState.ExitCode(); got != c.Exit {
+				t.Errorf("exit code: got %d, want %d", got, c.Exit)
+			}
+			for _, want := range c.Want {
+				if got := message.String(); !strings.Contains(got, want) {
+					t.Errorf("message: got %q, want %q in it", got, want)
+				}
+			}
+		})
+	}
+}
+
+// badRequest is one case of testdata/bad-requests.yaml.
+type badRequest struct {
+	Name      string            `yaml:"name"`
+	Method    string            `yaml:"method"`
+	Path      string            `yaml:"path"`
+	Header    map[string]string `yaml:"header"`
+	Body      string            `yaml:"body"`
+	BodyBytes int               `yaml:"body-bytes"`
+	Status    int               `yaml:"status"`
+	Field     string            `yaml:"field"`
+}
+
+func (b *badRequest) send(t *testing.T, base string) *http.Response {
+	t.Helper()
+	body := b.Body + strings.Repeat(".", b.BodyBytes)
+	req, err := http.NewRequest(b.Method, base+b.Path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(entry.HeaderTeam, "nursery")
+	for k, v := range b.Header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+// TestBadRequests sends bad input to every door: each is refused by a problem
+// that names the field and says that nothing was run, and nothing changes.
+func TestBadRequests(t *testing.T) {
+	var cases []badRequest
+	readTable(t, "testdata/bad-requests.yaml", &cases)
+	s := newSite(t, 1, 1)
+	base := s.entryURLs[0]
+	before := s.jobsOf(base)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			resp := c.send(t, base)
+			defer func() { _ = resp.Body.Close() }()
+			if got := resp.StatusCode; got != c.Status {
+				t.Errorf("status: got %d, want %d", got, c.Status)
+			}
+			if got, want := resp.Header.Get(problem.HeaderOutcome), string(problem.NotRun); got != want {
+				t.Errorf("outcome: got %q, want %q", got, want)
+			}
+			if got, want := resp.Header.Get("Content-Type"), "application/problem+json"; got != want {
+				t.Errorf("content type: got %q, want %q", got, want)
+			}
+			var p problem.Problem
+			if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
+				t.Fatal(err)
+			}
+			if got := p.Field; got != c.Field {
+				t.Errorf("field: got %q, want %q (%s)", got, c.Field, p.Detail)
+			}
+		})
+	}
+	if got := s.jobsOf(base); got != before {
+		t.Errorf("jobs: got %s, want %s", got, before)
+	}
+	if got, want := len(s.runners[0].Runs()), 0; got != want {
+		t.Errorf("requests run: got %d, want %d", got, want)
+	}
+}
+
+func (s *site) jobsOf(base string) string {
+	s.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, base+"/jobs", http.NoBody)
+	s.must(err)
+	req.Header.Set(entry.HeaderTeam, "nursery")
+	resp, err := http.DefaultClient.Do(req)
+	s.must(err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	s.must(err)
+	return string(data)
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -52,6 +52,7 @@
 			os.Exit(exitUsage)
 		},
 	}
+	markUsageErrors(root.Commands)
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintf(os.Stderr, "savoryhoist: %v\n", err)
 		return exitCode(err)
@@ -69,3 +70,11 @@
 func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
 	return errors.Mark(err, ErrUsage)
 }
+
+// markUsageErrors makes wrong flags of every command wrong usage.
+func markUsageErrors(commands []*cli.Command) {
+	for _, c := range commands {
+		c.OnUsageError = usageError
+		markUsageErrors(c.Commands)
+	}
+}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -38,6 +38,7 @@
 	if c.err != nil {
 		return c.err
 	}
+	tuneMemory()
 	e, err := entry.New(time.Now(), s, id, logger)
 	if err != nil {
 		return err
