--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -54,7 +54,8 @@
 	incarnation uint64
 
 	// calls are the heartbeats under way.
-	calls sync.WaitGroup
+	calls  sync.WaitGroup
+	sender link.Sender
 
 	// mu guards what requests and heartbeats share.
 	mu       sync.Mutex
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
@@ -96,8 +98,7 @@
 }
 
 func (a *Agent) tellOne(ctx context.Context, address string, h *link.Heartbeat) answer {
-	reading := new(link.Reading)
-	err := a.client.Call(ctx, address, link.PathHeartbeat, h, reading)
+	reading, err := a.exchange(ctx, address, h)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
@@ -109,6 +110,29 @@
 	return answer{entry: address, reading: reading}
 }
 
+// maxExchanges is the most times that one round sends a heartbeat to one entry.
+const maxExchanges = 2
+
+// exchange sends a heartbeat, without what the entry knows already, and returns
+// the reading.
+func (a *Agent) exchange(ctx context.Context, address string, h *link.Heartbeat) (*link.Reading, error) {
+	for range maxExchanges {
+		sent, digest, err := a.sender.Compact(address, h)
+		if err != nil {
+			return nil, err
+		}
+		reading := new(link.Reading)
+		if err := a.client.Call(ctx, address, link.PathHeartbeat, sent, reading); err != nil {
+			a.sender.Forget(address)
+			return nil, err
+		}
+		if !a.sender.Sent(address, digest, reading) {
+			return reading, nil
+		}
+	}
+	return nil, errors.Wrap(link.ErrCall, "the entry asks again for the whole heartbeat")
+}
+
 // targets returns the entries to tell and the one that records reports.
 func (a *Agent) targets(now time.Time) ([]string, string) {
 	a.mu.Lock()
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -17,6 +17,7 @@
 		Flags: append(processFlags(),
 			text("listen", "127.0.0.1:8080", "callers' door, IP and port"),
 			text("peer-listen", "127.0.0.1:8443", "where agents and entries reach this entry, IP and port"),
+			text("peer-advertise", "", "IP and port that agents and entries are told, if not the one listened at"),
 			text("log-url", "", "URL of the platform's log service"),
 			&cli.BoolFlag{Name: "open", Usage: "let callers in without a token, by the " + entry.HeaderTeam + " header", Sources: env("open")},
 		),
@@ -31,6 +32,9 @@
 		Listen: c.address("listen"), PeerListen: c.address("peer-listen"), LogURL: c.url("log-url"),
 		Roots: c.operators(), DrainAfter: c.positive("drain-after"), Open: cmd.Bool("open"),
 	}
+	if s.PeerAdvertise = cmd.String("peer-advertise"); s.PeerAdvertise != "" {
+		c.address("peer-advertise")
+	}
 	id := c.identity(link.RoleEntry)
 	logger := c.logger()
 	if c.err != nil {
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -24,9 +24,9 @@
 	snapshotBatches = 8192
 	// snapshotPart is the most bytes of a snapshot's record.
 	snapshotPart = 256 << 10
-	// streamGap is the time between appends to one stream under load, of all
+	// StreamGap is the time between appends to one stream under load, of all
 	// entries of a data centre together.
-	streamGap = 28 * time.Millisecond
+	StreamGap = 28 * time.Millisecond
 )
 
 // carry is one kind of content that must outlive the log's retention.
@@ -101,7 +101,7 @@
 func (e *Entry) carryForward(ctx context.Context) {
 	for pause(ctx, carryEvery) {
 		now := time.Now()
-		e.writer.SetGap(streamGap * time.Duration(max(1, len(e.neighbours(now)))))
+		e.writer.SetGap(StreamGap * time.Duration(max(1, len(e.neighbours(now)))))
 		if e.bundles.Queued() == 0 {
 			e.carryBundle(now)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,8 +39,10 @@
 	Listen string
 	// PeerListen is where agents and entries reach this one, IP and port.
 	PeerListen string
-	LogURL     string
-	Roots      bundle.Operators
+	// PeerAdvertise is the address that others are told; empty for the one listened at.
+	PeerAdvertise string
+	LogURL        string
+	Roots         bundle.Operators
 	// DrainAfter is how long the entry goes on answering after it has said that it leaves.
 	DrainAfter time.Duration
 	// Open lets callers in without a token, as the team named in a header.
@@ -77,13 +79,17 @@
 	memberMu sync.Mutex
 	known    map[string]member
 	carried  carried
+	receiver link.Receiver
 	// newer holds the address of an agent that has a newer bundle in force.
 	newer chan string
 }
 
+// logConnections is the number of idle connections kept to the log service.
+const logConnections = 8
+
 // New returns an entry that is bound to its addresses but does not run yet.
 func New(now time.Time, s Settings, id *link.Identity, logger *log.Logger) (*Entry, error) {
-	port := platform.NewLog(&http.Client{}, s.LogURL)
+	port := platform.NewLog(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: logConnections}}, s.LogURL)
 	name := incarnationName(s.Name, now)
 	e := &Entry{
 		settings: s,
@@ -93,9 +99,9 @@
 		log:      logger,
 		logPort:  port,
 		registry: gometrics.NewRegistry(),
-		writer:   platform.NewWriter(port, JobsStream(s.DataCentre), name, streamGap),
-		bundles:  platform.NewWriter(port, StreamBundles, name, streamGap),
-		members:  platform.NewWriter(port, StreamMembers, name, streamGap),
+		writer:   platform.NewWriter(port, JobsStream(s.DataCentre), name, StreamGap),
+		bundles:  platform.NewWriter(port, StreamBundles, name, StreamGap),
+		members:  platform.NewWriter(port, StreamMembers, name, StreamGap),
 		name:     name,
 		bundle:   bundles{chain: bundle.NewChain(s.Roots)},
 		known:    make(map[string]member),
@@ -122,7 +128,15 @@
 func (e *Entry) Address() string { return e.doorLn.Addr().String() }
 
 // PeerAddress returns where agents and entries reach this one.
-func (e *Entry) PeerAddress() string { return e.peers.Address() }
+func (e *Entry) PeerAddress() string {
+	if e.settings.PeerAdvertise != "" {
+		return e.settings.PeerAdvertise
+	}
+	return e.peers.Address()
+}
+
+// ListenAddress returns the address that the peers' door is bound to.
+func (e *Entry) ListenAddress() string { return e.peers.Address() }
 
 // flushTime bounds how long a leaving entry tries to append what is queued.
 const flushTime = 3 * time.Second
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -20,20 +20,17 @@
 	return mux
 }
 
-func (e *Entry) answerHeartbeat(_ context.Context, peer link.Peer, h *link.Heartbeat) (*link.Reading, error) {
-	if peer.Role() != link.RoleAgent || peer.Name() != h.Worker || peer.DataCentre() != e.settings.DataCentre {
-		return nil, errors.Wrapf(link.ErrPeer, "certificate of %s in %s, heartbeat of %s", peer.Name(), peer.DataCentre(), h.Worker)
+func (e *Entry) answerHeartbeat(_ context.Context, peer link.Peer, sent *link.Heartbeat) (*link.Reading, error) {
+	if peer.Role() != link.RoleAgent || peer.Name() != sent.Worker || peer.DataCentre() != e.settings.DataCentre {
+		return nil, errors.Wrapf(link.ErrPeer, "certificate of %s in %s, heartbeat of %s", peer.Name(), peer.DataCentre(), sent.Worker)
+	}
+	h := e.receiver.Expand(sent)
+	if h == nil {
+		return &link.Reading{Resend: true, Compact: true}, nil
 	}
 	now := time.Now()
 	e.routes.observe(now, peer.DataCentre(), h)
-	reading := &link.Reading{Leaving: e.leaving.Load()}
-	e.bundleMu.Lock()
-	reading.Bundle, reading.BundleVersion = e.bundle.chain.Digest(), e.bundle.chain.Version()
-	e.bundleMu.Unlock()
-	e.noteBundle(h, reading.BundleVersion)
-	for _, m := range e.neighbours(now) {
-		reading.Entries = append(reading.Entries, m.Address)
-	}
+	reading := e.reading(now, h)
 	messages := e.jobs.observe(now, h, reading)
 	if len(messages) == 0 {
 		return reading, nil
@@ -44,6 +41,27 @@
 	return reading, nil
 }
 
+// reading returns what an agent is told besides its tasks. What it knows
+// already is left out.
+func (e *Entry) reading(now time.Time, h *link.Heartbeat) *link.Reading {
+	reading := &link.Reading{Leaving: e.leaving.Load(), Compact: true}
+	e.bundleMu.Lock()
+	digest, version := e.bundle.chain.Digest(), e.bundle.chain.Version()
+	e.bundleMu.Unlock()
+	e.noteBundle(h, version)
+	if digest != h.Bundle {
+		reading.Bundle, reading.BundleVersion = digest, version
+	}
+	var addresses []string
+	for _, m := range e.neighbours(now) {
+		addresses = append(addresses, m.Address)
+	}
+	if link.EntriesDigest(addresses) != h.EntriesSeen {
+		reading.Entries = addresses
+	}
+	return reading
+}
+
 // enqueue hands records to the writer without waiting for the log.
 func (e *Entry) enqueue(messages []record.Message) error {
 	return e.writer.Enqueue(messages...)
--- a/internal/entry/recover.go
+++ b/internal/entry/recover.go
@@ -8,6 +8,16 @@
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
 
+// startOfJobs restores the newest snapshot of a long stream and returns the
+// offset at which reading begins.
+func (e *Entry) startOfJobs(ctx context.Context) (uint64, error) {
+	first, next, err := platform.End(ctx, e.logPort, JobsStream(e.settings.DataCentre))
+	if err != nil || next-first <= snapshotBatches/4 {
+		return first, err
+	}
+	return e.recoverJobs(ctx, record.Page{First: first, Next: next}), nil
+}
+
 // recoverJobs is called when the next offset of the jobs stream has expired. It
 // restores the newest usable snapshot and returns the offset that it covers; if
 // there is none, what was lost is said, and reading goes on at the first offset kept.
@@ -17,6 +27,9 @@
 		e.log.Warn().Err(err).Msg("searching for a snapshot failed; trying again")
 		return page.First
 	}
+	if snapshots == nil && page.First == 0 {
+		return 0
+	}
 	if snapshots == nil {
 		e.log.Error().Uint64("first", page.First).Msg("jobs were lost to retention: no usable snapshot is kept")
 		return page.First
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -18,6 +18,7 @@
 func (e *Entry) tails() []*platform.Tail {
 	jobs := e.tail(JobsStream(e.settings.DataCentre), e.deliverJobs)
 	jobs.Observed = e.carried.observer(&e.carried.jobs)
+	jobs.Start = e.startOfJobs
 	jobs.Expired = e.recoverJobs
 	bundles := e.tail(StreamBundles, e.deliverBundles)
 	bundles.Observed = e.carried.observer(&e.carried.bundle)
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -32,7 +32,7 @@
 
 // NewClient returns a client that accepts peers with a certificate of one of roles.
 func NewClient(id *Identity, roles ...Role) *Client {
-	q := &http3.Transport{TLSClientConfig: id.clientTLS(nil, roles), QUICConfig: quicConfig()}
+	q := &http3.Transport{TLSClientConfig: id.clientTLS(nil, roles), QUICConfig: quicConfig(), DisableCompression: true}
 	t := &http.Transport{
 		TLSClientConfig:     id.clientTLS([]string{"http/1.1"}, roles),
 		DialContext:         (&net.Dialer{Timeout: handshakeTimeout}).DialContext,
@@ -127,6 +127,8 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
+		// These headers would be a third of a short reply.
+		w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
 		_, _ = w.Write(reply)
 	})
 }
--- /dev/null
+++ b/internal/link/compact_test.go
@@ -0,0 +1,116 @@
+package link
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"savoryhoist.example/savoryhoist/pkg/lease"
+	"savoryhoist.example/savoryhoist/pkg/record"
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// overWire encodes and decodes a message.
+func overWire[T any](t *testing.T, in *T) *T {
+	t.Helper()
+	data, err := cbor.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := new(T)
+	if err := cbor.Unmarshal(data, out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func testHeartbeat() *Heartbeat {
+	return &Heartbeat{
+		Worker: "worker-1", Rack: "rack-1", Service: "planner", Address: "10.0.0.1:8443", Incarnation: 7, Ready: true,
+		Total: worker.Resources{MilliCPU: 16000}, Bundle: "digest", BundleVersion: 4,
+		Tasks: []lease.Report{{Hold: record.Hold{Task: record.TaskID{Job: "job"}, Epoch: 9}, State: lease.Runs}},
+	}
+}
+
+// TestCompactHeartbeats follows an agent and an entry that is restarted: what
+// the entry takes in always equals what the agent would send as a whole.
+func TestCompactHeartbeats(t *testing.T) {
+	var s Sender
+	r := new(Receiver)
+	cases := []struct {
+		name       string
+		change     func(h *Heartbeat)
+		restart    bool
+		wantSame   bool
+		wantResend bool
+	}{
+		{"first", func(*Heartbeat) {}, false, false, false},
+		{"unchanged", func(h *Heartbeat) { h.Round++; h.InFlight = 5; h.Mark = 3; h.Pressure = 0.5 }, false, true, false},
+		{"a task ends", func(h *Heartbeat) { h.Round++; h.Tasks = nil }, false, false, false},
+		{"a task starts", func(h *Heartbeat) { h.Tasks = testHeartbeat().Tasks }, false, false, false},
+		{"unchanged again", func(h *Heartbeat) { h.Round++; h.Primary = true }, false, true, false},
+		{"the entry was restarted", func(h *Heartbeat) { h.Round++ }, true, true, true},
+		{"leaving", func(h *Heartbeat) { h.Leaving = true }, false, false, false},
+	}
+	h := testHeartbeat()
+	for _, c := range cases {
+		c.change(h)
+		if c.restart {
+			r = new(Receiver)
+		}
+		got, resent := exchange(t, &s, r, h, c.wantSame)
+		if resent != c.wantResend {
+			t.Errorf("%s: resent: got %t, want %t", c.name, resent, c.wantResend)
+		}
+		got.EntriesSeen = 0
+		if !reflect.DeepEqual(got, overWire(t, h)) {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, h)
+		}
+	}
+}
+
+func exchange(t *testing.T, s *Sender, r *Receiver, h *Heartbeat, wantSame bool) (got *Heartbeat, resent bool) {
+	t.Helper()
+	sent, digest, err := s.Compact("entry", h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if same := sent.Same != 0; same != wantSame {
+		t.Errorf("left out what is unchanged: got %t, want %t", same, wantSame)
+	}
+	got = r.Expand(overWire(t, sent))
+	if !s.Sent("entry", digest, &Reading{Resend: got == nil, Compact: true}) {
+		return got, false
+	}
+	sent, digest, err = s.Compact("entry", h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got = r.Expand(overWire(t, sent))
+	if got == nil || s.Sent("entry", digest, &Reading{Compact: true}) {
+		t.Fatal("the whole heartbeat was not taken in")
+	}
+	return got, true
+}
+
+// TestEntriesLeftOut checks that an agent keeps the list that an entry leaves out.
+func TestEntriesLeftOut(t *testing.T) {
+	var s Sender
+	h := testHeartbeat()
+	list := []string{"a", "b"}
+	sent, digest, err := s.Compact("entry", h)
+	if err != nil || sent.EntriesSeen != 0 {
+		t.Fatalf("first: got entries digest %d, error %v", sent.EntriesSeen, err)
+	}
+	s.Sent("entry", digest, &Reading{Entries: list})
+	sent, digest, err = s.Compact("entry", h)
+	if err != nil || sent.EntriesSeen != EntriesDigest([]string{"b", "a"}) {
+		t.Errorf("second: got entries digest %d, error %v, want that of the list", sent.EntriesSeen, err)
+	}
+	reading := new(Reading)
+	s.Sent("entry", digest, reading)
+	if !reflect.DeepEqual(reading.Entries, list) {
+		t.Errorf("list left out: got %v, want %v", reading.Entries, list)
+	}
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -68,6 +68,11 @@
 	Bundle  string `cbor:"14,keyasint,omitempty"`
 	// BundleVersion is the version of Bundle.
 	BundleVersion uint64 `cbor:"20,keyasint,omitempty"`
+	// Same, if set, is the digest of an earlier heartbeat: what it said and
+	// this one leaves out has not changed.
+	Same uint64 `cbor:"21,keyasint,omitempty"`
+	// EntriesSeen is the digest of the entries that the receiver named last.
+	EntriesSeen uint64 `cbor:"22,keyasint,omitempty"`
 	// Round counts the agent's heartbeats.
 	Round uint64 `cbor:"18,keyasint"`
 	// InFlightLong, Reserved and Mark describe the endpoint; see endpoint.Report.
@@ -100,6 +105,10 @@
 	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// BundleVersion is the version of Bundle; 0 if the entry does not say.
 	BundleVersion uint64 `cbor:"20,keyasint,omitempty"`
+	// Resend asks for the whole heartbeat; nothing else in the reading counts.
+	Resend bool `cbor:"21,keyasint,omitempty"`
+	// Compact entries take heartbeats that leave out what has not changed.
+	Compact bool `cbor:"22,keyasint,omitempty"`
 }
 
 // SilenceQuery asks when workers were heard.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -24,6 +24,8 @@
 		MaxIdleTimeout:       idleTimeout,
 		KeepAlivePeriod:      keepAlivePeriod,
 		HandshakeIdleTimeout: handshakeTimeout,
+		// Control messages fit the smallest packets; probing would cost more.
+		DisablePathMTUDiscovery: true,
 	}
 }
 
@@ -70,10 +72,21 @@
 	return err
 }
 
+// controlDrain is how long a server waits until peers have closed their
+// connections for control messages.
+const controlDrain = 2 * time.Second
+
 // Shutdown ends both transports after the requests in flight, or when ctx ends.
+// Peers that do not close their QUIC connections in time are cut off: control
+// messages are short and repeated.
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.tcp.Shutdown(ctx)
-	err = errors.CombineErrors(err, s.quic.Shutdown(ctx))
+	control, cancel := context.WithTimeout(ctx, controlDrain)
+	defer cancel()
+	if quicErr := s.quic.Shutdown(control); !errors.Is(quicErr, context.DeadlineExceeded) {
+		err = errors.CombineErrors(err, quicErr)
+	}
+	err = errors.CombineErrors(err, s.quic.Close())
 	return errors.CombineErrors(err, s.udp.Close())
 }
 
--- a/internal/platform/scan.go
+++ b/internal/platform/scan.go
@@ -2,10 +2,24 @@
 
 import (
 	"context"
+	"math"
+
+	"github.com/cockroachdb/errors"
 
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
 
+// End returns the first offset that a stream keeps and that of the next append.
+func End(ctx context.Context, log record.Log, stream string) (first, next uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	page, err := log.Read(ctx, stream, math.MaxInt64, 0)
+	if errors.Is(err, record.ErrExpired) {
+		err = nil
+	}
+	return page.First, page.Next, err
+}
+
 // Scan calls fn for every readable record from an offset to the stream's
 // present end.
 func Scan(ctx context.Context, log record.Log, stream string, from uint64, fn func(record.Record)) error {
--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -14,8 +14,9 @@
 type Tail struct {
 	Log    record.Log
 	Stream string
-	// From is the offset to start at.
-	From uint64
+	// Start, if set, returns the offset to start at; without it that is the
+	// stream's first. It is called until it succeeds.
+	Start func(ctx context.Context) (uint64, error)
 	// Wait is how long a read waits for a record to arrive.
 	Wait time.Duration
 	// Deliver is called after each read with its records, the offset of the
@@ -35,8 +36,8 @@
 
 // Run reads until ctx ends.
 func (t *Tail) Run(ctx context.Context) {
-	next := t.From
 	delay := retryMin
+	next := t.start(ctx)
 	for ctx.Err() == nil {
 		began := time.Now()
 		page, err := t.read(ctx, next)
@@ -57,6 +58,19 @@
 	}
 }
 
+func (t *Tail) start(ctx context.Context) uint64 {
+	delay := retryMin
+	for t.Start != nil && ctx.Err() == nil {
+		next, err := t.Start(ctx)
+		if err == nil {
+			return next
+		}
+		sleep(ctx, delay/2+rand.N(delay))
+		delay = min(delay*2, retryMax)
+	}
+	return 0
+}
+
 // deliver hands a page on and returns the next offset to read.
 func (t *Tail) deliver(page record.Page, next uint64, began time.Time) uint64 {
 	records := t.decode(page.Batches)
--- a/internal/platform/writer.go
+++ b/internal/platform/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -235,11 +234,8 @@
 	if w.known {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	page, err := w.log.Read(call, w.stream, math.MaxInt64, 0)
-	if err == nil && len(page.Batches) == 0 {
-		w.floor, w.known = page.Next, true
+	if _, next, err := End(ctx, w.log, w.stream); err == nil {
+		w.floor, w.known = next, true
 	}
 }
 
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -59,6 +59,13 @@
 	return l.appends
 }
 
+// Append adds a batch to a stream without faults.
+func (l *Log) Append(stream string, data []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.add(stream, data)
+}
+
 // Handler serves the log over HTTP.
 func (l *Log) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -117,8 +124,18 @@
 func (l *Log) append(name string, data []byte) (offset uint64, lost bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	offset = l.add(name, data)
+	if l.faults.LoseReplies > 0 {
+		l.faults.LoseReplies--
+		return offset, true
+	}
+	return offset, false
+}
+
+// add writes a batch; mu is held.
+func (l *Log) add(name string, data []byte) uint64 {
 	s := l.stream(name)
-	offset = s.first + uint64(len(s.batches))
+	offset := s.first + uint64(len(s.batches))
 	s.batches = append(s.batches, data)
 	if l.faults.Keep > 0 && len(s.batches) > l.faults.Keep {
 		drop := len(s.batches) - l.faults.Keep
@@ -128,11 +145,7 @@
 	l.appends++
 	close(s.changed)
 	s.changed = make(chan struct{})
-	if l.faults.LoseReplies > 0 {
-		l.faults.LoseReplies--
-		return offset, true
-	}
-	return offset, false
+	return offset
 }
 
 func (l *Log) stream(name string) *logStream {
