--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -19,6 +19,7 @@
 			text("peer-listen", "127.0.0.1:8443", "where agents and entries reach this entry, IP and port"),
 			text("peer-advertise", "", "IP and port that agents and entries are told, if not the one listened at"),
 			text("log-url", "", "URL of the platform's log service"),
+			duration("announce-every", 10*time.Second, "time between two membership records; a data centre without one for three of them is lost"),
 			&cli.BoolFlag{Name: "open", Usage: "let callers in without a token, by the " + entry.HeaderTeam + " header", Sources: env("open")},
 		),
 		Action: runEntry,
@@ -31,6 +32,7 @@
 		Name: c.required("name"), DataCentre: c.required("data-centre"),
 		Listen: c.address("listen"), PeerListen: c.address("peer-listen"), LogURL: c.url("log-url"),
 		Roots: c.operators(), DrainAfter: c.positive("drain-after"), Open: cmd.Bool("open"),
+		AnnounceEvery: c.positive("announce-every"),
 	}
 	if s.PeerAdvertise = cmd.String("peer-advertise"); s.PeerAdvertise != "" {
 		c.address("peer-advertise")
