--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -47,7 +47,7 @@
 	if f.writers == nil {
 		f.writers = make(map[string]*platform.Writer)
 	}
-	w := platform.NewWriter(e.logPort, JobsStream(dataCentre), e.name, streamGap)
+	w := platform.NewWriter(e.logPort, JobsStream(dataCentre), e.name, StreamGap)
 	f.writers[dataCentre] = w
 	run := f.run
 	f.group.Go(func() { run(w) })
--- a/pkg/job/failover.go
+++ b/pkg/job/failover.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"savoryhoist.example/savoryhoist/pkg/lease"
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
 
@@ -22,7 +23,6 @@
 	taker Taker
 	// queued is when a record about a job was returned last.
 	queued map[string]time.Time
-	faults FailoverFaults
 }
 
 // FailoverFaults are deviations that a check of the protocol must find.
@@ -33,8 +33,9 @@
 
 // SetFaults makes the failover deviate, to prove that a check finds it.
 func (o *Failover) SetFaults(f FailoverFaults) {
-	o.faults = f
-	o.taker.SetFaults(TakerFaults{NoWait: f.NoWait})
+	if f.NoWait {
+		o.taker.SetRules(TakerRules{TakeoverAt: func(_ lease.Terms, _, seen time.Time) time.Time { return seen }})
+	}
 }
 
 // Decide returns the records that the lost data centre's stream needs, and
