--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -8,6 +8,7 @@
 		Usage: "measure parts of the system; each prints one line of JSON at its end",
 		Commands: []*cli.Command{
 			benchBatchCommand(),
+			benchCapacityCommand(),
 			benchExploreCommand(),
 			benchLogCommand(),
 		},
