Decide the succession of bundles by offsets and explore it

Cause: the exploration of the log found processes with different bundles of one version in force: a process born after the log's retention adopted a carried bundle that a lagging entry had written, and then took as its child a bundle that had lost the race at an offset no longer kept. Bundles that waited for their parent also made the outcome depend on where reading began. A bundle as published counted as a copy, although a late reader cannot verify it. Change: a proof names the offset up to which nothing newer was in force. A chain that has read the log with a gap keeps what it reads until a proof covers the gap. Only carried bundles count as copies. Conclusion: the bundle in force depends on the log alone.

--- a/internal/agent/bundle.go
+++ b/internal/agent/bundle.go
@@ -37,7 +37,7 @@
 		return &link.BundleReply{}, nil
 	}
 	signed, lineage, err := proof.Encode()
-	return &link.BundleReply{Signed: signed, Lineage: lineage}, err
+	return &link.BundleReply{Signed: signed, Lineage: lineage, Covers: proof.Covers()}, err
 }
 
 // fetchBundle asks an entry for the bundle in force and adopts it if it is
@@ -53,7 +53,7 @@
 	if err != nil || len(signed) == 0 {
 		return err
 	}
-	proof, err := bundle.DecodeProof(signed, reply.Lineage)
+	proof, err := bundle.DecodeProof(signed, reply.Lineage, reply.Covers)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/bundle.go
+++ b/internal/entry/bundle.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &link.BundleReply{Packed: packed, Base: have, Lineage: lineage}
+	r := &link.BundleReply{Packed: packed, Base: have, Lineage: lineage, Covers: proof.Covers()}
 	b.packed[have] = r
 	return r, nil
 }
@@ -90,21 +90,34 @@
 }
 
 // deliverBundles takes in the records of the bundles stream.
-func (e *Entry) deliverBundles(records []record.Record, _ uint64, _ time.Time) {
+func (e *Entry) deliverBundles(records []record.Record, next uint64, _ time.Time) {
 	now := time.Now()
 	for _, r := range records {
 		m, ok := r.Message().(*record.Bundle)
 		if !ok {
 			continue
 		}
-		digest := e.takeBundle(m)
+		digest := e.takeBundle(r.Position().Offset(), m)
 		e.bundleMu.Lock()
 		inForce := digest != "" && digest == e.bundle.chain.Digest()
 		e.bundleMu.Unlock()
-		if inForce {
-			e.carried.bundleCopied(now, writtenAt(m.WrittenMS), r.Position().Offset())
+		if inForce && m.Carried {
+			e.carried.bundleCopied(now, writtenAt(m.WrittenMS), m.Covers)
 		}
 	}
+	e.bundleMu.Lock()
+	e.bundle.chain.ReadTo(next)
+	e.bundleMu.Unlock()
+}
+
+// bundlesLost is called when bundles were lost to retention: which one came in
+// force is then known from the next one that was carried forward.
+func (e *Entry) bundlesLost(_ context.Context, page record.Page) uint64 {
+	e.bundleMu.Lock()
+	e.bundle.chain.ReadFrom(page.First)
+	e.bundleMu.Unlock()
+	e.log.Info().Uint64("first", page.First).Msg("reading bundles from the first offset kept")
+	return page.First
 }
 
 func writtenAt(ms int64) time.Time {
@@ -115,13 +128,13 @@
 }
 
 // takeBundle offers a record's bundle to the chain and returns its digest, or "".
-func (e *Entry) takeBundle(m *record.Bundle) string {
-	proof, err := bundle.DecodeProof(m.Signed, m.Lineage)
+func (e *Entry) takeBundle(at uint64, m *record.Bundle) string {
+	proof, err := bundle.DecodeProof(m.Signed, m.Lineage, m.Covers)
 	if err != nil {
 		e.log.Warn().Err(err).Str("decision", "refuse-bundle").Msg("")
 		return ""
 	}
-	offer := func(c *bundle.Chain) error { return c.Offer(proof.Signed()) }
+	offer := func(c *bundle.Chain) error { return c.OfferAt(at, proof.Signed()) }
 	if m.Carried {
 		offer = func(c *bundle.Chain) error { return c.Adopt(proof) }
 	}
@@ -140,7 +153,6 @@
 	e.bundleMu.Unlock()
 	switch {
 	case err == nil:
-		e.carried.bundleMoved()
 		e.log.Info().Str("decision", "accept-bundle").Str("source", source).Uint64("version", version).Str("digest", digest).Msg("")
 	case errors.Is(err, bundle.ErrInForce):
 	default:
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -44,19 +44,15 @@
 	jobs   carry
 }
 
-func (c *carried) bundleCopied(now, written time.Time, offset uint64) {
+// bundleCopied notes that a bundle was carried forward which covers the stream
+// up to an offset; the bundles after it are kept with it.
+func (c *carried) bundleCopied(now, written time.Time, covers uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bundle.state.Copied(now, written, offset)
+	c.bundle.state.Copied(now, written, covers)
 	c.bundle.writeAt = time.Time{}
 }
 
-func (c *carried) bundleMoved() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bundle.state.Lost()
-}
-
 // jobsCopied notes a snapshot that covers the stream up to an offset.
 func (c *carried) jobsCopied(now, written time.Time, covers uint64) {
 	c.mu.Lock()
@@ -113,9 +109,9 @@
 
 func (e *Entry) carryBundle(now time.Time) {
 	e.bundleMu.Lock()
-	proof := e.bundle.chain.Proof()
+	proof, attached := e.bundle.chain.Proof(), e.bundle.chain.Attached()
 	e.bundleMu.Unlock()
-	if proof == nil {
+	if proof == nil || !attached {
 		return
 	}
 	reason, due := e.carried.due(now, &e.carried.bundle, false)
@@ -128,7 +124,7 @@
 		return
 	}
 	e.carryOne(e.bundles, "bundle", reason, &record.Bundle{
-		Signed: signed, Lineage: lineage, Carried: true, WrittenMS: now.UnixMilli(),
+		Signed: signed, Lineage: lineage, Carried: true, Covers: proof.Covers(), WrittenMS: now.UnixMilli(),
 	})
 }
 
--- a/internal/entry/learn.go
+++ b/internal/entry/learn.go
@@ -55,7 +55,7 @@
 	if len(reply.Signed) == 0 {
 		return
 	}
-	proof, err := bundle.DecodeProof(reply.Signed, reply.Lineage)
+	proof, err := bundle.DecodeProof(reply.Signed, reply.Lineage, reply.Covers)
 	if err != nil {
 		e.log.Warn().Err(err).Str("decision", "refuse-bundle").Str("source", address).Msg("")
 		return
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -21,6 +21,7 @@
 	jobs.Start = e.startOfJobs
 	jobs.Expired = e.recoverJobs
 	bundles := e.tail(StreamBundles, e.deliverBundles)
+	bundles.Expired = e.bundlesLost
 	bundles.Observed = e.carried.observer(&e.carried.bundle)
 	members := e.tail(StreamMembers, e.deliverMembers)
 	return []*platform.Tail{jobs, bundles, members}
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"savoryhoist.example/savoryhoist/internal/explore/batch"
+	"savoryhoist.example/savoryhoist/internal/explore/log"
 	"savoryhoist.example/savoryhoist/internal/explore/request"
 )
 
@@ -19,6 +20,7 @@
 func Parts() []Part {
 	return []Part{
 		{Name: "jobs", Run: batch.Run},
+		{Name: "log", Run: log.Run},
 		{Name: "requests", Run: request.Run},
 	}
 }
--- /dev/null
+++ b/internal/explore/log/log_test.go
@@ -0,0 +1,15 @@
+package log
+
+import "testing"
+
+// seeds is the number of schedules that the test explores.
+const seeds = 40
+
+// TestRun explores schedules and expects no violation.
+func TestRun(t *testing.T) {
+	for seed := range uint64(seeds) {
+		if err := Run(seed); err != nil {
+			t.Errorf("seed %d: got %v, want no violation", seed, err)
+		}
+	}
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -150,6 +150,8 @@
 	// with digest Base as dictionary. It stands in place of Signed.
 	Packed []byte `cbor:"3,keyasint,omitempty"`
 	Base   string `cbor:"4,keyasint,omitempty"`
+	// Covers is the log offset before which nothing newer was in force.
+	Covers uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // FateQuery asks what became of an attempt.
--- a/pkg/bundle/chain.go
+++ b/pkg/bundle/chain.go
@@ -14,14 +14,20 @@
 
 // Limits of a chain.
 const (
-	// maxWaiting is the most bundles kept that wait for their parent.
-	maxWaiting = 16
+	// maxUndecided is the most bundles kept whose fate depends on what was not read.
+	maxUndecided = 64
 	// maxHistory is the most versions whose digest is remembered.
 	maxHistory = 512
 )
 
 // Chain holds the bundle in force. It only ever moves to a bundle of a higher
 // version. A chain with no bundle accepts a first bundle signed by the roots.
+//
+// The first valid child of the bundle in force, in the order of the log, comes
+// in force next; a bundle whose parent is not in force at its offset is void. A
+// chain that has not read the log without a gap since its bundle came in force
+// cannot tell which child was the first. It keeps the bundles that it reads
+// until a proof tells it what was in force at an offset that it has read on from.
 type Chain struct {
 	roots    Operators
 	signed   *Signed
@@ -29,8 +35,19 @@
 	digest   string
 	// lineage holds the bundles since the roots that changed the operators.
 	lineage []*Signed
-	waiting []*Signed
-	history map[uint64]string
+	// covers is the offset before which the log is known to have put the bundle
+	// in force, and nothing newer.
+	covers uint64
+	// start is the offset since which the log was read without a gap.
+	start     uint64
+	undecided []undecided
+	history   map[uint64]string
+}
+
+// undecided is a bundle read at an offset after a gap.
+type undecided struct {
+	at     uint64
+	signed *Signed
 }
 
 // NewChain returns a chain whose first bundle must be signed by roots.
@@ -59,7 +76,7 @@
 	if c.signed == nil {
 		return nil
 	}
-	return &Proof{signed: c.signed, lineage: c.lineage}
+	return &Proof{signed: c.signed, lineage: c.lineage, covers: c.covers}
 }
 
 // Accepted returns the digest of the bundle that was in force as version. It is
@@ -73,34 +90,61 @@
 }
 
 // Offer puts s in force if it is a valid child of the bundle in force. The
-// caller offers bundles in the order of the log. A bundle whose parent is not
-// known waits, and is offered again when its parent has come in force.
-func (c *Chain) Offer(s *Signed) error {
-	d, err := c.judge(s)
-	if errors.Is(err, ErrNoParent) {
-		c.await(s)
+// caller offers every bundle of the log in order.
+func (c *Chain) Offer(s *Signed) error { return c.OfferAt(c.covers, s) }
+
+// OfferAt is Offer for a bundle at an offset of the log.
+func (c *Chain) OfferAt(at uint64, s *Signed) error {
+	if at < c.covers {
+		return c.past(s)
 	}
+	if c.covers < c.start {
+		c.keep(undecided{at: at, signed: s})
+		return errors.Wrapf(ErrNoParent, "the log was read from offset %d, the bundle in force is known up to %d", c.start, c.covers)
+	}
+	c.covers = at
+	d, err := c.judge(s)
 	if err != nil {
 		return err
 	}
 	c.accept(s, d)
-	c.offerWaiting()
 	return nil
 }
 
-// await keeps a bundle until its parent arrives. The oldest one gives way.
-func (c *Chain) await(s *Signed) {
-	for _, w := range c.waiting {
-		if Digest(w.content) == Digest(s.content) {
-			return
-		}
+// past returns the error for a bundle from before the bundle in force was proven.
+func (c *Chain) past(s *Signed) error {
+	if Digest(s.content) == c.digest {
+		return ErrInForce
+	}
+	return errors.Wrapf(ErrSuperseded, "version %d, digest %s", c.Version(), c.digest)
+}
+
+// keep remembers a bundle until it can be decided on. If there are too many, the
+// reading counts from after the oldest.
+func (c *Chain) keep(u undecided) {
+	c.undecided = append(c.undecided, u)
+	if len(c.undecided) > maxUndecided {
+		c.start = c.undecided[0].at + 1
+		c.undecided = c.undecided[1:]
 	}
-	c.waiting = append(c.waiting, s)
-	if len(c.waiting) > maxWaiting {
-		c.waiting = c.waiting[1:]
+}
+
+// ReadFrom notes that reading goes on at an offset after a gap.
+func (c *Chain) ReadFrom(offset uint64) {
+	c.start = offset
+	c.undecided = nil
+}
+
+// ReadTo notes that every bundle before an offset has been offered.
+func (c *Chain) ReadTo(next uint64) {
+	if c.covers >= c.start && next > c.covers {
+		c.covers = next
 	}
 }
 
+// Attached reports whether the chain follows the log without a gap.
+func (c *Chain) Attached() bool { return c.covers >= c.start }
+
 // judge returns the document of s if it may come in force now.
 func (c *Chain) judge(s *Signed) (*Document, error) {
 	digest := Digest(s.content)
@@ -137,23 +181,6 @@
 	}
 }
 
-// offerWaiting offers the waiting bundles again, in the order in which they came.
-func (c *Chain) offerWaiting() {
-	for i := 0; i < len(c.waiting); i++ {
-		s := c.waiting[i]
-		d, err := c.judge(s)
-		if errors.Is(err, ErrNoParent) {
-			continue
-		}
-		c.waiting = append(c.waiting[:i:i], c.waiting[i+1:]...)
-		i--
-		if err == nil {
-			c.accept(s, d)
-			i = -1
-		}
-	}
-}
-
 // Adopt puts the bundle of a proof in force if its version is higher and its
 // signatures follow from the operators in force here. It is meant for what a
 // peer has in force and for what was carried forward in the log, where the
@@ -161,6 +188,7 @@
 func (c *Chain) Adopt(p *Proof) error {
 	digest := Digest(p.signed.content)
 	if digest == c.digest {
+		c.attach(p.covers)
 		return ErrInForce
 	}
 	d, err := Parse(p.signed.content)
@@ -181,14 +209,24 @@
 	if !d.Operators.equal(trusted) && !p.endsLineage() {
 		c.lineage = append(c.lineage, p.signed)
 	}
-	c.putAdopted(p.signed, d, digest)
+	c.signed, c.document, c.digest = p.signed, d, digest
+	c.history = map[uint64]string{d.Version: digest}
+	c.attach(p.covers)
 	return nil
 }
 
-func (c *Chain) putAdopted(s *Signed, d *Document, digest string) {
-	c.signed, c.document, c.digest = s, d, digest
-	c.history = map[uint64]string{d.Version: digest}
-	c.offerWaiting()
+// attach notes that the bundle in force is that of the log before an offset. If
+// the log was read from there on, the bundles read since are decided.
+func (c *Chain) attach(covers uint64) {
+	c.covers = max(c.covers, covers)
+	if c.covers < c.start {
+		return
+	}
+	rest := c.undecided
+	c.undecided = nil
+	for _, u := range rest {
+		_ = c.OfferAt(u.at, u.signed) // a refusal changes nothing
+	}
 }
 
 // follow walks the proof's changes of operators from the operators in force
--- a/pkg/bundle/chain_test.go
+++ b/pkg/bundle/chain_test.go
@@ -104,8 +104,12 @@
 	Offer   string   `json:"offer"`
 	Adopt   string   `json:"adopt"`
 	Lineage []string `json:"lineage"`
-	Want    string   `json:"want"`
-	InForce *string  `json:"in-force"`
+	// At is the offset of an offer, if it matters; Covers is that of a proof.
+	At       uint64  `json:"at"`
+	Covers   uint64  `json:"covers"`
+	ReadFrom uint64  `json:"read-from"`
+	Want     string  `json:"want"`
+	InForce  *string `json:"in-force"`
 }
 
 type chainCase struct {
@@ -141,6 +145,10 @@
 func runChainStep(t *testing.T, chain *Chain, bundles map[string]*Signed, i int, s *chainStep) {
 	t.Helper()
 	before := chain.Version()
+	if s.ReadFrom > 0 {
+		chain.ReadFrom(s.ReadFrom)
+		return
+	}
 	err := applyChainStep(t, chain, bundles, s)
 	want, ok := chainErrors[s.Want]
 	if !ok {
@@ -166,10 +174,13 @@
 
 func applyChainStep(t *testing.T, chain *Chain, bundles map[string]*Signed, s *chainStep) error {
 	t.Helper()
+	if s.Offer != "" && s.At > 0 {
+		return chain.OfferAt(s.At, bundles[s.Offer])
+	}
 	if s.Offer != "" {
 		return chain.Offer(bundles[s.Offer])
 	}
-	p := &Proof{signed: bundles[s.Adopt]}
+	p := &Proof{signed: bundles[s.Adopt], covers: s.Covers}
 	for _, name := range s.Lineage {
 		p.lineage = append(p.lineage, bundles[name])
 	}
@@ -177,7 +188,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	decoded, err := DecodeProof(signed, lineage)
+	decoded, err := DecodeProof(signed, lineage, p.covers)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/bundle/proof.go
+++ b/pkg/bundle/proof.go
@@ -15,11 +15,16 @@
 type Proof struct {
 	signed  *Signed
 	lineage []*Signed
+	// covers is the offset of the log before which nothing newer was in force.
+	covers uint64
 }
 
 // Signed returns the proof's bundle.
 func (p *Proof) Signed() *Signed { return p.signed }
 
+// Covers returns the log offset before which nothing newer was in force.
+func (p *Proof) Covers() uint64 { return p.covers }
+
 // Encode returns the wire forms of the bundle and its lineage.
 func (p *Proof) Encode() (signed []byte, lineage [][]byte, err error) {
 	for _, s := range p.lineage {
@@ -33,8 +38,8 @@
 	return signed, lineage, err
 }
 
-// DecodeProof reads the wire forms.
-func DecodeProof(signed []byte, lineage [][]byte) (*Proof, error) {
+// DecodeProof reads the wire forms of a proof that covers the log up to an offset.
+func DecodeProof(signed []byte, lineage [][]byte, covers uint64) (*Proof, error) {
 	if len(lineage) > maxLineage {
 		return nil, errors.Wrapf(ErrCorrupt, "a lineage of %d bundles, want at most %d", len(lineage), maxLineage)
 	}
@@ -42,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proof{signed: s}
+	p := &Proof{signed: s, covers: covers}
 	for _, data := range lineage {
 		step, err := DecodeSigned(data)
 		if err != nil {
--- a/pkg/record/carry.go
+++ b/pkg/record/carry.go
@@ -72,7 +72,8 @@
 	return 0
 }
 
-// Copied notes that a copy is at offset. It was written at the given time on
+// Copied notes that a copy is usable as long as the stream keeps the batches
+// from offset on. It was written at the given time on
 // its writer's clock; a time after now or a zero time counts as now.
 func (c *Carry) Copied(now, written time.Time, offset uint64) {
 	if c.copied && offset < c.offset {
@@ -84,9 +85,6 @@
 	c.copied, c.offset, c.copiedAt = true, offset, written
 }
 
-// Lost notes that no copy of the present content is known.
-func (c *Carry) Lost() { c.copied = false }
-
 // Offset returns where the newest copy is.
 func (c *Carry) Offset() uint64 { return c.offset }
 
--- a/pkg/record/messages.go
+++ b/pkg/record/messages.go
@@ -225,6 +225,8 @@
 	Lineage [][]byte `cbor:"3,keyasint,omitempty"`
 	// WrittenMS is when it was written, in Unix milliseconds on the writer's clock.
 	WrittenMS int64 `cbor:"4,keyasint,omitempty"`
+	// Covers is the offset before which nothing newer than a carried bundle was in force.
+	Covers uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Member says that an entry has started, goes on or leaves.
