Survive kills, forget ended jobs, cancel in waves, save progress

Cause: nothing killed real processes while jobs ran; ended jobs stayed in every entry's memory; a wave of cancellations cost one record each; a task's progress was only saved when it was stopped; the price of takeover-after was not known. POST /jobs/cancel cancels up to 10,000 jobs with one record for each data centre. The holder asks for a checkpoint of each running task once a minute; entries record it. bench takeover measures both ends of takeover-after in simulated time.

--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -83,6 +83,9 @@
 		}
 		a.guard.decide.Started(time.Now(), key)
 		return nil
+	case lease.ActCheckpoint:
+		_, err := a.worker.Checkpoint(ctx, key)
+		return err
 	case lease.ActCheckpointStop:
 		if _, err := a.worker.Checkpoint(ctx, key); err != nil {
 			a.log.Warn().Err(err).Str("task", key).Msg("checkpoint before a stop failed")
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -6,6 +6,6 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure parts of the system; each prints one line of JSON at its end",
-		Commands: []*cli.Command{benchBatchCommand(), benchExploreCommand()},
+		Commands: []*cli.Command{benchBatchCommand(), benchExploreCommand(), benchTakeoverCommand()},
 	}
 }
--- /dev/null
+++ b/internal/command/bench_takeover.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"savoryhoist.example/savoryhoist/internal/explore/batch"
+)
+
+// takeoverCost is both ends of what a takeover time costs.
+type takeoverCost struct {
+	TakeoverAfterS float64 `json:"takeover-after-s"`
+	IdleMeanS      float64 `json:"idle-mean-s"`
+	IdleLongestS   float64 `json:"idle-longest-s"`
+	OutageS        float64 `json:"shortest-run-through-outage-s"`
+}
+
+type takeoverResult struct {
+	Target string         `json:"target"`
+	Seeds  uint64         `json:"seeds"`
+	Costs  []takeoverCost `json:"costs"`
+}
+
+func benchTakeoverCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "takeover",
+		Usage:  "measure in simulated time what takeover-after costs after a death and through an outage",
+		Flags:  []cli.Flag{&cli.Uint64Flag{Name: "seeds", Value: 200, Usage: "schedules for each takeover time"}},
+		Action: benchTakeover,
+	}
+}
+
+func benchTakeover(_ context.Context, c *cli.Command) error {
+	out := takeoverResult{Target: "takeover", Seeds: c.Uint64("seeds")}
+	for _, after := range []time.Duration{2, 5, 10, 20, 60} {
+		idle, err := batch.MeasureIdle(after*time.Second, out.Seeds)
+		if err != nil {
+			return err
+		}
+		out.Costs = append(out.Costs, takeoverCost{
+			TakeoverAfterS: (after * time.Second).Seconds(), IdleMeanS: idle.Mean.Seconds(),
+			IdleLongestS: idle.Longest.Seconds(), OutageS: idle.Outage.Seconds(),
+		})
+	}
+	return json.NewEncoder(os.Stdout).Encode(out)
+}
--- a/internal/entry/door.go
+++ b/internal/entry/door.go
@@ -20,6 +20,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/services/{service}/", e.serveRequest)
 	mux.HandleFunc("POST /jobs", e.serveSubmit)
+	mux.HandleFunc("POST /jobs/cancel", e.serveCancelMany)
 	mux.HandleFunc("GET /jobs", e.serveJobs)
 	mux.HandleFunc("GET /jobs/{id}", e.serveJob)
 	mux.HandleFunc("DELETE /jobs/{id}", e.serveCancel)
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -33,6 +33,8 @@
 	workers map[string]*workerView
 	relay   job.Relay
 	taker   job.Taker
+	// forgot is when ended jobs were looked for last.
+	forgot time.Time
 
 	scheduler queue.Scheduler
 	random    *rand.Rand
@@ -120,7 +122,7 @@
 	if document == nil || e.jobs.began.IsZero() {
 		return nil
 	}
-	out := e.takeOver(now)
+	out := append(e.takeOver(now), e.forget(now, neighbours)...)
 	e.configure(now, document)
 	e.dropSilent(now)
 	backup := func(jobID string) time.Duration {
--- a/internal/explore/batch/machine.go
+++ b/internal/explore/batch/machine.go
@@ -119,6 +119,8 @@
 	switch a.Act() {
 	case lease.ActRenew:
 		t.until = max(t.until, a.Until())
+	case lease.ActCheckpoint:
+		t.saved = t.done
 	case lease.ActCheckpointStop:
 		t.saved = t.done
 		m.stop(t)
--- a/internal/explore/batch/world.go
+++ b/internal/explore/batch/world.go
@@ -70,8 +70,8 @@
 // Run explores one schedule and returns the first violation found.
 func Run(seed uint64) error { return run(seed, Rules{}) }
 
-func run(seed uint64, rules Rules) error {
-	w := &world{random: rand.New(rand.NewPCG(seed, 5)), rules: rules, cut: make(map[[2]string]time.Duration)}
+func newWorld(random *rand.Rand, rules Rules) *world {
+	w := &world{random: random, rules: rules, cut: make(map[[2]string]time.Duration)}
 	w.log.w = w
 	w.history.init()
 	for i := range entries {
@@ -83,6 +83,11 @@
 		w.workers = append(w.workers, m)
 		w.agents = append(w.agents, newAgent(w, name, m))
 	}
+	return w
+}
+
+func run(seed uint64, rules Rules) error {
+	w := newWorld(rand.New(rand.NewPCG(seed, 5)), rules)
 	w.submitJobs()
 	w.schedule(faultGap, w.fault)
 	w.runUntil(faultsFor)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -132,6 +132,20 @@
 	return out
 }
 
+// Running returns the number of tasks that have not ended.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress()
+	n := 0
+	for _, t := range w.tasks {
+		if !t.state.Ended() {
+			n++
+		}
+	}
+	return n
+}
+
 // Overfull reports whether running tasks ever exceeded the worker's size.
 func (w *Worker) Overfull() bool {
 	w.mu.Lock()
--- a/pkg/lease/action.go
+++ b/pkg/lease/action.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,9 +19,14 @@
 	ActCheckpointStop
 	ActStop
 	ActRemove
+	// ActCheckpoint saves a task's progress while it runs on.
+	ActCheckpoint
 )
 
-var actNames = [...]string{"", "start", "renew", "checkpoint-and-stop", "stop", "remove"}
+var actNames = [...]string{"", "start", "renew", "checkpoint-and-stop", "stop", "remove", "checkpoint"}
+
+// checkpointEvery is how often a running task's progress is saved.
+const checkpointEvery = time.Minute
 
 // String returns the act's name.
 func (a Act) String() string { return actNames[a] }
@@ -52,8 +58,13 @@
 		if a, ok := h.action(hold, t); ok {
 			out = append(out, a)
 		}
+		if h.checkpointDue(t) {
+			out = append(out, Action{act: ActCheckpoint, hold: hold})
+		}
 	}
-	slices.SortFunc(out, func(a, b Action) int { return a.hold.Compare(b.hold) })
+	slices.SortFunc(out, func(a, b Action) int {
+		return cmp.Or(a.hold.Compare(b.hold), cmp.Compare(a.act, b.act))
+	})
 	return out
 }
 
@@ -79,6 +90,15 @@
 	return a, ok
 }
 
+// checkpointDue reports whether a task's progress is to be saved now, and notes it.
+func (h *Holder) checkpointDue(t *held) bool {
+	if !t.listed || t.state.Ended() || t.revoked || h.uptime-t.saved < checkpointEvery {
+		return false
+	}
+	t.saved = h.uptime
+	return true
+}
+
 // renewal returns how far the newest reading extends a task's lease.
 func (h *Holder) renewal(t *held) (time.Duration, bool) {
 	uptime, ok := h.uptimes[t.fresh]
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -50,6 +50,8 @@
 	// lease is the end of the lease that the worker lists, and until that of
 	// the longest one that a start may still bring.
 	lease, until time.Duration
+	// saved is when a checkpoint was asked for last.
+	saved time.Duration
 	// fresh is the newest round whose reading left the task in place.
 	fresh uint64
 	// order is followed in this round.
@@ -129,6 +131,9 @@
 		t = &held{until: l.Terms.HoldAt(h.born)}
 		h.tasks[l.Hold] = t
 	}
+	if !t.listed {
+		t.saved = h.uptime
+	}
 	t.listed, t.reported = true, false
 	t.size, t.terms, t.state, t.lease = l.Size, l.Terms, l.State, l.Until
 	t.ref, t.detail = l.Ref, l.Detail
