--- a/pkg/job/relay.go
+++ b/pkg/job/relay.go
@@ -80,13 +80,15 @@
 	return reading, records
 }
 
+// agent returns the rounds of the heartbeat's agent. An agent whose clock went
+// back when it was replaced follows once its predecessor has fallen silent.
 func (r *Relay) agent(now time.Time, b *Beat) *agentRounds {
 	if r.agents == nil {
 		r.agents = make(map[string]*agentRounds)
 	}
 	r.prune(now)
 	a := r.agents[b.Worker]
-	if a == nil || b.Incarnation > a.incarnation {
+	if a == nil || b.Incarnation > a.incarnation || (b.Incarnation < a.incarnation && now.Sub(a.at) > LostAfter) {
 		a = &agentRounds{incarnation: b.Incarnation}
 		r.agents[b.Worker] = a
 	}
