--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -11,6 +11,7 @@
 			benchCapacityCommand(),
 			benchExploreCommand(),
 			benchLogCommand(),
+			benchTakeoverCommand(),
 		},
 	}
 }
