--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,10 @@
 	go build $(MODULES)
 	@echo '{"target":"test","passed":true}'
 
+.PHONY: bench-log
+bench-log: ## Measures appends, bundles, control messages and recovery.
+	@go run . bench log
+
 bench-batch: build ## Measures placement, the guard and the start of urgent work.
 	@bin/savoryhoist bench batch
 
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -10,6 +10,8 @@
 			benchBatchCommand(),
 			benchCapacityCommand(),
 			benchExploreCommand(),
+			benchLogCommand(),
+			benchTakeoverCommand(),
 		},
 	}
 }
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -17,6 +17,7 @@
 		Flags: append(processFlags(),
 			text("listen", "127.0.0.1:8080", "callers' door, IP and port"),
 			text("peer-listen", "127.0.0.1:8443", "where agents and entries reach this entry, IP and port"),
+			text("peer-advertise", "", "IP and port that agents and entries are told, if not the one listened at"),
 			text("log-url", "", "URL of the platform's log service"),
 			duration("announce-every", 10*time.Second, "time between two membership records; a data centre without one for three of them is lost"),
 			&cli.BoolFlag{Name: "open", Usage: "let callers in without a token, by the " + entry.HeaderTeam + " header", Sources: env("open")},
@@ -33,6 +34,9 @@
 		Roots: c.operators(), DrainAfter: c.positive("drain-after"), Open: cmd.Bool("open"),
 		AnnounceEvery: c.positive("announce-every"),
 	}
+	if s.PeerAdvertise = cmd.String("peer-advertise"); s.PeerAdvertise != "" {
+		c.address("peer-advertise")
+	}
 	id := c.identity(link.RoleEntry)
 	logger := c.logger()
 	if c.err != nil {
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -24,9 +24,9 @@
 	snapshotBatches = 8192
 	// snapshotPart is the most bytes of a snapshot's record.
 	snapshotPart = 256 << 10
-	// streamGap is the time between appends to one stream under load, of all
+	// StreamGap is the time between appends to one stream under load, of all
 	// entries of a data centre together.
-	streamGap = 28 * time.Millisecond
+	StreamGap = 28 * time.Millisecond
 )
 
 // carry is one kind of content that must outlive the log's retention.
@@ -44,19 +44,15 @@
 	jobs   carry
 }
 
-func (c *carried) bundleCopied(now, written time.Time, offset uint64) {
+// bundleCopied notes that a bundle was carried forward which covers the stream
+// up to an offset; the bundles after it are kept with it.
+func (c *carried) bundleCopied(now, written time.Time, covers uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bundle.state.Copied(now, written, offset)
+	c.bundle.state.Copied(now, written, covers)
 	c.bundle.writeAt = time.Time{}
 }
 
-func (c *carried) bundleMoved() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bundle.state.Lost()
-}
-
 // jobsCopied notes a snapshot that covers the stream up to an offset.
 func (c *carried) jobsCopied(now, written time.Time, covers uint64) {
 	c.mu.Lock()
@@ -101,7 +97,7 @@
 func (e *Entry) carryForward(ctx context.Context) {
 	for pause(ctx, carryEvery) {
 		now := time.Now()
-		e.writer.SetGap(streamGap * time.Duration(max(1, len(e.neighbours(now)))))
+		e.writer.SetGap(StreamGap * time.Duration(max(1, len(e.neighbours(now)))))
 		if e.bundles.Queued() == 0 {
 			e.carryBundle(now)
 		}
@@ -113,9 +109,9 @@
 
 func (e *Entry) carryBundle(now time.Time) {
 	e.bundleMu.Lock()
-	proof := e.bundle.chain.Proof()
+	proof, attached := e.bundle.chain.Proof(), e.bundle.chain.Attached()
 	e.bundleMu.Unlock()
-	if proof == nil {
+	if proof == nil || !attached {
 		return
 	}
 	reason, due := e.carried.due(now, &e.carried.bundle, false)
@@ -128,7 +124,7 @@
 		return
 	}
 	e.carryOne(e.bundles, "bundle", reason, &record.Bundle{
-		Signed: signed, Lineage: lineage, Carried: true, WrittenMS: now.UnixMilli(),
+		Signed: signed, Lineage: lineage, Carried: true, Covers: proof.Covers(), WrittenMS: now.UnixMilli(),
 	})
 }
 
