--- a/internal/command/urgent_test.go
+++ b/internal/command/urgent_test.go
@@ -66,3 +66,22 @@
 		t.Errorf("got %d runs, want %d", got, want)
 	}
 }
+
+// TestWorkerThatFailsEverything lets one of two workers fail all that it
+// starts: every job succeeds on the other one, and few are tried on the first.
+func TestWorkerThatFailsEverything(t *testing.T) {
+	s := newSite(t, 1, 2)
+	load := &traffic{s: s, pick: func() string { return s.entryURLs[0] }}
+	s.workers[0].FailAll(true)
+	const jobs = 40
+	for i := range jobs {
+		load.submit(fmt.Sprint("job-", i), `{"class":"shaping","size":{"milli-cpu":4000,"memory-mb":100},"payload":{"run-ms":300}}`)
+	}
+	s.eventually("every job succeeded", load.allSucceeded)
+	if got, want := len(s.workers[0].Runs()), jobs/2; got > want {
+		t.Errorf("got %d runs on the worker that fails everything, want at most %d", got, want)
+	}
+	if got, want := len(s.workers[1].Runs()), jobs; got != want {
+		t.Errorf("got %d runs on the good worker, want %d", got, want)
+	}
+}
