Learn no run times from the past of the log

Cause: an entry that starts reads old records within moments, and took the time between them for run times.

Test: ten runs read from the past leave the declared run time in force.

--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -63,6 +63,7 @@
 // attach makes the scheduler follow the fold, before anything is folded.
 func (j *jobs) attach(now time.Time) {
 	j.born = now
+	j.delivered = now
 	j.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)) //nolint:gosec // placement only
 	j.fold.Changed = func(id record.TaskID, owner *job.Job, t *job.Task) {
 		j.scheduler.TaskChanged(j.delivered, id, owner, t)
--- a/pkg/queue/change.go
+++ b/pkg/queue/change.go
@@ -53,7 +53,9 @@
 	if t.Phase() == job.Succeeded {
 		if h, ok := s.fleet.Held(taskKey(id)); ok && !h.Tentative {
 			s.fleet.Health(t.Worker()).Succeeded()
-			s.learned.run(h.Team, h.Class, now.Sub(h.Since))
+			if !h.Since.IsZero() {
+				s.learned.run(h.Team, h.Class, now.Sub(h.Since))
+			}
 		}
 		return
 	}
@@ -153,6 +155,9 @@
 func (s *Scheduler) hold(now time.Time, id record.TaskID, j *job.Job, t *job.Task) {
 	key := taskKey(id)
 	since := now
+	if s.kept.IsZero() {
+		since = time.Time{} // read from the past of the log: the true moment is not known
+	}
 	if h, ok := s.fleet.Held(key); ok && !h.Tentative {
 		since = h.Since
 	}
--- a/pkg/queue/scheduler_test.go
+++ b/pkg/queue/scheduler_test.go
@@ -212,6 +212,32 @@
 	}
 }
 
+// TestPastOfTheLogTeachesNoRunTimes replays runs at the start of an entry, and
+// expects work to be ordered by its declared run time.
+func TestPastOfTheLogTeachesNoRunTimes(t *testing.T) {
+	s := newSite(1, cpu(1000))
+	for i := range 10 {
+		id := fmt.Sprint("past-", i)
+		s.submit(id, "shaping", 1, false, cpu(1000))
+		s.apply(&record.Assign{Placements: []record.Placement{{Task: record.TaskID{Job: id}, Worker: s.names[0]}}})
+		s.now = s.now.Add(time.Millisecond)
+		s.apply(&record.Finished{Hold: s.hold(id, 0), Outcome: record.OutcomeSucceeded})
+	}
+	now := s.now.UnixMilli()
+	add := func(id string, neededMS, expectedMS int64) {
+		s.apply(&record.Submit{Spec: record.Spec{
+			ID: id, Team: "clinics", Class: "shaping", Tasks: 1, Size: cpu(1000), MaxFailures: 3,
+			SubmittedAt: now, NeededBy: now + neededMS, ExpectedMS: expectedMS,
+		}})
+	}
+	add("short", 60_000, 1000)
+	add("long", 70_000, 50_000)
+	s.tick()
+	if got, want := s.task("long", 0).Phase(), job.Assigned; got != want {
+		t.Errorf("got the task that must start first %s, want %s", got, want)
+	}
+}
+
 func TestTasksOfAJobSpreadOverRacks(t *testing.T) {
 	s := newSite(9, cpu(16000))
 	s.submit("job", "shaping", 3, false, cpu(1000))
--- a/pkg/worker/fleet.go
+++ b/pkg/worker/fleet.go
@@ -46,7 +46,7 @@
 	Urgent bool
 	// Epoch is the position of the record that began the hold.
 	Epoch uint64
-	// Since is when the hold began.
+	// Since is when the hold began; zero if that is not known.
 	Since time.Time
 	// Tentative holds are decisions that the log does not show yet.
 	Tentative bool
