Measure request routing, hops and links by a bench command

Cause: nothing said how the policy does at the crest.

Change: savoryhoist bench request drives pkg/endpoint and four baselines in virtual time, and sends real requests through entry and agent. Found by it and changed: slots kept for short work follow the mean of its demand over 300 ms instead of 1 s; a request must start early enough for its class's spread, not its mean; one that would wait for more than half its time is refused at once.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 
-.PHONY: build test lint tools
+.PHONY: bench-request build test lint tools
 
 build: ## Builds the program.
 	go build -o bin/savoryhoist .
@@ -21,3 +21,6 @@
 	go test -race $(MODULES)
 	go build $(MODULES)
 	@echo '{"target":"test","passed":true}'
+
+bench-request: build ## Compares routing policies and measures hops; longer: bin/savoryhoist bench request --help.
+	bin/savoryhoist bench request
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -4,8 +4,10 @@
 
 func benchCommand() *cli.Command {
 	return &cli.Command{
-		Name:     "bench",
-		Usage:    "measure parts of the system; each prints one line of JSON at its end",
-		Commands: []*cli.Command{},
+		Name:  "bench",
+		Usage: "measure parts of the system; each prints one line of JSON at its end",
+		Commands: []*cli.Command{
+			benchRequestCommand(),
+		},
 	}
 }
--- a/pkg/endpoint/gate.go
+++ b/pkg/endpoint/gate.go
@@ -24,7 +24,10 @@
 func (v Verdict) String() string { return verdictNames[v] }
 
 // demandWindow is the time constant of the learned demand of short work.
-const demandWindow = time.Second
+const demandWindow = 300 * time.Millisecond
+
+// reserveExtra is added to the learned demand before it is cut to whole slots.
+const reserveExtra = 0.5
 
 // Gate gives out an endpoint's slots: never more than it has, and with slots
 // kept free for short work according to what that has asked for lately. The
@@ -59,7 +62,7 @@
 	if g.slots <= 1 {
 		return 0
 	}
-	return min(max(int(math.Ceil(g.shortDemand)), 1), g.slots-1)
+	return min(max(int(g.shortDemand+reserveExtra), 1), g.slots-1)
 }
 
 // Offer takes in a ticket. If a less important one had to make room, it is
@@ -155,7 +158,11 @@
 		return
 	}
 	demand := float64(g.running - g.runningLong + g.shortWaits)
-	part := 1 - math.Exp(-passed.Seconds()/demandWindow.Seconds())
-	g.shortDemand += part * (demand - g.shortDemand)
+	g.shortDemand += weight(passed, demandWindow) * (demand - g.shortDemand)
 	g.at = now
 }
+
+// weight returns the weight of a value that held for the time passed.
+func weight(passed, window time.Duration) float64 {
+	return 1 - math.Exp(-passed.Seconds()/window.Seconds())
+}
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -16,6 +16,8 @@
 	long     bool
 	deadline time.Time
 	work     time.Duration
+	// room is how long before the deadline the request must start.
+	room time.Duration
 
 	waiting bool
 	index   int
@@ -24,7 +26,7 @@
 // NewTicket returns a ticket for a request. Work is how long the request is
 // expected to hold a slot.
 func NewTicket(class, team string, priority int, deadline time.Time, work time.Duration) *Ticket {
-	return &Ticket{class: class, team: team, priority: min(max(priority, 0), maxPriority), deadline: deadline, work: work}
+	return &Ticket{class: class, team: team, priority: min(max(priority, 0), maxPriority), deadline: deadline, work: work, room: work}
 }
 
 // Class returns the request's class.
@@ -36,11 +38,19 @@
 // SetLong marks the request as long work, before it is offered anywhere.
 func (t *Ticket) SetLong(long bool) { t.long = long }
 
+// SetRoom sets how long before its deadline the request must start, if that
+// is not the time that it is expected to take.
+func (t *Ticket) SetRoom(room time.Duration) { t.room = room }
+
+// GiveUpAt returns the last moment at which the request can start and still
+// end before its deadline. A waiting request is refused then.
+func (t *Ticket) GiveUpAt() time.Time { return t.deadline.Add(-t.room) }
+
 // Deadline returns when the answer is of no use any more.
 func (t *Ticket) Deadline() time.Time { return t.deadline }
 
 // hopeless reports whether the request cannot end before its deadline.
-func (t *Ticket) hopeless(now time.Time) bool { return now.Add(t.work).After(t.deadline) }
+func (t *Ticket) hopeless(now time.Time) bool { return now.After(t.GiveUpAt()) }
 
 // Queue holds waiting tickets: the most important first, short before long
 // work, teams in turn by the work that they were given, and within a team the
--- a/pkg/endpoint/router.go
+++ b/pkg/endpoint/router.go
@@ -10,6 +10,9 @@
 const (
 	// queuePerEndpoint is how many requests an entry lets wait for each endpoint.
 	queuePerEndpoint = 64
+	// waitPart is the part of the time left, as a divisor, that a request may be
+	// expected to wait. More would fill the slots with work that ends too late.
+	waitPart = 2
 	// leastRetryAfter is the least time that a refused caller is told to wait.
 	leastRetryAfter = time.Second
 )
@@ -21,6 +24,7 @@
 	times  Times
 	queue  Queue
 	budget Budget
+	rates  [2 * (maxPriority + 1)]rate
 }
 
 // Decision is what becomes of a request.
@@ -44,10 +48,11 @@
 func (r *Router) Waiting() int { return r.queue.Len() }
 
 // Ticket returns a ticket for a request of a class with its declared service time.
-func (r *Router) Ticket(class, team string, priority int, deadline time.Time, declared time.Duration) *Ticket {
+func (r *Router) Ticket(now time.Time, class, team string, priority int, deadline time.Time, declared time.Duration) *Ticket {
 	mean, long := r.times.Expect(class, declared)
 	t := NewTicket(class, team, priority, deadline, mean)
 	t.long = long
+	t.room = max(mean, min(r.times.Room(class), t.deadline.Sub(now)/2))
 	return t
 }
 
@@ -56,6 +61,7 @@
 	if r.queue.Peek(!t.long) == nil {
 		e, reason, err := r.place(now, random, t, skip)
 		if err == nil {
+			r.rates[levelOf(t)].add(now, t.work)
 			return Decision{Verdict: Start, Endpoint: e, Reason: reason}
 		}
 		if errors.Is(err, ErrNone) {
@@ -63,7 +69,7 @@
 		}
 	}
 	wait := r.wait(now, t)
-	if now.Add(wait).After(t.GiveUpAt()) {
+	if wait > t.GiveUpAt().Sub(now)/waitPart {
 		return Decision{Verdict: Shed, Reason: "the queue is longer than the deadline", RetryAfter: max(wait, leastRetryAfter)}
 	}
 	var victim *Ticket
@@ -78,10 +84,6 @@
 	return Decision{Verdict: Wait, Reason: ErrBusy.Error(), Victim: victim}
 }
 
-// GiveUpAt returns the last moment at which the request can start and still
-// end before its deadline. A waiting request is refused then.
-func (t *Ticket) GiveUpAt() time.Time { return t.deadline.Add(-t.work) }
-
 // Cancel takes out a waiting request and reports whether it was waiting.
 func (r *Router) Cancel(t *Ticket) bool { return r.queue.Remove(t) }
 
@@ -106,6 +108,7 @@
 		return nil, Decision{Verdict: Wait}
 	}
 	r.queue.Take(t)
+	r.rates[levelOf(t)].add(now, t.work)
 	return t, Decision{Verdict: Start, Endpoint: e, Reason: reason}
 }
 
@@ -128,9 +131,15 @@
 	return nil, "", ErrBusy
 }
 
-// wait estimates how long a request like t waits in the queue.
+// wait estimates how long a request like t waits in the queue: more important
+// work goes at the speed of all slots, its own kind at the speed of late.
 func (r *Router) wait(now time.Time, t *Ticket) time.Duration {
-	return time.Duration(float64(r.queue.WorkAhead(t)+t.work) / max(r.capacity(now), 1))
+	capacity := max(r.capacity(now), 1)
+	l := levelOf(t)
+	own := r.queue.levels[l].work + t.work
+	ahead := r.queue.WorkAhead(t) + t.work - own
+	speed := min(max(r.rates[l].value(now), leastSpeed*capacity), capacity)
+	return time.Duration(float64(ahead)/capacity + float64(own)/speed)
 }
 
 // capacity returns the number of slots in use, slow ones counted for less.
--- a/pkg/endpoint/times.go
+++ b/pkg/endpoint/times.go
@@ -5,6 +5,9 @@
 const (
 	// timeWeight is the weight of a new sample in a class's mean service time.
 	timeWeight = 0.02
+	// lateDeviations is how many mean deviations over its mean a request is
+	// given to end before its deadline.
+	lateDeviations = 2
 	// longRatio is how many times the shortest class's mean service time makes work long.
 	longRatio = 4
 )
@@ -16,8 +19,9 @@
 }
 
 type classTime struct {
-	mean time.Duration
-	long bool
+	mean      time.Duration
+	deviation time.Duration
+	long      bool
 }
 
 // Expect returns the mean service time of a class and whether its work is
@@ -37,10 +41,20 @@
 		t.add(class, took)
 		return
 	}
+	c.deviation += time.Duration(timeWeight * float64((took-c.mean).Abs()-c.deviation))
 	c.mean += time.Duration(timeWeight * float64(took-c.mean))
 	t.compare()
 }
 
+// Room returns how long before its deadline a request of a class must start.
+func (t *Times) Room(class string) time.Duration {
+	c, ok := t.classes[class]
+	if !ok {
+		return 0
+	}
+	return c.mean + lateDeviations*c.deviation
+}
+
 func (t *Times) add(class string, mean time.Duration) *classTime {
 	if t.classes == nil {
 		t.classes = make(map[string]*classTime)
