--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-MODULES := ./... ./pkg/bundle/... ./pkg/endpoint/... ./pkg/job/... ./pkg/lease/... ./pkg/record/... ./pkg/worker/...
+MODULES := ./... ./pkg/bundle/... ./pkg/endpoint/... ./pkg/job/... ./pkg/lease/... ./pkg/queue/... ./pkg/record/... ./pkg/worker/...
 LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 
-.PHONY: bench-request build test lint tools
+.PHONY: build test lint tools explore bench-batch experiments bench-capacity bench-request
 
 build: ## Builds the program.
 	go build -o bin/savoryhoist .
@@ -14,7 +14,7 @@
 lint: tools ## Checks format, lint and house rules.
 	$(LINT) fmt --diff
 	$(LINT) run $(MODULES)
-	go vet $(MODULES)
+	go vet -tags experiments $(MODULES)
 	sh .ci/house-rules
 
 test: lint ## Runs every check: format, lint, vet, tests with the race detector, build.
@@ -24,3 +24,20 @@
 
 bench-request: build ## Compares routing policies and measures hops; longer: bin/savoryhoist bench request --help.
 	bin/savoryhoist bench request
+
+bench-batch: build ## Measures placement, the guard and the start of urgent work.
+	@bin/savoryhoist bench batch
+
+experiments: ## Runs the experiments under experiments/ on real processes; SEED=n repeats one, ONLY=name runs one.
+	@rm -rf out/experiments
+	@go test -v -tags experiments -count=1 -timeout 15m -run 'TestExperiments/$(ONLY)' ./experiments; status=$$?; \
+		go run ./tools/plot $$(dirname out/experiments/*/result.json); \
+		cat out/experiments/summary.json; exit $$status
+
+bench-capacity: build ## Measures the slopes of docs/CAPACITY.md; savoryhoist bench capacity --help says how to run longer.
+	bin/savoryhoist bench capacity
+
+SEEDS ?= 10000
+
+explore: build ## Explores the deciding code over 10,000 seeds; SEEDS=n explores fewer, SEED=n repeats one.
+	bin/savoryhoist bench explore $(if $(SEED),--first-seed $(SEED) --seeds 1,--seeds $(SEEDS))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,8 +16,7 @@
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/endpoint"
-	"savoryhoist.example/savoryhoist/pkg/record"
-	"savoryhoist.example/savoryhoist/pkg/worker"
+	"savoryhoist.example/savoryhoist/pkg/lease"
 )
 
 // Settings configure an agent.
@@ -54,6 +53,9 @@
 	server      *link.Server
 	incarnation uint64
 
+	// calls are the heartbeats under way.
+	calls sync.WaitGroup
+
 	// mu guards what requests and heartbeats share.
 	mu       sync.Mutex
 	book     endpoint.Book
@@ -63,14 +65,13 @@
 	waiting  map[*endpoint.Ticket]*flight
 	leaving  bool
 	chain    *bundle.Chain
-	entries  []string
-	failedAt map[string]time.Time
+	contacts contacts
 	primary  string
 
-	// tasksMu guards the tasks and the ledger. It is taken before mu.
+	// tasksMu guards the holder and the guard. It is taken before mu.
 	tasksMu sync.Mutex
-	tasks   tasks
-	ledger  worker.Ledger
+	holder  lease.Holder
+	guard   guard
 }
 
 // predecessorSettles is how long a start that this agent's predecessor ordered
@@ -89,13 +90,11 @@
 		registry:    gometrics.NewRegistry(),
 		incarnation: uint64(now.UnixNano()),
 		chain:       bundle.NewChain(s.Roots),
-		entries:     s.Entries,
-		failedAt:    make(map[string]time.Time),
+		contacts:    contacts{name: s.Name, configured: s.Entries},
 		flights:     make(map[endpoint.AttemptID]*flight),
 		waiting:     make(map[*endpoint.Ticket]*flight),
 	}
-	a.tasks.noStartBefore = now
-	a.ledger.AdmitFrom(now.Add(predecessorSettles))
+	a.holder.Ledger().AdmitFrom(now.Add(predecessorSettles))
 	server, err := link.Listen(s.Listen, id, a.peerHandler(), link.RoleEntry)
 	if err != nil {
 		return nil, err
@@ -120,6 +119,7 @@
 	a.drain(live)
 	stop()
 	group.Wait()
+	a.calls.Wait()
 	return a.client.Close()
 }
 
@@ -164,7 +164,7 @@
 	defer a.tasksMu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ledger.Ready() && a.primary != "" && !a.leaving
+	return a.holder.Ledger().Ready() && a.primary != "" && !a.leaving
 }
 
 // AdminHandler serves metrics and health.
@@ -184,6 +184,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(link.PathRequests+"{service}/", a.serveRequest)
 	mux.Handle("POST "+link.PathFate, link.Handle(a.answerFate))
+	mux.Handle("POST "+link.PathBundle, link.Handle(a.answerBundle))
 	return mux
 }
 
@@ -198,6 +199,3 @@
 		return false
 	}
 }
-
-// taskKey names a task under one epoch on the worker.
-func taskKey(h record.Hold) string { return platform.TaskKey(h) }
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -2,26 +2,30 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
-	"savoryhoist.example/savoryhoist/pkg/lease"
 )
 
-// callTimeout bounds a heartbeat.
-const callTimeout = 2 * time.Second
-
-// skipFailed is how long an entry that did not answer is not asked.
-const skipFailed = time.Second
+// Times of a round.
+const (
+	// callTimeout bounds a heartbeat.
+	callTimeout = 2 * time.Second
+	// answerGrace is how long a round waits for further answers after the first.
+	answerGrace = 100 * time.Millisecond
+	// beatJitter is the part of the heartbeat period by which a pause varies.
+	beatJitter = 10
+)
 
 func (a *Agent) beat(ctx context.Context) {
 	for {
 		a.round(ctx)
-		if !pause(ctx, a.settings.HeartbeatEvery) {
+		jitter := a.settings.HeartbeatEvery / beatJitter
+		if !pause(ctx, a.settings.HeartbeatEvery-jitter+rand.N(2*jitter+1)) {
 			return
 		}
 	}
@@ -38,146 +42,123 @@
 		a.tell(ctx, a.heartbeat(nil))
 		return
 	}
-	clock := workerClock{read: time.Now(), uptime: time.Duration(listing.UptimeMS) * time.Millisecond}
-	a.observe(asked, &listing)
-	answers := a.tell(ctx, a.heartbeat(&listing))
-	for _, answer := range answers {
-		a.follow(ctx, clock, answer)
-	}
-	a.renew(ctx, clock, &listing)
+	a.holder.Observe(asked, listingOf(&listing))
+	a.follow(ctx, a.tell(ctx, a.heartbeat(&listing)))
+	a.protect(ctx, time.Now(), &listing)
 }
 
-// answer is one entry's reading and when it began at the latest.
+// answer is one entry's reading.
 type answer struct {
 	entry   string
-	began   time.Time
 	reading *link.Reading
 }
 
-// tell sends the heartbeat to every entry at once and returns the answers.
+// tell sends the heartbeat to a few entries at once and returns the answers
+// that come in time: an entry that hangs does not hold up the round.
 func (a *Agent) tell(ctx context.Context, h link.Heartbeat) []answer {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	entries, primary := a.targets(time.Now())
-	out := make([]answer, len(entries))
-	var group sync.WaitGroup
-	for i, address := range entries {
-		group.Go(func() {
-			own := h
-			own.Primary = address == primary
-			out[i] = a.tellOne(ctx, address, &own)
-		})
+	replies := make(chan answer, len(entries))
+	for _, address := range entries {
+		own := h
+		own.Primary = address == primary
+		a.calls.Go(func() { replies <- a.tellOne(ctx, address, &own) })
 	}
-	group.Wait()
-	answers := out[:0]
-	for _, o := range out {
-		if o.reading != nil {
+	answers := collect(ctx, replies, len(entries))
+	a.choosePrimary(answers, primary)
+	a.updateBundle(ctx, answers)
+	return answers
+}
+
+// collect returns the answers that arrive until all have, or until answerGrace
+// after the first.
+func collect(ctx context.Context, replies <-chan answer, count int) []answer {
+	var answers []answer
+	var grace <-chan time.Time
+	for range count {
+		select {
+		case o := <-replies:
+			if o.reading == nil {
+				continue
+			}
 			answers = append(answers, o)
+			if grace == nil {
+				grace = time.After(answerGrace)
+			}
+		case <-grace:
+			return answers
+		case <-ctx.Done():
+			return answers
 		}
 	}
-	a.choosePrimary(answers, primary)
-	a.updateBundle(ctx, answers)
 	return answers
 }
 
 func (a *Agent) tellOne(ctx context.Context, address string, h *link.Heartbeat) answer {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	asked := time.Now()
 	reading := new(link.Reading)
-	if err := a.client.Call(ctx, address, link.PathHeartbeat, h, reading); err != nil {
+	err := a.client.Call(ctx, address, link.PathHeartbeat, h, reading)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
 		a.log.Warn().Err(err).Str("entry", address).Msg("heartbeat failed")
-		a.noteFailure(address)
+		a.contacts.failed(time.Now(), address)
 		return answer{}
 	}
-	age := time.Duration(reading.AgeMS) * time.Millisecond
-	return answer{entry: address, began: lease.ReadingBegan(asked, age), reading: reading}
+	a.contacts.answered(address)
+	return answer{entry: address, reading: reading}
 }
 
 // targets returns the entries to tell and the one that records reports.
 func (a *Agent) targets(now time.Time) ([]string, string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var out []string
-	for _, e := range a.entries {
-		if now.Sub(a.failedAt[e]) > skipFailed {
-			out = append(out, e)
-		}
-	}
-	if len(out) == 0 {
-		out = a.settings.Entries
-	}
-	primary := out[0]
+	out := a.contacts.targets(now)
 	if slices.Contains(out, a.primary) {
-		primary = a.primary
+		return out, a.primary
 	}
-	return out, primary
+	return out, out[0]
 }
 
-// choosePrimary keeps the primary that was asked if it answered, and learns the entries to tell.
+// staleRounds is how many heartbeats an entry's reading of the log may be
+// behind another's while it stays primary.
+const staleRounds = 8
+
+// choosePrimary keeps the primary that was asked if it answered and can read
+// the log, and learns the entries to tell.
 func (a *Agent) choosePrimary(answers []answer, asked string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.primary = ""
-	known := slices.Clone(a.settings.Entries)
+	var known []string
+	var newest uint64
+	for _, o := range answers {
+		newest = max(newest, o.reading.Lease.Heard)
+	}
 	for _, o := range answers {
 		if o.reading.Leaving {
 			continue
 		}
-		if a.primary == "" || o.entry == asked {
-			a.primary = o.entry
-		}
 		known = append(known, o.reading.Entries...)
-	}
-	slices.Sort(known)
-	a.entries = slices.Compact(known)
-}
-
-func (a *Agent) noteFailure(address string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.failedAt[address] = time.Now()
-}
-
-// updateBundle fetches the bundle if an entry has another one in force.
-func (a *Agent) updateBundle(ctx context.Context, answers []answer) {
-	for _, o := range answers {
-		a.mu.Lock()
-		same := o.reading.Bundle == "" || o.reading.Bundle == a.chain.Digest()
-		a.mu.Unlock()
-		if same {
+		if o.reading.Lease.Heard+staleRounds < newest {
 			continue
 		}
-		var reply link.BundleReply
-		if err := a.client.Call(ctx, o.entry, link.PathBundle, &link.BundleQuery{}, &reply); err != nil {
-			a.log.Warn().Err(err).Str("entry", o.entry).Msg("fetching the bundle failed")
-			continue
+		if a.primary == "" || o.entry == asked {
+			a.primary = o.entry
 		}
-		a.offerBundle(reply.Signed)
-	}
-}
-
-func (a *Agent) offerBundle(data []byte) {
-	signed, err := bundle.DecodeSigned(data)
-	if err == nil {
-		a.mu.Lock()
-		err = a.chain.Offer(signed)
-		a.mu.Unlock()
-	}
-	if err != nil {
-		a.log.Warn().Err(err).Str("decision", "refuse-bundle").Msg("")
-		return
 	}
-	a.log.Info().Str("decision", "accept-bundle").Uint64("version", a.chain.Version()).Str("digest", a.chain.Digest()).Msg("")
+	a.contacts.learned(known)
 }
 
 // heartbeat says what the agent knows; a nil listing means that the worker did not answer.
 func (a *Agent) heartbeat(listing *platform.Listing) link.Heartbeat {
 	h := link.Heartbeat{
 		Worker: a.settings.Name, Rack: a.settings.Rack, Service: a.settings.Service, Address: a.Address(),
-		Incarnation: a.incarnation, Ready: listing != nil && a.ledger.Ready(),
-		Total: a.ledger.Total(), Free: a.ledger.Free(),
+		Incarnation: a.incarnation, Round: a.holder.Round(), Ready: listing != nil && a.holder.Ledger().Ready(),
+		Total: a.holder.Ledger().Total(), Free: a.holder.Ledger().Free(), Pressure: a.guard.pressure, Uses: a.guard.uses,
 	}
 	a.mu.Lock()
-	h.Leaving, h.Bundle = a.leaving, a.chain.Digest()
+	h.Leaving, h.Bundle, h.BundleVersion = a.leaving, a.chain.Digest(), a.chain.Version()
 	load := a.load()
 	h.InFlight, h.InFlightLong, h.Reserved, h.Mark = load.InFlight, load.Long, load.Reserved, a.book.Advance()
 	if s, ok := a.service(); ok {
@@ -185,7 +166,7 @@
 	}
 	a.mu.Unlock()
 	if listing != nil {
-		h.Tasks = a.tasks.reports(listing)
+		h.Tasks = a.holder.Reports(listingOf(listing))
 	}
 	return h
 }
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -8,6 +8,9 @@
 		Usage: "measure parts of the system; each prints one line of JSON at its end",
 		Commands: []*cli.Command{
 			benchRequestCommand(),
+			benchBatchCommand(),
+			benchCapacityCommand(),
+			benchExploreCommand(),
 		},
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,8 @@
 	Roots      bundle.Operators
 	// DrainAfter is how long the entry goes on answering after it has said that it leaves.
 	DrainAfter time.Duration
+	// AnnounceEvery is the time between two membership records; 0 is the usual time.
+	AnnounceEvery time.Duration
 	// Open lets callers in without a token, as the team named in a header.
 	Open bool
 }
@@ -52,6 +54,7 @@
 	settings Settings
 	id       *link.Identity
 	agents   *link.Client
+	entries  *link.Client
 	log      *log.Logger
 	logPort  record.Log
 	registry gometrics.Registry
@@ -66,19 +69,24 @@
 	// requestTimer times callers' requests.
 	requestTimer gometrics.Timer
 
-	// Lock order: jobs.mu, routes.mu, bundleMu, memberMu. No lock is held
+	// Lock order: jobs.mu, routes.mu, bundleMu, memberMu,
+	// carried.mu. No lock is held
 	// during a call to another process.
 	jobs     jobs
 	routes   routes
 	bundleMu sync.Mutex
-	chain    *bundle.Chain
+	bundle   bundles
 	memberMu sync.Mutex
 	known    map[string]member
+	// refreshes counts this entry's own membership records read back.
+	refreshes uint64
+	foreign   foreign
+	spills    spills
+	carried   carried
+	// newer holds the address of an agent that has a newer bundle in force.
+	newer chan string
 }
 
-// appendEvery is the least time between two appends to one stream.
-const appendEvery = 20 * time.Millisecond
-
 // New returns an entry that is bound to its addresses but does not run yet.
 func New(now time.Time, s Settings, id *link.Identity, logger *log.Logger) (*Entry, error) {
 	port := platform.NewLog(&http.Client{}, s.LogURL)
@@ -87,17 +95,19 @@
 		settings: s,
 		id:       id,
 		agents:   link.NewClient(id, link.RoleAgent, link.RoleEntry),
+		entries:  link.NewClient(id, link.RoleEntry),
 		log:      logger,
 		logPort:  port,
 		registry: gometrics.NewRegistry(),
-		writer:   platform.NewWriter(port, JobsStream(s.DataCentre), name, appendEvery),
-		bundles:  platform.NewWriter(port, StreamBundles, name, appendEvery),
-		members:  platform.NewWriter(port, StreamMembers, name, appendEvery),
+		writer:   platform.NewWriter(port, JobsStream(s.DataCentre), name, streamGap),
+		bundles:  platform.NewWriter(port, StreamBundles, name, streamGap),
+		members:  platform.NewWriter(port, StreamMembers, name, streamGap),
 		name:     name,
-		chain:    bundle.NewChain(s.Roots),
+		bundle:   bundles{chain: bundle.NewChain(s.Roots)},
 		known:    make(map[string]member),
+		newer:    make(chan string, 1),
 	}
-	e.jobs.born = now
+	e.jobs.attach(now)
 	e.requestTimer = gometrics.GetOrRegisterTimer("requests", e.registry)
 	e.routes.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name)))) //nolint:gosec // load balancing only
 	var err error
@@ -128,6 +138,7 @@
 	var group sync.WaitGroup
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	e.foreign.start(live)
 	for _, w := range []*platform.Writer{e.writer, e.bundles, e.members} {
 		group.Go(func() { w.Run(live, flushTime) })
 	}
@@ -138,13 +149,19 @@
 	group.Go(func() { e.serve("peers over QUIC", e.peers.ServeQUIC) })
 	group.Go(func() { e.serve("callers", func() error { return e.door.Serve(e.doorLn) }) })
 	group.Go(func() { e.schedule(live) })
+	group.Go(func() { e.confirmSilence(live) })
 	group.Go(func() { e.announce(live) })
+	group.Go(func() { e.carryForward(live) })
+	group.Go(func() { e.learnBundles(live) })
+	group.Go(func() { e.failOver(live) })
+	group.Go(func() { e.exchangeSums(live) })
 	e.log.Info().Str("address", e.Address()).Str("peer-address", e.PeerAddress()).Msg("entry started")
 	<-ctx.Done()
 	e.drain(live)
 	stop()
 	group.Wait()
-	return e.agents.Close()
+	e.foreign.group.Wait()
+	return errors.CombineErrors(e.agents.Close(), e.entries.Close())
 }
 
 func (e *Entry) serve(what string, fn func() error) {
@@ -193,7 +210,7 @@
 func (e *Entry) document() *bundle.Document {
 	e.bundleMu.Lock()
 	defer e.bundleMu.Unlock()
-	return e.chain.Document()
+	return e.bundle.chain.Document()
 }
 
 // pause waits for d and reports whether ctx is still live.
--- a/pkg/record/messages.go
+++ b/pkg/record/messages.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"cmp"
 	"fmt"
 
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -76,6 +77,18 @@
 	Epoch Position
 }
 
+// String returns the name under which a worker lists the task.
+func (h Hold) String() string { return fmt.Sprintf("%s@%d", h.Task, h.Epoch) }
+
+// Compare orders holds by job, task and epoch.
+func (h Hold) Compare(o Hold) int {
+	return cmp.Or(
+		cmp.Compare(h.Task.Job, o.Task.Job),
+		cmp.Compare(h.Task.Index, o.Task.Index),
+		cmp.Compare(h.Epoch, o.Epoch),
+	)
+}
+
 // Spec is what a team asks for.
 type Spec struct {
 	ID    string           `cbor:"1,keyasint"           json:"id"`
@@ -102,8 +115,13 @@
 // Submit adds a job. It is void if the job is known.
 type Submit struct {
 	Spec Spec `cbor:"1,keyasint"`
-	// Checkpoints carries the state of a job that moves between streams, by task index.
+	// Checkpoints carries the progress of a job that moves between streams, by task index.
 	Checkpoints map[uint32]string `cbor:"2,keyasint,omitempty"`
+	// Ended carries how tasks of a job that moves had ended before, by task index.
+	Ended map[uint32]Outcome `cbor:"3,keyasint,omitempty"`
+	// Hops counts the moves of the job so far. A job that has left a stream can
+	// come back to it with a higher count.
+	Hops uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Placement gives one task to one worker.
@@ -194,11 +212,19 @@
 	Parts  uint32 `cbor:"3,keyasint"`
 	Covers uint64 `cbor:"4,keyasint"`
 	State  []byte `cbor:"5,keyasint"`
+	// WrittenMS is when it was written, in Unix milliseconds on the writer's clock.
+	WrittenMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// Bundle publishes a signed bundle.
+// Bundle publishes a signed bundle, or carries the one in force forward.
 type Bundle struct {
 	Signed []byte `cbor:"1,keyasint"`
+	// Carried bundles were in force when they were written.
+	Carried bool `cbor:"2,keyasint,omitempty"`
+	// Lineage holds the earlier bundles that changed the operators.
+	Lineage [][]byte `cbor:"3,keyasint,omitempty"`
+	// WrittenMS is when it was written, in Unix milliseconds on the writer's clock.
+	WrittenMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Member says that an entry has started, goes on or leaves.
@@ -208,6 +234,8 @@
 	Address     string `cbor:"3,keyasint"`
 	Incarnation uint64 `cbor:"4,keyasint"`
 	Leaving     bool   `cbor:"5,keyasint,omitempty"`
+	// WrittenMS is when it was written, in Unix milliseconds on the writer's clock.
+	WrittenMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Kind returns KindSubmit.
