Script the promises to callers as data files

Found by them and changed: the gate let one more in than its connections when a slot was free; a service whose endpoints have all just started was ramped up although nothing else could take its requests; requests waited on although no endpoint was left.

--- a/pkg/endpoint/choose.go
+++ b/pkg/endpoint/choose.go
@@ -71,9 +71,9 @@
 	if looks < n {
 		step = 1 + int(random.Uint64N(uint64(n-1)))
 	}
-	var best *Endpoint
-	bestCost := math.Inf(1)
-	usable := 0
+	var best, bestCold *Endpoint
+	bestCost, coldCost := math.Inf(1), math.Inf(1)
+	usable, warm := 0, 0
 	for range looks {
 		e := t.list[i]
 		i = (i + step) % n
@@ -81,12 +81,23 @@
 			continue
 		}
 		usable++
-		if !e.room(now, ticket) {
+		started := e.warm(now)
+		if started {
+			warm++
+		}
+		if !e.room(ticket) {
 			continue
 		}
-		if c := e.cost(now); c < bestCost {
+		c := e.cost(now)
+		if c < bestCost && (started || e.ramped(now)) {
 			best, bestCost = e, c
 		}
+		if c < coldCost && !started {
+			bestCold, coldCost = e, c
+		}
+	}
+	if best == nil && warm == 0 {
+		best = bestCold // nothing else could take the requests meanwhile
 	}
 	return best, usable
 }
@@ -149,29 +160,29 @@
 }
 
 // room reports whether the endpoint can take a ticket now.
-func (e *Endpoint) room(now time.Time, ticket *Ticket) bool {
+func (e *Endpoint) room(ticket *Ticket) bool {
 	n := e.InFlight()
 	if e.Probing() {
 		return e.sent == 0
 	}
-	if e.cold && !e.warm(now, n) {
-		return false
-	}
 	if ticket.long && e.sentLong+e.othersLong >= e.report.Slots-e.report.Load.Reserved {
 		return false
 	}
 	return n < e.mostFor(ticket) || e.sent == 0 && !ticket.long
 }
 
-// warm reports whether a starting endpoint may take one more than n requests.
-func (e *Endpoint) warm(now time.Time, n int) bool {
-	passed := now.Sub(e.started)
-	if passed >= slowStart {
+// warm reports whether an endpoint takes its full share.
+func (e *Endpoint) warm(now time.Time) bool {
+	if e.cold && now.Sub(e.started) >= slowStart {
 		e.cold = false
-		return true
 	}
-	ramp := float64(e.report.Slots) * passed.Seconds() / slowStart.Seconds()
-	return float64(n) < max(1, ramp)
+	return !e.cold
+}
+
+// ramped reports whether a starting endpoint may take one more request.
+func (e *Endpoint) ramped(now time.Time) bool {
+	ramp := float64(e.report.Slots) * now.Sub(e.started).Seconds() / slowStart.Seconds()
+	return float64(e.InFlight()) < max(1, ramp)
 }
 
 // cost estimates how long a request takes there, with an idle endpoint of the
--- /dev/null
+++ b/pkg/endpoint/fate_test.go
@@ -0,0 +1,80 @@
+package endpoint
+
+import (
+	"testing"
+	"time"
+)
+
+// fateScript is a run of calls on a Book.
+type fateScript struct {
+	Promise string
+	Size    int
+	Steps   []struct {
+		Do     string
+		ID     string
+		Mark   uint64
+		For    span
+		Times  int
+		Fate   string
+		Answer string
+		Want   string
+	}
+}
+
+func TestBook(t *testing.T) {
+	eachScript(t, "fate", func(t *testing.T, s *fateScript) {
+		t.Helper()
+		b := &Book{}
+		b.SetSize(s.Size)
+		now := time.Unix(1, 0)
+		for i, step := range s.Steps {
+			id := AttemptID{Request: step.ID, Attempt: 1}
+			got := step.Want
+			switch step.Do {
+			case "advance":
+				b.Advance()
+			case "pass":
+				now = now.Add(time.Duration(step.For))
+			case "admit":
+				got = b.Admit(now, id, step.Mark).String()
+			case "ask":
+				got = b.Ask(now, id, step.Mark).String()
+			case "finish":
+				b.Finish(now, id, ParseFate(step.Fate), NewAnswer(200, nil, []byte(step.Answer)))
+			case "fill":
+				for n := range step.Times {
+					other := AttemptID{Request: "other", Attempt: uint32(n)}
+					b.Admit(now, other, b.mark)
+					b.Finish(now, other, FateDone, nil)
+				}
+			case "kept":
+				got = "nothing"
+				if a := b.Kept(id); a != nil {
+					got = string(a.Body())
+				}
+			default:
+				t.Fatalf("step %d: unknown step %q", i, step.Do)
+			}
+			if want := step.Want; got != want {
+				t.Errorf("step %d, %s %s: got %q, want %q", i, step.Do, step.ID, got, want)
+			}
+		}
+	})
+}
+
+func TestBookBoundsAnswers(t *testing.T) {
+	var b Book
+	now := time.Unix(1, 0)
+	body := make([]byte, AnswerBytes)
+	for n := range uint32(2 * BookBytes / AnswerBytes) {
+		id := AttemptID{Request: "r", Attempt: n}
+		b.Admit(now, id, 0)
+		b.Finish(now, id, FateDone, NewAnswer(200, nil, body))
+	}
+	if got, want := b.bytes, BookBytes; got > want {
+		t.Errorf("bytes kept: got %d, want at most %d", got, want)
+	}
+	if got, want := b.Ask(now, AttemptID{Request: "r"}, 0), FateDone; got != want {
+		t.Errorf("fate of an attempt whose answer was dropped: got %v, want %v", got, want)
+	}
+}
--- a/pkg/endpoint/gate.go
+++ b/pkg/endpoint/gate.go
@@ -72,10 +72,6 @@
 	if t.hopeless(now) && now.After(t.deadline) {
 		return Shed, nil, "the deadline has passed"
 	}
-	if g.free(t) && g.queue.Peek(!t.long) == nil {
-		g.start(t)
-		return Start, nil, "a slot is free"
-	}
 	if g.running+g.queue.Len() >= g.connections {
 		victim = g.queue.Last()
 		if victim == nil || levelOf(victim) <= levelOf(t) {
@@ -83,6 +79,10 @@
 		}
 		g.remove(victim)
 	}
+	if g.free(t) && g.queue.Peek(!t.long) == nil {
+		g.start(t)
+		return Start, victim, "a slot is free"
+	}
 	g.queue.Push(t)
 	if !t.long {
 		g.shortWaits++
--- a/pkg/endpoint/router.go
+++ b/pkg/endpoint/router.go
@@ -68,6 +68,9 @@
 			return Decision{Verdict: Shed, Reason: ErrNone.Error(), RetryAfter: leastRetryAfter}
 		}
 	}
+	if !r.table.Takes(now) {
+		return Decision{Verdict: Shed, Reason: ErrNone.Error(), RetryAfter: leastRetryAfter}
+	}
 	wait := r.wait(now, t)
 	if wait > t.GiveUpAt().Sub(now)/waitPart {
 		return Decision{Verdict: Shed, Reason: "the queue is longer than the deadline", RetryAfter: max(wait, leastRetryAfter)}
@@ -99,6 +102,10 @@
 		return t, Decision{Verdict: Shed, Reason: "the deadline is too near", RetryAfter: leastRetryAfter}
 	}
 	e, reason, err := r.place(now, random, t, "")
+	if errors.Is(err, ErrNone) {
+		r.queue.Remove(t)
+		return t, Decision{Verdict: Shed, Reason: ErrNone.Error(), RetryAfter: leastRetryAfter}
+	}
 	if err != nil && t.long {
 		if t = r.queue.Peek(true); t != nil && !t.hopeless(now) {
 			e, reason, err = r.place(now, random, t, "")
--- /dev/null
+++ b/pkg/endpoint/router_test.go
@@ -0,0 +1,105 @@
+package endpoint
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// routeScript is a run of reports, requests and results at a Router.
+type routeScript struct {
+	Promise string
+	Steps   []struct {
+		Do          string
+		Endpoint    string
+		Incarnation uint64
+		InFlight    int `json:"in-flight"`
+		Reserved    int
+		Leaving     bool
+		Class       string
+		Times       int
+		For         span
+		// Want is the verdict of every request, and Among its possible endpoints.
+		Want  string
+		Among []string
+		// Most bounds the requests that one endpoint gets.
+		Most int
+	}
+}
+
+// routeWorld runs a script.
+type routeWorld struct {
+	t      *testing.T
+	router Router
+	random *rand.Rand
+	now    time.Time
+	mark   uint64
+	held   map[string][]*Ticket
+}
+
+func TestRouter(t *testing.T) {
+	eachScript(t, "route", func(t *testing.T, s *routeScript) {
+		t.Helper()
+		w := &routeWorld{t: t, random: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1, 0), held: make(map[string][]*Ticket)}
+		for i, step := range s.Steps {
+			switch step.Do {
+			case "report":
+				w.mark++
+				w.router.Table().Observe(w.now, Report{
+					Name: step.Endpoint, Incarnation: max(step.Incarnation, 1), Mark: w.mark, Slots: 8, Leaving: step.Leaving,
+					Load: Load{InFlight: step.InFlight, Reserved: step.Reserved},
+				})
+			case "pass":
+				w.now = w.now.Add(time.Duration(step.For))
+			case "offer":
+				w.offer(i, step.Class, max(step.Times, 1), step.Want, step.Among, step.Most)
+			case "done":
+				for _, ticket := range w.held[step.Endpoint] {
+					w.router.Done(w.router.table.byName[step.Endpoint], ticket)
+				}
+				w.held[step.Endpoint] = nil
+			case "fail":
+				for range max(step.Times, 1) {
+					w.router.Table().Fail(w.now, w.random, w.router.table.byName[step.Endpoint])
+				}
+			case "succeed":
+				for range max(step.Times, 1) {
+					w.router.Table().Succeed(w.now, w.router.table.byName[step.Endpoint])
+				}
+			default:
+				t.Fatalf("step %d: unknown step %q", i, step.Do)
+			}
+		}
+	})
+}
+
+func (w *routeWorld) offer(step int, class string, times int, want string, among []string, most int) {
+	w.t.Helper()
+	declared := 10 * time.Millisecond
+	if class == "long" {
+		declared = time.Second
+	}
+	got := make(map[string]int)
+	for range times {
+		ticket := w.router.Ticket(w.now, class, "team", 5, w.now.Add(time.Minute), declared)
+		d := w.router.Offer(w.now, w.random, ticket, "")
+		if d.Verdict.String() != want {
+			w.t.Errorf("step %d: got %v (%s), want %s", step, d.Verdict, d.Reason, want)
+		}
+		if d.Endpoint == nil {
+			continue
+		}
+		name := d.Endpoint.Name()
+		got[name]++
+		w.held[name] = append(w.held[name], ticket)
+		if among != nil && !slices.Contains(among, name) {
+			w.t.Errorf("step %d: got endpoint %s, want one of %v", step, name, among)
+		}
+	}
+	for name, n := range got {
+		if most > 0 && n > most {
+			w.t.Errorf("step %d: requests at %s: got %d, want at most %d", step, name, n, most)
+		}
+	}
+}
