--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,7 +48,7 @@
 	client      *link.Client
 	log         *log.Logger
 	worker      platform.Worker
-	runner      *http.Client
+	runner      *http.Transport
 	registry    gometrics.Registry
 	server      *link.Server
 	incarnation uint64
@@ -86,7 +86,7 @@
 		client:      link.NewClient(id, link.RoleEntry),
 		log:         logger,
 		worker:      platform.NewWorker(&http.Client{}, s.WorkerURL),
-		runner:      newRunnerClient(),
+		runner:      newRunnerTransport(),
 		registry:    gometrics.NewRegistry(),
 		incarnation: uint64(now.UnixNano()),
 		chain:       bundle.NewChain(s.Roots),
--- a/internal/agent/flight.go
+++ b/internal/agent/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -260,6 +261,23 @@
 	failed error
 }
 
+// readFrom passes on the whole body of an answer.
+func (s *spool) readFrom(resp *http.Response) error {
+	if resp.Body == http.NoBody {
+		return nil
+	}
+	if resp.ContentLength < 0 || resp.ContentLength > endpoint.AnswerBytes {
+		_, err := io.Copy(s, resp.Body)
+		return err
+	}
+	s.kept = make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, s.kept); err != nil {
+		return err
+	}
+	_, s.failed = s.to.Write(s.kept)
+	return nil
+}
+
 // Write implements io.Writer. An asker that is gone is an error only if the
 // answer is too large to be kept for the next one.
 func (s *spool) Write(p []byte) (int, error) {
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -29,15 +29,12 @@
 	standardDeadline = time.Minute
 )
 
-func newRunnerClient() *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxConnsPerHost:     maxRunnerConnections,
-			MaxIdleConnsPerHost: maxRunnerConnections,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+func newRunnerTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:     maxRunnerConnections,
+		MaxIdleConnsPerHost: maxRunnerConnections,
+		DisableCompression:  true,
 	}
 }
 
@@ -175,7 +172,7 @@
 	}
 	link.CopyHeader(out.Header, r.Header)
 	link.DropInternal(out.Header)
-	return a.runner.Do(out)
+	return a.runner.RoundTrip(out)
 }
 
 // deliver passes the runner's answer on and keeps it if it is small. If the
@@ -185,8 +182,7 @@
 	header.Set(link.HeaderTook, strconv.FormatInt(took.Microseconds(), 10))
 	a.writeHeader(w, f.id, resp.StatusCode, header)
 	spool := &spool{to: w}
-	_, err := io.Copy(spool, resp.Body)
-	if err != nil {
+	if err := spool.readFrom(resp); err != nil {
 		a.ended(f, endpoint.FateDone, nil)
 		panic(http.ErrAbortHandler) // the entry must see that the body is cut off
 	}
--- a/internal/bench/request/links.go
+++ b/internal/bench/request/links.go
@@ -26,7 +26,7 @@
 	// lose segments of the kernel's TCP, so it delays them.
 	tcpLossDelay = 200 * time.Millisecond
 	// linkCalls is the most calls over one link, one after the other.
-	linkCalls = 250
+	linkCalls = 400
 	// linkStop bounds the wait for the server's end.
 	linkStop = time.Second
 	// datagramSize is the largest datagram that is passed on.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,7 +114,7 @@
 	if e.doorLn, err = new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen); err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	e.door = &http.Server{Handler: e.doorHandler(), ReadHeaderTimeout: headerTimeout}
+	e.door = &http.Server{Handler: e.closeWhenLeaving(e.doorHandler()), ReadHeaderTimeout: headerTimeout}
 	if e.peers, err = link.Listen(s.PeerListen, id, e.peerHandler(), link.RoleAgent, link.RoleEntry); err != nil {
 		return nil, err
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -131,7 +131,7 @@
 		problem.New(http.StatusBadRequest, link.HeaderRepeat, `want "never" or nothing`).Write(w)
 		return nil, 0, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, service.BodyLimit))
+	body, err := readBody(w, r, service.BodyLimit)
 	if err != nil {
 		problem.New(http.StatusRequestEntityTooLarge, "body", "the body is cut off or over the service's limit").Write(w)
 		return nil, 0, false
@@ -140,6 +140,16 @@
 	return q, deadline, true
 }
 
+// readBody reads a request's whole body.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength < 0 || r.ContentLength > limit {
+		return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
+}
+
 func parseDeadline(text string, standard time.Duration) (time.Duration, error) {
 	if text == "" {
 		return standard, nil
--- a/internal/entry/request_answer.go
+++ b/internal/entry/request_answer.go
@@ -33,6 +33,10 @@
 		status: resp.StatusCode, header: h, outcome: problem.Outcome(h.Get(link.HeaderOutcome)),
 		rest: resp.Body, release: release,
 	}
+	if resp.Body == http.NoBody {
+		a.close()
+		return a, nil
+	}
 	if resp.ContentLength > endpoint.AnswerBytes {
 		return a, nil
 	}
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -78,6 +78,7 @@
 	switch what := a.take(&a.script.Exchanges); what {
 	case "answer":
 		h.Set(link.HeaderOutcome, "run")
+		h.Set("Content-Length", strconv.Itoa(max(len(body), 1)))
 		_, _ = w.Write(body)
 	case "cut":
 		h.Set(link.HeaderOutcome, "run")
@@ -284,6 +285,21 @@
 	}
 }
 
+// TestHeadHasNoBody asks for the header of an answer alone.
+func TestHeadHasNoBody(t *testing.T) {
+	c := newContract(t)
+	c.announce("worker-1", &scriptedAgent{script: requestScript{Exchanges: []string{"answer"}}})
+	req, err := http.NewRequest(http.MethodHead, "http://"+c.entry.Address()+"/services/planner/x", nil)
+	c.must(err)
+	req.Header.Set(HeaderTeam, "nursery")
+	resp, err := http.DefaultClient.Do(req)
+	c.must(err)
+	_ = resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusOK; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
+
 // TestLeavingAgentGetsNothingMore refuses one request as leaving: the next ones go elsewhere.
 func TestLeavingAgentGetsNothingMore(t *testing.T) {
 	c := newContract(t)
@@ -306,3 +322,19 @@
 		t.Errorf("attempt without a number: got %v, want %v", got, want)
 	}
 }
+
+// TestLeavingEntryClosesConnections asks an entry that leaves.
+func TestLeavingEntryClosesConnections(t *testing.T) {
+	c := newContract(t)
+	c.announce("worker-1", &scriptedAgent{script: requestScript{Exchanges: []string{"answer"}}})
+	c.entry.leaving.Store(true)
+	req, err := http.NewRequest(http.MethodGet, "http://"+c.entry.Address()+"/services/planner/x", nil)
+	c.must(err)
+	req.Header.Set(HeaderTeam, "nursery")
+	resp, err := http.DefaultClient.Do(req)
+	c.must(err)
+	_ = resp.Body.Close()
+	if got, want := resp.Close, true; got != want {
+		t.Errorf("connection is closed after the answer: got %v, want %v", got, want)
+	}
+}
