--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -11,6 +11,7 @@
 			benchBatchCommand(),
 			benchCapacityCommand(),
 			benchExploreCommand(),
+			benchTakeoverCommand(),
 		},
 	}
 }
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -33,6 +33,8 @@
 	workers map[string]*workerView
 	relay   job.Relay
 	taker   job.Taker
+	// forgot is when ended jobs were looked for last.
+	forgot time.Time
 
 	scheduler queue.Scheduler
 	random    *rand.Rand
@@ -120,7 +122,7 @@
 	if document == nil || e.jobs.began.IsZero() {
 		return nil
 	}
-	out := e.takeOver(now)
+	out := append(e.takeOver(now), e.forget(now, neighbours)...)
 	e.configure(now, document)
 	e.dropSilent(now)
 	backup := func(jobID string) time.Duration {
@@ -146,6 +148,10 @@
 	e.jobs.scheduler.Configure(now, d, &e.jobs.fold)
 }
 
+// forgetWorkerAfter is how long a worker without tasks may be silent before
+// nothing is kept of it.
+const forgetWorkerAfter = 10 * time.Minute
+
 // dropSilent tells the scheduler of workers that fell silent; jobs.mu is held.
 func (e *Entry) dropSilent(now time.Time) {
 	if now.Sub(e.jobs.looked) < workerLostAfter/2 {
@@ -153,9 +159,13 @@
 	}
 	e.jobs.looked = now
 	for name, v := range e.jobs.workers {
-		if now.Sub(v.heard) > workerLostAfter {
+		silent := now.Sub(v.heard)
+		if silent > workerLostAfter {
 			e.jobs.scheduler.Fleet().Lost(name)
 		}
+		if silent > forgetWorkerAfter && !e.jobs.scheduler.Fleet().Knows(name) {
+			delete(e.jobs.workers, name)
+		}
 	}
 }
 
