--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 
-.PHONY: build test lint tools explore bench-batch experiments bench-capacity
+.PHONY: build test lint tools explore bench-batch experiments bench-capacity bench-request
 
 build: ## Builds the program.
 	go build -o bin/savoryhoist .
@@ -26,6 +26,9 @@
 bench-log: ## Measures appends, bundles, control messages and recovery.
 	@go run . bench log
 
+bench-request: build ## Compares routing policies and measures hops; longer: bin/savoryhoist bench request --help.
+	bin/savoryhoist bench request
+
 bench-batch: build ## Measures placement, the guard and the start of urgent work.
 	@bin/savoryhoist bench batch
 
