Cancel a wave with one question to each data centre

Cause: POST /jobs/cancel asked for each job of another data centre by itself, and had no test. Change: one list of the team's jobs from each data centre, then one record each. savoryhoist job cancel takes many ids. TestKilledProcesses cancels a wave of 40 jobs, running and waiting. Conclusion: a wave costs one record for each data centre, and none of it starts afterwards.

--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 
 	"github.com/urfave/cli/v3"
+
+	"savoryhoist.example/savoryhoist/internal/entry"
 )
 
 func jobCommand() *cli.Command {
@@ -51,8 +54,17 @@
 
 func jobCancelCommand() *cli.Command {
 	return &cli.Command{
-		Name: "cancel", Usage: "cancel a job", ArgsUsage: "id", Flags: teamFlags(),
-		Action: func(ctx context.Context, cmd *cli.Command) error { return callJob(ctx, cmd, http.MethodDelete) },
+		Name: "cancel", Usage: "cancel jobs", ArgsUsage: "id...", Flags: teamFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() < 2 {
+				return callJob(ctx, cmd, http.MethodDelete)
+			}
+			data, err := json.Marshal(entry.Cancellation{Jobs: cmd.Args().Slice()})
+			if err != nil {
+				return err
+			}
+			return call(ctx, cmd, http.MethodPost, "/jobs/cancel", bytes.NewReader(data), teamHeader(cmd))
+		},
 	}
 }
 
--- a/internal/command/killed_test.go
+++ b/internal/command/killed_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"testing"
+
+	"savoryhoist.example/savoryhoist/internal/entry"
 )
 
 // TestKilledProcesses kills an entry, then an agent, and then loses a worker's
@@ -37,6 +41,41 @@
 	s.workers[0].LoseVM()
 	s.eventually("every job succeeded", load.allSucceeded)
 	checkStarts(t, s, load, 2)
+	cancelWave(t, s, load)
+}
+
+// cancelWave cancels many jobs at once, some of which run and some of which
+// wait for room. None may start afterwards.
+func cancelWave(t *testing.T, s *site, load *traffic) {
+	t.Helper()
+	const body = `{"class":"shaping","size":{"milli-cpu":2000,"memory-mb":64},"payload":{"run-ms":600000}}`
+	before := len(load.jobs)
+	for i := range 40 {
+		load.submitRepeated(fmt.Sprintf("wave-%d", i), body)
+	}
+	s.eventually("some of the wave run", func() bool { return s.running(0)+s.running(1) > 3 })
+	wave := load.jobs[before:]
+	var result entry.CancellationResult
+	data, err := json.Marshal(entry.Cancellation{Jobs: append([]string{"no-such-job"}, wave...)})
+	s.must(err)
+	resp, err := load.post("/jobs/cancel", string(data), http.Header{})
+	s.must(err)
+	s.must(json.NewDecoder(resp.Body).Decode(&result))
+	s.must(resp.Body.Close())
+	if got, want := len(result.Accepted), len(wave); got != want {
+		t.Errorf("accepted cancellations: got %d, want %d", got, want)
+	}
+	if got, want := len(result.Unknown), 1; got != want {
+		t.Errorf("unknown jobs: got %d, want %d", got, want)
+	}
+	s.eventually("the wave's tasks have ended", func() bool { return s.running(0)+s.running(1) == 0 })
+	starts := s.runs(0) + s.runs(1)
+	load.submitRepeated("after-the-wave", `{"class":"urgent","size":{"milli-cpu":2000,"memory-mb":64}}`)
+	load.jobs = append(load.jobs[:before:before], load.jobs[len(load.jobs)-1])
+	s.eventually("every other job succeeded", load.allSucceeded)
+	if got, want := s.runs(0)+s.runs(1), starts+1; got != want {
+		t.Errorf("starts after the cancellation: got %d, want %d", got-starts, want-starts)
+	}
 }
 
 // submitRepeated submits a job as a caller does whose entry may just have been
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"sort"
@@ -43,19 +44,7 @@
 		problem.New(http.StatusBadRequest, "jobs", "want 1 to 10000 job ids").Write(w)
 		return
 	}
-	result := CancellationResult{Accepted: []string{}}
-	homes := make(map[string][]string)
-	for _, id := range c.Jobs {
-		f, p := e.findJob(r.Context(), d, team.Name, id)
-		switch {
-		case p == nil:
-			homes[f.dataCentre] = append(homes[f.dataCentre], id)
-		case p.Status == http.StatusNotFound:
-			result.Unknown = append(result.Unknown, id)
-		default:
-			result.Repeat = append(result.Repeat, id)
-		}
-	}
+	result, homes := e.sortByHome(r.Context(), e.dataCentres(d), team.Name, c.Jobs)
 	for home, ids := range homes {
 		m := &record.Cancel{Jobs: ids, AtMS: time.Now().UnixMilli()}
 		if p := appendTo(r.Context(), e.jobsWriter(home), m); p != nil {
@@ -68,3 +57,31 @@
 	sort.Strings(result.Accepted)
 	writeJSON(w, http.StatusAccepted, result)
 }
+
+// sortByHome sorts jobs by the data centre that has them. Those that are found
+// nowhere are unknown, or to be repeated if some data centre did not answer.
+func (e *Entry) sortByHome(ctx context.Context, dataCentres []string, team string, ids []string) (CancellationResult, map[string][]string) {
+	homeOf := make(map[string]string)
+	complete := true
+	for _, name := range dataCentres {
+		views, _, p := e.askJobs(ctx, name, team, "")
+		complete = complete && p == nil
+		for i := range views {
+			homeOf[views[i].ID] = name
+		}
+	}
+	result := CancellationResult{Accepted: []string{}}
+	homes := make(map[string][]string)
+	for _, id := range ids {
+		home, ok := homeOf[id]
+		switch {
+		case ok:
+			homes[home] = append(homes[home], id)
+		case complete:
+			result.Unknown = append(result.Unknown, id)
+		default:
+			result.Repeat = append(result.Repeat, id)
+		}
+	}
+	return result, homes
+}
