Measure when urgent work starts after an entry was killed

Change: TestKilledProcesses submits urgent jobs right after an entry was killed and prints when the last of them has started.

--- a/internal/command/killed_test.go
+++ b/internal/command/killed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"savoryhoist.example/savoryhoist/internal/entry"
 )
@@ -27,7 +28,18 @@
 	submit("entry")
 	s.eventually("tasks run", func() bool { return s.runs(0)+s.runs(1) > 3 })
 	s.kill(s.processes[0])
+	killed := time.Now()
 	submit("agent")
+	s.eventually("urgent work of the killed entry starts", func() bool {
+		runs := s.startsByTask()
+		for _, id := range load.jobs {
+			if runs[id+".0"] == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("all urgent work started within %v of the entry's death", time.Since(killed))
 	s.start(s.processes[0])
 	s.kill(s.processes[2])
 	submit("vm")
