--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/problem"
@@ -79,11 +80,16 @@
 	}
 	e.log.Info().Str("decision", "judge-attempt").Str("request-id", q.id).Uint32("attempt", n).Str("endpoint", t.name).
 		Str("outcome", string(out.problem.Outcome)).Bool("again", allowed).Bool("safe", safe).Err(out.err).Msg("")
-	return allowed && pause(ctx, delay)
+	if !allowed {
+		return false
+	}
+	e.count("requests-retried")
+	return pause(ctx, delay)
 }
 
 func (e *Entry) finish(q *request, t target, out outcome) {
 	if e.routes.done(time.Now(), q.service.Name, t, out.result) {
+		e.count("endpoints-ejected")
 		e.log.Warn().Str("decision", "eject-endpoint").Str("endpoint", t.name).Str("reason", "it fails everything").Msg("")
 	}
 }
@@ -93,7 +99,11 @@
 		Str("endpoint", t.name).Int("in-flight", t.inFlight).Bool("waited", t.waited).Str("reason", t.reason).Msg("")
 }
 
+// count adds one to a counter of rare events.
+func (e *Entry) count(name string) { gometrics.GetOrRegisterCounter(name, e.registry).Inc(1) }
+
 func (e *Entry) logShed(q *request, n uint32, reason string) {
+	e.count("requests-refused")
 	e.log.Info().Str("decision", "refuse-request").Str("request-id", q.id).Uint32("attempt", n).
 		Str("class", q.class.Name).Str("reason", reason).Msg("")
 }
--- a/internal/entry/request_attempt.go
+++ b/internal/entry/request_attempt.go
@@ -121,6 +121,7 @@
 			if !pause(ctx, settleTime) || x.answered.Load() {
 				return
 			}
+			e.count("connections-replaced")
 			e.log.Warn().Str("decision", "replace-connection").Str("request-id", q.id).Str("endpoint", t.name).
 				Str("reason", "no progress").Str("fate", fate.String()).Msg("")
 			e.agents.DropIdle()
