--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 bench-batch: build ## Measures placement, the guard and the start of urgent work.
 	@bin/savoryhoist bench batch
 
-experiments: ## Runs the experiments under experiments/ on real processes; SEED=n repeats one, ONLY=name runs one.
+experiments: ## Runs the experiments under experiments/ on real processes; SEED=n repeats one, ONLY=name runs one, BASELINE=program compares with an earlier version.
 	@rm -rf out/experiments
 	@go test -v -tags experiments -count=1 -timeout 15m -run 'TestExperiments/$(ONLY)' ./experiments; status=$$?; \
 		go run ./tools/plot $$(dirname out/experiments/*/result.json); \
--- a/experiments/experiments_test.go
+++ b/experiments/experiments_test.go
@@ -24,6 +24,12 @@
 // seedVariable names the environment variable with the seed; 1 if unset.
 const seedVariable = "SEED"
 
+// baselineVariable names the environment variable with the path of an earlier
+// version of the program. Half of each experiment's load then goes, interleaved,
+// to a second site of that version; its faults are the same, its processes get
+// no signals.
+const baselineVariable = "BASELINE"
+
 // betweenRestarts is the pause after each process of a rolling restart.
 const betweenRestarts = 300 * time.Millisecond
 
@@ -102,9 +108,15 @@
 	t.Helper()
 	s := startSite(t, binary, plan.Site)
 	folder := filepath.Join(outFolder, plan.Name)
+	args := []string{
+		"load", file, "--entry-urls", s.entryURLs(), "--standin-url", s.standin, "--report", folder, "--seed", seed(),
+	}
+	if earlier := os.Getenv(baselineVariable); earlier != "" {
+		baseline := startSite(t, earlier, plan.Site)
+		args = append(args, "--baseline-entry-urls", baseline.entryURLs(), "--baseline-standin-url", baseline.standin)
+	}
 	before := sampleAll(s.all)
-	tool := exec.Command(binary, "load", file, "--entry-urls", s.entryURLs(), "--standin-url", s.standin,
-		"--report", folder, "--seed", seed())
+	tool := exec.Command(binary, args...)
 	tool.Stderr = os.Stderr
 	if err := tool.Start(); err != nil {
 		t.Fatal(err)
--- a/experiments/site_test.go
+++ b/experiments/site_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/ed25519"
 	"crypto/rand"
 	"fmt"
@@ -52,16 +53,21 @@
 
 // process is one real process and how to start it again.
 type process struct {
-	name  string
-	args  []string
-	url   string
-	cmd   *exec.Cmd
-	usage time.Duration
+	name   string
+	binary string
+	args   []string
+	url    string
+	cmd    *exec.Cmd
+	usage  time.Duration
 }
 
+// present is the program of this version; it serves every site's stand-ins.
+var present string
+
 func build(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "savoryhoist")
+	present = binary
 	if out, err := exec.Command("go", "build", "-o", binary, "..").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
@@ -122,7 +128,7 @@
 	address := s.freeAddress()
 	s.standin = "http://" + address
 	args := []string{"standin", "--listen", address, "--workers", fmt.Sprint(size.Workers), "--slots", fmt.Sprint(size.Slots)}
-	s.all = append(s.all, &process{name: "standin", args: args, url: s.standin + "/counts"})
+	s.all = append(s.all, &process{name: "standin", binary: present, args: args, url: s.standin + "/counts"})
 }
 
 func (s *site) common(role link.Role, dataCentre, name, public string) []string {
@@ -182,7 +188,7 @@
 func (s *site) start(p *process) {
 	f, err := os.OpenFile(s.path(p.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
 	s.must(err)
-	p.cmd = exec.Command(s.binary, p.args...)
+	p.cmd = exec.Command(cmp.Or(p.binary, s.binary), p.args...)
 	p.cmd.Stdout, p.cmd.Stderr = f, f
 	s.must(p.cmd.Start())
 	s.must(f.Close())
