--- a/experiments/site_test.go
+++ b/experiments/site_test.go
@@ -92,6 +92,11 @@
 	s.must(err)
 	s.document, err = bundle.ParseTemplate(template, s.roots)
 	s.must(err)
+	if binary == present { // earlier versions know no data centres in a bundle
+		for _, name := range size.DataCentres {
+			s.document.DataCentres = append(s.document.DataCentres, bundle.DataCentre{Name: name})
+		}
+	}
 	s.addStandin(size)
 	for i := range size.Entries * len(size.DataCentres) {
 		s.addEntry(i, size.DataCentres[i%len(size.DataCentres)], public)
--- a/internal/load/job.go
+++ b/internal/load/job.go
@@ -23,9 +23,11 @@
 	// accepted reports whether the submission was answered with the job.
 	accepted  bool
 	cancelled bool
-	outcome   problem.Outcome
-	detail    string
-	phase     string
+	// misses counts cancellations that were answered as for an unknown job.
+	misses  int
+	outcome problem.Outcome
+	detail  string
+	phase   string
 	// ended is when the job's end was seen, after the moment it was due.
 	ended time.Duration
 }
@@ -78,9 +80,21 @@
 	seen.id, seen.accepted = v.ID, true
 }
 
+// cancel asks for a job's end until it is accepted or was refused too often.
 func (r *Run) cancel(ctx context.Context, seen *JobSeen) bool {
-	status, _, err := r.callEntry(ctx, seen.variant, http.MethodDelete, "/jobs/"+seen.id, "", "", nil)
-	return err == nil && status == http.StatusAccepted
+	for range resubmits {
+		status, _, err := r.callEntry(ctx, seen.variant, http.MethodDelete, "/jobs/"+seen.id, "", "", nil)
+		if err == nil && status == http.StatusAccepted {
+			return true
+		}
+		if status == http.StatusNotFound {
+			seen.misses++
+		}
+		if !pause(ctx, resubmitDelay) {
+			break
+		}
+	}
+	return false
 }
 
 // callEntry sends one call to a ready entry and reads a JSON answer into out.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -118,8 +118,8 @@
 		}
 		variant += a.variant
 	}
-	if early < 400 || early > 600 || late < 4600 || late > 5400 {
-		t.Errorf("arrivals: got %d and %d, want about 500 and 5000", early, late)
+	if early < 900 || early > 1100 || late < 9600 || late > 10400 {
+		t.Errorf("arrivals: got %d and %d, want about 1000 and 10000", early, late)
 	}
 	if share := float64(variant) / float64(len(first)); share < 0.45 || share > 0.55 {
 		t.Errorf("share of the second variant: got %f, want about one half", share)
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -55,16 +55,18 @@
 
 // JobResult is the figures of one stream of jobs at one variant.
 type JobResult struct {
-	Stream    string  `json:"stream"`
-	Variant   string  `json:"variant"`
-	Submitted int     `json:"submitted"`
-	Accepted  int     `json:"accepted"`
-	Succeeded int     `json:"succeeded"`
-	Cancelled int     `json:"cancelled"`
-	Failed    int     `json:"failed"`
-	Starts    int     `json:"starts"`
-	P50       float64 `json:"p50-ms"`
-	Most      float64 `json:"max-ms"`
+	Stream    string `json:"stream"`
+	Variant   string `json:"variant"`
+	Submitted int    `json:"submitted"`
+	Accepted  int    `json:"accepted"`
+	Succeeded int    `json:"succeeded"`
+	Cancelled int    `json:"cancelled"`
+	Failed    int    `json:"failed"`
+	// CancelMisses counts cancellations of accepted jobs that were answered with 404.
+	CancelMisses int     `json:"cancel-misses"`
+	Starts       int     `json:"starts"`
+	P50          float64 `json:"p50-ms"`
+	Most         float64 `json:"max-ms"`
 }
 
 // Ratio compares the last variant of a run with the first.
@@ -154,6 +156,7 @@
 			continue
 		}
 		out.Accepted++
+		out.CancelMisses += j.misses
 		for t := range j.tasks {
 			out.Starts += len(s.counts[variant].Tasks[fmt.Sprintf("%s.%d", j.id, t)])
 		}
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -19,14 +19,14 @@
 // At returns when the arrival is due.
 func (a Arrival) At() time.Duration { return a.at }
 
-// Schedule returns all arrivals of a plan in order of time. The same seed
-// gives the same schedule.
+// Schedule returns all arrivals of a plan in order of time; each variant gets
+// the plan's rates. The same seed gives the same schedule.
 func (p *Plan) Schedule(seed uint64, variants int) []Arrival {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var out []Arrival
 	for i := range p.Requests {
 		s := &p.Requests[i]
-		for _, at := range arrivals(random, s.Rate, p.Duration) {
+		for _, at := range arrivals(random, s.Rate, p.Duration, variants) {
 			a := Arrival{at: at, stream: i, variant: random.IntN(variants)}
 			a.work = time.Duration(random.ExpFloat64() * float64(s.Work))
 			if random.Float64() < s.StragglerShare {
@@ -37,7 +37,7 @@
 	}
 	for i := range p.Jobs {
 		s := &p.Jobs[i]
-		for _, at := range arrivals(random, s.Rate, p.Duration) {
+		for _, at := range arrivals(random, s.Rate, p.Duration, variants) {
 			a := Arrival{at: at, stream: i, job: true, variant: random.IntN(variants), work: s.Run}
 			if random.Float64() < s.StragglerShare {
 				a.work = s.StragglerRun
@@ -50,8 +50,8 @@
 	return out
 }
 
-// arrivals draws the moments of a Poisson process of varying rate by thinning.
-func arrivals(random *rand.Rand, steps []Step, length time.Duration) []time.Duration {
+// arrivals draws the moments of a Poisson process of varying rate, times factor, by thinning.
+func arrivals(random *rand.Rand, steps []Step, length time.Duration, factor int) []time.Duration {
 	most := 0.0
 	for _, s := range steps {
 		most = max(most, s.PerSecond)
@@ -62,7 +62,7 @@
 	var out []time.Duration
 	at := time.Duration(0)
 	for {
-		at += time.Duration(random.ExpFloat64() / most * float64(time.Second))
+		at += time.Duration(random.ExpFloat64() / (most * float64(factor)) * float64(time.Second))
 		if at >= length {
 			return out
 		}
