--- a/internal/command/bad_input_test.go
+++ b/internal/command/bad_input_test.go
@@ -138,3 +138,35 @@
 	s.must(err)
 	return string(data)
 }
+
+// TestDescribedPaths asks for every path and method that docs/openapi.yaml
+// describes: an entry serves each of them.
+func TestDescribedPaths(t *testing.T) {
+	var document struct {
+		Paths map[string]map[string]any `yaml:"paths"`
+	}
+	data, err := os.ReadFile("../../docs/openapi.yaml")
+	if err == nil {
+		err = yaml.Unmarshal(data, &document)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSite(t, 1, 1)
+	values := strings.NewReplacer("{service}", "planner", "{path}", "preview", "{id}", "none")
+	for path, methods := range document.Paths {
+		for method := range methods {
+			if method == "parameters" {
+				continue
+			}
+			b := badRequest{Method: strings.ToUpper(method), Path: values.Replace(path)}
+			resp := b.send(t, s.entryURLs[0])
+			var p problem.Problem
+			_ = json.NewDecoder(resp.Body).Decode(&p)
+			_ = resp.Body.Close()
+			if p.Field == "path" {
+				t.Errorf("%s %s: got %q, want it served", method, path, p.Detail)
+			}
+		}
+	}
+}
