--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -33,6 +33,8 @@
 	workers map[string]*workerView
 	relay   job.Relay
 	taker   job.Taker
+	// forgot is when ended jobs were looked for last.
+	forgot time.Time
 
 	scheduler queue.Scheduler
 	random    *rand.Rand
@@ -63,6 +65,7 @@
 // attach makes the scheduler follow the fold, before anything is folded.
 func (j *jobs) attach(now time.Time) {
 	j.born = now
+	j.delivered = now
 	j.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)) //nolint:gosec // placement only
 	j.fold.Changed = func(id record.TaskID, owner *job.Job, t *job.Task) {
 		j.scheduler.TaskChanged(j.delivered, id, owner, t)
@@ -120,7 +123,7 @@
 	if document == nil || e.jobs.began.IsZero() {
 		return nil
 	}
-	out := e.takeOver(now)
+	out := append(e.takeOver(now), e.forget(now, neighbours)...)
 	e.configure(now, document)
 	e.dropSilent(now)
 	backup := func(jobID string) time.Duration {
