Rotate certificates while running and show what a bundle changes

Cause: certificates were read once; a refused peer left no line in the log; errors in a bundle named the field without its line; operators could not see what a bundle would change. Refusals of peers are logged. Conclusion: keys and certificates can be replaced without a restart.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -54,7 +54,9 @@
 	if err != nil {
 		return err
 	}
-	return serveBeside(ctx, s.Admin, a.AdminHandler(), a.Run)
+	return withReload(ctx, cmd, id, logger, func(ctx context.Context) error {
+		return serveBeside(ctx, s.Admin, a.AdminHandler(), a.Run)
+	})
 }
 
 // adminTimeout bounds how long a reader of metrics takes to send headers.
--- a/internal/command/bundle.go
+++ b/internal/command/bundle.go
@@ -14,6 +14,7 @@
 		Commands: []*cli.Command{
 			bundleKeygenCommand(),
 			bundleCheckCommand(),
+			bundleSchemaCommand(),
 			bundleSignCommand(),
 			bundlePublishCommand(),
 			bundleShowCommand(),
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -47,5 +47,5 @@
 	if err != nil {
 		return err
 	}
-	return e.Run(ctx)
+	return withReload(ctx, cmd, id, logger, e.Run)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,7 @@
 		known:    make(map[string]member),
 		newer:    make(chan string, 1),
 	}
+	id.OnRefused(func(err error) { logger.Warn().Err(err).Str("decision", "refuse-peer").Msg("") })
 	e.jobs.attach(now)
 	e.requestTimer = gometrics.GetOrRegisterTimer("requests", e.registry)
 	e.routes.random = rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name)))) //nolint:gosec // load balancing only
--- a/internal/explore/log/operator.go
+++ b/internal/explore/log/operator.go
@@ -108,12 +108,12 @@
 	return nil
 }
 
-func (w *world) appendBundle(m *record.Bundle) uint64 {
+func (w *world) appendBundle(m *record.Bundle) {
 	data, err := record.Encode(fmt.Sprintf("door@%d", w.next()), 1, []record.Message{m})
 	if err != nil {
 		panic(err) // the message is the program's own
 	}
-	return w.append(data)
+	w.append(data)
 }
 
 func encode(s *bundle.Signed) []byte {
--- a/internal/link/certificate.go
+++ b/internal/link/certificate.go
@@ -58,6 +58,9 @@
 // Name returns the peer's name.
 func (p Peer) Name() string { return p.name }
 
+// String returns the form role/data-centre/name.
+func (p Peer) String() string { return string(p.role) + "/" + p.dataCentre + "/" + p.name }
+
 const uriScheme = "savoryhoist"
 
 func (p Peer) uri() *url.URL {
@@ -78,16 +81,21 @@
 // Identity is a process's certificate and the authorities that it trusts. It
 // can be replaced while in use.
 type Identity struct {
-	state atomic.Pointer[identityState]
+	state   atomic.Pointer[identityState]
+	refused atomic.Pointer[func(error)]
 }
 
+// OnRefused sets what is called with the reason when a peer is refused.
+func (i *Identity) OnRefused(fn func(error)) { i.refused.Store(&fn) }
+
 type identityState struct {
 	certificate tls.Certificate
 	roots       *x509.CertPool
 	peer        Peer
 }
 
-// Load reads PEM texts and puts them in use. On an error the old ones stay.
+// Load reads PEM texts and puts them in use. On an error the old ones stay. A
+// certificate of another role, data centre or name than the one in use is refused.
 func (i *Identity) Load(certificate, key, authorities []byte) error {
 	pair, err := tls.X509KeyPair(certificate, key)
 	if err != nil {
@@ -101,10 +109,16 @@
 	if !roots.AppendCertsFromPEM(authorities) {
 		return errors.Wrap(ErrCertificate, "authorities: no certificate found")
 	}
+	if old := i.state.Load(); old != nil && old.peer != peer {
+		return errors.Wrapf(ErrPeer, "the new certificate is of %s, this process is %s", peer, old.peer)
+	}
 	i.state.Store(&identityState{certificate: pair, roots: roots, peer: peer})
 	return nil
 }
 
+// Expires returns when the certificate in use ends.
+func (i *Identity) Expires() time.Time { return i.state.Load().certificate.Leaf.NotAfter }
+
 // Peer returns who this process is.
 func (i *Identity) Peer() Peer { return i.state.Load().peer }
 
@@ -116,8 +130,17 @@
 	return os.ReadFile(s)
 }
 
-// verify checks a peer's chain against the authorities in use and its role.
+// verify checks a peer and reports a refusal.
 func (i *Identity) verify(cs tls.ConnectionState, usage x509.ExtKeyUsage, roles []Role) error {
+	err := i.check(cs, usage, roles)
+	if fn := i.refused.Load(); err != nil && fn != nil {
+		(*fn)(err)
+	}
+	return err
+}
+
+// check compares a peer's chain with the authorities in use, and its role.
+func (i *Identity) check(cs tls.ConnectionState, usage x509.ExtKeyUsage, roles []Role) error {
 	if len(cs.PeerCertificates) == 0 {
 		return errors.Wrap(ErrPeer, "no certificate")
 	}
@@ -130,7 +153,7 @@
 		Roots: i.state.Load().roots, Intermediates: pool, KeyUsages: []x509.ExtKeyUsage{usage},
 	})
 	if err != nil {
-		return errors.Mark(err, ErrPeer)
+		return errors.Mark(errors.Wrapf(err, "certificate of %q", leaf.Subject.CommonName), ErrPeer)
 	}
 	peer, err := PeerOf(leaf)
 	if err != nil {
@@ -141,7 +164,7 @@
 			return nil
 		}
 	}
-	return errors.Wrapf(ErrPeer, "role %q", peer.role)
+	return errors.Wrapf(ErrPeer, "%s: role %q is not wanted here", peer, peer.role)
 }
 
 func (i *Identity) serverTLS(protocols []string, roles []Role) *tls.Config {
--- /dev/null
+++ b/internal/link/identity_test.go
@@ -0,0 +1,150 @@
+package link
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+type echo struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func testIdentity(t *testing.T, a *Authority, now time.Time, peer Peer) *Identity {
+	t.Helper()
+	certificate, key, err := a.Issue(now, time.Hour, peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := new(Identity)
+	if err := id.Load(certificate, key, a.PEM()); err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+func testAuthority(t *testing.T) *Authority {
+	t.Helper()
+	a, err := NewAuthority(time.Now().Add(-24*time.Hour), 48*time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// serveEcho serves a door for agents and returns its address.
+func serveEcho(t *testing.T, id *Identity) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle("POST /echo", Handle(func(_ context.Context, peer Peer, in *echo) (*echo, error) {
+		return &echo{Text: peer.Name() + ": " + in.Text}, nil
+	}))
+	s, err := Listen("127.0.0.1:0", id, mux, RoleAgent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	group.Go(func() { _ = s.ServeQUIC() })
+	group.Go(func() { _ = s.ServeTCP() })
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Shutdown(ctx)
+		group.Wait()
+	})
+	return s.Address()
+}
+
+func callEcho(t *testing.T, id *Identity, address string, roles ...Role) (string, error) {
+	t.Helper()
+	c := NewClient(id, roles...)
+	defer func() { _ = c.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	out := new(echo)
+	err := c.Call(ctx, address, "/echo", &echo{Text: "hello"}, out)
+	return out.Text, err
+}
+
+// TestPeersRefused checks which certificates open the door.
+func TestPeersRefused(t *testing.T) {
+	now := time.Now()
+	a := testAuthority(t)
+	server := testIdentity(t, a, now, NewPeer(RoleEntry, "dc-1", "entry-1"))
+	var refusals atomic.Int64
+	server.OnRefused(func(err error) {
+		if !errors.Is(err, ErrPeer) {
+			t.Errorf("reason of a refusal: got %v, want %v", err, ErrPeer)
+		}
+		refusals.Add(1)
+	})
+	address := serveEcho(t, server)
+	agent := NewPeer(RoleAgent, "dc-1", "worker-1")
+	cases := []struct {
+		name string
+		id   *Identity
+		want bool
+	}{
+		{"an agent", testIdentity(t, a, now, agent), true},
+		{"another role", testIdentity(t, a, now, NewPeer(RoleEntry, "dc-1", "entry-2")), false},
+		{"an expired certificate", testIdentity(t, a, now.Add(-2*time.Hour), agent), false},
+		{"another authority", testIdentity(t, testAuthority(t), now, agent), false},
+	}
+	for _, c := range cases {
+		got, err := callEcho(t, c.id, address, RoleEntry)
+		if ok := err == nil && got == "worker-1: hello"; ok != c.want {
+			t.Errorf("%s: got answer %q, error %v, want accepted %t", c.name, got, err, c.want)
+		}
+		if !c.want && !errors.Is(err, ErrCall) {
+			t.Errorf("%s: got %v, want %v", c.name, err, ErrCall)
+		}
+	}
+	// The client of another authority refuses the server before it is asked.
+	if got, want := refusals.Load(), int64(2); got != want {
+		t.Errorf("refusals reported: got %d, want %d", got, want)
+	}
+	if _, err := callEcho(t, testIdentity(t, a, now, agent), address, RoleAgent); err == nil {
+		t.Error("a server of another role: got an answer, want a refusal")
+	}
+}
+
+// TestRotationWhileRunning replaces a server's certificate and authority.
+func TestRotationWhileRunning(t *testing.T) {
+	now := time.Now()
+	old, next := testAuthority(t), testAuthority(t)
+	entry, agent := NewPeer(RoleEntry, "dc-1", "entry-1"), NewPeer(RoleAgent, "dc-1", "worker-1")
+	server := testIdentity(t, old, now, entry)
+	address := serveEcho(t, server)
+	client := testIdentity(t, next, now, agent)
+	if _, err := callEcho(t, client, address, RoleEntry); err == nil {
+		t.Fatal("before the rotation: got an answer, want a refusal")
+	}
+	certificate, key, err := next.Issue(now, time.Hour, entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Load(certificate, key, append(old.PEM(), next.PEM()...)); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := callEcho(t, client, address, RoleEntry); err != nil || got != "worker-1: hello" {
+		t.Errorf("after the rotation: got %q, error %v, want an answer", got, err)
+	}
+	if err := server.Load([]byte("not PEM"), key, next.PEM()); !errors.Is(err, ErrCertificate) {
+		t.Errorf("a broken certificate: got %v, want %v", err, ErrCertificate)
+	}
+	other, otherKey, err := next.Issue(now, time.Hour, NewPeer(RoleEntry, "dc-2", "entry-1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Load(other, otherKey, next.PEM()); !errors.Is(err, ErrPeer) {
+		t.Errorf("a certificate of another data centre: got %v, want %v", err, ErrPeer)
+	}
+	if got, err := callEcho(t, client, address, RoleEntry); err != nil || got != "worker-1: hello" {
+		t.Errorf("after refused rotations: got %q, error %v, want an answer", got, err)
+	}
+}
--- /dev/null
+++ b/pkg/bundle/diff.go
@@ -0,0 +1,97 @@
+package bundle
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Change is one difference between two documents.
+type Change struct {
+	// Field is the place, with list items called by their names.
+	Field    string
+	Old, New string
+}
+
+// String returns the change in one line.
+func (c Change) String() string {
+	switch {
+	case c.Old == "":
+		return fmt.Sprintf("+ %s: %s", c.Field, c.New)
+	case c.New == "":
+		return fmt.Sprintf("- %s: %s", c.Field, c.Old)
+	}
+	return fmt.Sprintf("~ %s: %s -> %s", c.Field, c.Old, c.New)
+}
+
+// Diff returns what changes from one document to another, in order of the
+// fields' names. The version and the parent are left out.
+func Diff(from, to *Document) ([]Change, error) {
+	before, err := flatten(from)
+	if err != nil {
+		return nil, err
+	}
+	after, err := flatten(to)
+	if err != nil {
+		return nil, err
+	}
+	var out []Change
+	for field, value := range before {
+		if after[field] != value {
+			out = append(out, Change{Field: field, Old: value, New: after[field]})
+		}
+	}
+	for field, value := range after {
+		if _, ok := before[field]; !ok {
+			out = append(out, Change{Field: field, New: value})
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.Field, b.Field) })
+	return out, nil
+}
+
+// flatten returns the values of a document by their places.
+func flatten(d *Document) (map[string]string, error) {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return nil, err
+	}
+	var tree map[string]any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		return nil, err
+	}
+	delete(tree, "version")
+	delete(tree, "parent")
+	out := make(map[string]string)
+	walk("", tree, out)
+	return out, nil
+}
+
+func walk(at string, value any, out map[string]string) {
+	switch v := value.(type) {
+	case map[string]any:
+		for name, child := range v {
+			walk(strings.TrimPrefix(at+"."+name, "."), child, out)
+		}
+	case []any:
+		for i, child := range v {
+			walk(fmt.Sprintf("%s[%s]", at, itemName(i, child)), child, out)
+		}
+	default:
+		if v != nil && !reflect.ValueOf(v).IsZero() {
+			out[at] = fmt.Sprint(v)
+		}
+	}
+}
+
+// itemName returns the name of a list's item, or its index.
+func itemName(i int, item any) string {
+	if m, ok := item.(map[string]any); ok {
+		if name, ok := m["name"].(string); ok {
+			return name
+		}
+	}
+	return fmt.Sprint(i)
+}
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
 )
 
 // ErrInvalid means that a bundle failed its checks.
@@ -28,18 +29,44 @@
 	if err := yaml.UnmarshalWithOptions(data, &d, yaml.Strict()); err != nil {
 		return nil, errors.Mark(errors.Newf("%s", yaml.FormatError(err, false, true)), ErrInvalid)
 	}
-	if err := d.Check(); err != nil {
-		return nil, err
+	c := checker{line: lines(data)}
+	c.document(&d)
+	if c.err != nil {
+		return nil, c.err
 	}
 	return &d, nil
 }
 
+// lines returns a function that finds the line of a field, or 0.
+func lines(data []byte) func(field string) int {
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil
+	}
+	return func(field string) int {
+		path, err := yaml.PathString("$." + field)
+		if err != nil {
+			return 0
+		}
+		node, err := path.FilterFile(file)
+		if err != nil || node == nil || node.GetToken() == nil {
+			return 0
+		}
+		return node.GetToken().Position.Line
+	}
+}
+
 // Format writes a document in the form that Parse reads.
 func Format(d *Document) ([]byte, error) { return yaml.Marshal(d) }
 
 // Check returns an error that names every field with a wrong value.
 func (d *Document) Check() error {
 	var c checker
+	c.document(d)
+	return c.err
+}
+
+func (c *checker) document(d *Document) {
 	c.want(d.Version > 0, "version", "must be at least 1")
 	c.want((d.Version == 1) == (d.Parent == ""), "parent", "must be given from version 2 on, and only then")
 	c.operators(&d.Operators)
@@ -65,18 +92,27 @@
 		c.name(at, d.Teams[i].Name, seen)
 		c.want(d.Teams[i].Quota.Valid(), at+".quota", "must not be negative")
 	}
-	return c.err
 }
 
 type names map[string]bool
 
-type checker struct{ err error }
+type checker struct {
+	err error
+	// line, if set, returns the line of a field, or 0.
+	line func(field string) int
+}
 
 func (c *checker) want(ok bool, field, rule string) {
 	if ok {
 		return
 	}
-	c.err = errors.Join(c.err, errors.Mark(errors.Newf("%s: %s", field, rule), ErrInvalid))
+	place := field
+	if c.line != nil {
+		if n := c.line(field); n > 0 {
+			place = fmt.Sprintf("line %d: %s", n, field)
+		}
+	}
+	c.err = errors.Join(c.err, errors.Mark(errors.Newf("%s: %s", place, rule), ErrInvalid))
 }
 
 func (c *checker) name(at, name string, seen names) {
