--- a/internal/agent/contacts.go
+++ b/internal/agent/contacts.go
@@ -26,6 +26,8 @@
 	configured []string
 	known      []string
 	failures   map[string]failure
+	// busy entries have a call under way.
+	busy map[string]bool
 	// rediscovered is when a configured address was asked as an extra.
 	rediscovered time.Time
 	extra        int
@@ -58,6 +60,19 @@
 // answered notes that an entry answered.
 func (c *contacts) answered(address string) { delete(c.failures, address) }
 
+// begun notes calls to entries; they are not told again until the calls end.
+func (c *contacts) begun(addresses []string) {
+	if c.busy == nil {
+		c.busy = make(map[string]bool)
+	}
+	for _, a := range addresses {
+		c.busy[a] = true
+	}
+}
+
+// ended notes the end of a call.
+func (c *contacts) ended(address string) { delete(c.busy, address) }
+
 // targets returns the entries to tell now: of the known ones that answer, those
 // ranked first for this agent, so that the load spreads over the entries, and
 // from time to time a configured address.
@@ -74,12 +89,17 @@
 	})
 	out = out[:min(len(out), maxTold)]
 	if len(out) == 0 {
-		return c.fallback(now)
+		return c.idle(c.fallback(now))
 	}
 	if extra := c.rediscover(now, out); extra != "" {
 		out = append(out, extra)
 	}
-	return out
+	return c.idle(out)
+}
+
+// idle returns those without a call under way.
+func (c *contacts) idle(addresses []string) []string {
+	return slices.DeleteFunc(addresses, func(a string) bool { return c.busy[a] })
 }
 
 // fallback returns configured addresses; if none answers it tries them all.
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -58,8 +58,6 @@
 // tell sends the heartbeat to a few entries at once and returns the answers
 // that come in time: an entry that hangs does not hold up the round.
 func (a *Agent) tell(ctx context.Context, h link.Heartbeat) []answer {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	entries, primary := a.targets(time.Now())
 	replies := make(chan answer, len(entries))
 	for _, address := range entries {
@@ -97,10 +95,15 @@
 	return answers
 }
 
+// tellOne sends the heartbeat to one entry. The call goes on after the round, so
+// that a slow entry hears the worker all the same; its answer is then dropped.
 func (a *Agent) tellOne(ctx context.Context, address string, h *link.Heartbeat) answer {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	reading, err := a.exchange(ctx, address, h)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.contacts.ended(address)
 	if err != nil {
 		a.log.Warn().Err(err).Str("entry", address).Msg("heartbeat failed")
 		a.contacts.failed(time.Now(), address)
@@ -138,6 +141,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out := a.contacts.targets(now)
+	if len(out) == 0 {
+		return nil, ""
+	}
+	a.contacts.begun(out)
 	if slices.Contains(out, a.primary) {
 		return out, a.primary
 	}
--- a/internal/entry/recover.go
+++ b/internal/entry/recover.go
@@ -12,8 +12,8 @@
 // offset at which reading begins.
 func (e *Entry) startOfJobs(ctx context.Context) (uint64, error) {
 	first, next, err := platform.End(ctx, e.logPort, JobsStream(e.settings.DataCentre))
-	if err != nil || next-first <= snapshotBatches/4 {
-		return first, err
+	if err != nil || (first == 0 && next <= snapshotBatches/4) {
+		return 0, err
 	}
 	return e.recoverJobs(ctx, record.Page{First: first, Next: next}), nil
 }
