--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,8 @@
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/endpoint"
 	"savoryhoist.example/savoryhoist/pkg/lease"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Settings configure an agent.
@@ -140,7 +142,7 @@
 	a.mu.Unlock()
 	a.log.Info().Msg("agent is leaving")
 	a.round(ctx)
-	pause(ctx, a.settings.DrainAfter)
+	delay.For(ctx, a.settings.DrainAfter)
 	a.waitIdle(ctx)
 	if err := a.server.Shutdown(ctx); err != nil {
 		a.log.Warn().Err(err).Msg("shutdown")
@@ -151,7 +153,7 @@
 const idlePoll = 20 * time.Millisecond
 
 func (a *Agent) waitIdle(ctx context.Context) {
-	for a.flying() > 0 && pause(ctx, idlePoll) {
+	for a.flying() > 0 && delay.For(ctx, idlePoll) {
 		continue
 	}
 }
@@ -191,15 +193,3 @@
 	mux.Handle("POST "+link.PathBundle, link.Handle(a.answerBundle))
 	return mux
 }
-
-// pause waits for d and reports whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -12,6 +12,8 @@
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/lease"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Times of a round.
@@ -29,7 +31,7 @@
 		a.round(ctx)
 		period := a.period()
 		jitter := period / beatJitter
-		if !pause(ctx, period-jitter+rand.N(2*jitter+1)) {
+		if !delay.For(ctx, period-jitter+rand.N(2*jitter+1)) {
 			return
 		}
 	}
--- a/internal/entry/bundle.go
+++ b/internal/entry/bundle.go
@@ -12,6 +12,8 @@
 	"savoryhoist.example/savoryhoist/internal/problem"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/record"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // maxBundle bounds a signed bundle, in bytes.
@@ -246,7 +248,7 @@
 		if err == nil {
 			return false
 		}
-		if !errors.Is(err, bundle.ErrNoParent) || waited >= publishWait || !pause(r.Context(), publishPoll) {
+		if !errors.Is(err, bundle.ErrNoParent) || waited >= publishWait || !delay.For(r.Context(), publishPoll) {
 			problem.New(http.StatusConflict, "bundle", err.Error()).Write(w)
 			return true
 		}
@@ -288,7 +290,7 @@
 			writeResult(w, result)
 			return
 		}
-		if !pause(r.Context(), publishPoll) {
+		if !delay.For(r.Context(), publishPoll) {
 			return
 		}
 	}
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -9,6 +9,8 @@
 
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/record"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Times and sizes of carrying forward.
@@ -95,7 +97,7 @@
 
 // carryForward writes again what the log's retention would end, until ctx ends.
 func (e *Entry) carryForward(ctx context.Context) {
-	for pause(ctx, carryEvery) {
+	for delay.For(ctx, carryEvery) {
 		now := time.Now()
 		e.writer.SetGap(StreamGap * time.Duration(max(1, len(e.neighbours(now)))))
 		if e.bundles.Queued() == 0 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,8 @@
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/record"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Streams of the log service.
@@ -191,7 +193,7 @@
 	e.leaving.Store(true)
 	e.log.Info().Msg("entry is leaving")
 	e.tellMembers(ctx, true)
-	pause(ctx, e.settings.DrainAfter)
+	delay.For(ctx, e.settings.DrainAfter)
 	if err := e.door.Shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("shutdown of the callers' door")
 	}
@@ -227,15 +229,3 @@
 	defer e.bundleMu.Unlock()
 	return e.bundle.chain.Document()
 }
-
-// pause waits for d and reports whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/failover.go
+++ b/internal/entry/failover.go
@@ -9,6 +9,8 @@
 	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/pkg/job"
 	"savoryhoist.example/savoryhoist/pkg/record"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // failoverEvery is how often an entry looks for lost data centres.
@@ -32,7 +34,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	running := make(map[string]*failover)
-	for pause(ctx, failoverEvery) {
+	for delay.For(ctx, failoverEvery) {
 		d := e.document()
 		if d == nil || e.leaving.Load() {
 			continue
--- a/internal/entry/learn.go
+++ b/internal/entry/learn.go
@@ -6,6 +6,8 @@
 
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Times of learning bundles from agents.
@@ -37,7 +39,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !pause(ctx, learnEvery) {
+		if !delay.For(ctx, learnEvery) {
 			return
 		}
 	}
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -10,6 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"savoryhoist.example/savoryhoist/pkg/record"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Times of membership.
@@ -32,7 +34,7 @@
 func (e *Entry) announce(ctx context.Context) {
 	for {
 		e.tellMembers(ctx, false)
-		if !pause(ctx, cmp.Or(e.settings.AnnounceEvery, announceEvery)) {
+		if !delay.For(ctx, cmp.Or(e.settings.AnnounceEvery, announceEvery)) {
 			return
 		}
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"savoryhoist.example/savoryhoist/internal/delay"
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/problem"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
@@ -73,10 +74,10 @@
 func (e *Entry) again(ctx context.Context, q *request, t target, out *outcome) bool {
 	n := q.course.Attempt()
 	safe := q.course.Again(ctx.Err() != nil)
-	var delay time.Duration
+	var backoff time.Duration
 	allowed := false
 	if safe {
-		delay, allowed = e.routes.retry(time.Now(), q.service.Name, int(n))
+		backoff, allowed = e.routes.retry(time.Now(), q.service.Name, int(n))
 	}
 	e.log.Info().Str("decision", "judge-attempt").Str("request-id", q.id).Uint32("attempt", n).Str("endpoint", t.name).
 		Str("outcome", string(out.problem.Outcome)).Bool("again", allowed).Bool("safe", safe).Err(out.err).Msg("")
@@ -84,7 +85,7 @@
 		return false
 	}
 	e.count("requests-retried")
-	return pause(ctx, delay)
+	return delay.For(ctx, backoff)
 }
 
 func (e *Entry) finish(q *request, t target, out outcome) {
--- a/internal/entry/request_attempt.go
+++ b/internal/entry/request_attempt.go
@@ -15,6 +15,8 @@
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/problem"
 	"savoryhoist.example/savoryhoist/pkg/endpoint"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Errors of an exchange with an agent.
@@ -118,7 +120,7 @@
 			failures = 0
 		}
 		if err == nil && fate != endpoint.FateRunning || failures > fateTries {
-			if !pause(ctx, settleTime) || x.answered.Load() {
+			if !delay.For(ctx, settleTime) || x.answered.Load() {
 				return
 			}
 			e.count("connections-replaced")
@@ -129,7 +131,7 @@
 			return
 		}
 		wait = min(2*wait, silenceMost)
-		if !pause(ctx, wait) {
+		if !delay.For(ctx, wait) {
 			return
 		}
 	}
--- a/internal/entry/silence.go
+++ b/internal/entry/silence.go
@@ -8,6 +8,8 @@
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/pkg/job"
 	"savoryhoist.example/savoryhoist/pkg/record"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Times of the check whether a silent worker is lost.
@@ -23,7 +25,7 @@
 
 // confirmSilence asks the other entries about silent workers until ctx ends.
 func (e *Entry) confirmSilence(ctx context.Context) {
-	for pause(ctx, confirmEvery) {
+	for delay.For(ctx, confirmEvery) {
 		e.jobs.mu.Lock()
 		suspects := e.jobs.taker.Suspects(time.Now(), &e.jobs.fold)
 		e.jobs.mu.Unlock()
--- a/internal/entry/spill.go
+++ b/internal/entry/spill.go
@@ -14,6 +14,8 @@
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/problem"
 	"savoryhoist.example/savoryhoist/pkg/endpoint"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Times of the exchange of sums between data centres.
@@ -51,7 +53,7 @@
 func (e *Entry) exchangeSums(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	for pause(ctx, sumEvery) {
+	for delay.For(ctx, sumEvery) {
 		d := e.document()
 		if d == nil {
 			continue
--- a/internal/load/job.go
+++ b/internal/load/job.go
@@ -10,6 +10,8 @@
 
 	"savoryhoist.example/savoryhoist/internal/entry"
 	"savoryhoist.example/savoryhoist/internal/problem"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // JobSeen is what a team saw of one job.
@@ -45,7 +47,7 @@
 	seen := JobSeen{key: key, stream: a.stream, variant: a.variant, tasks: s.Tasks, due: a.at, outcome: problem.Unknown}
 	for range resubmits {
 		r.submitOnce(ctx, s, a, &seen)
-		if seen.accepted || !pause(ctx, resubmitDelay) {
+		if seen.accepted || !delay.For(ctx, resubmitDelay) {
 			break
 		}
 	}
@@ -90,7 +92,7 @@
 		if status == http.StatusNotFound {
 			seen.misses++
 		}
-		if !pause(ctx, resubmitDelay) {
+		if !delay.For(ctx, resubmitDelay) {
 			break
 		}
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // ErrNotReady means that no entry became ready.
@@ -100,7 +102,7 @@
 		if ready == len(r.balancers) {
 			return nil
 		}
-		if !pause(ctx, readyPoll) {
+		if !delay.For(ctx, readyPoll) {
 			return ctx.Err()
 		}
 	}
@@ -125,7 +127,7 @@
 }
 
 func (r *Run) showProgress(ctx context.Context) {
-	for pause(ctx, progressTime) {
+	for delay.For(ctx, progressTime) {
 		r.mu.Lock()
 		requests, jobs := len(r.requests), len(r.jobs)
 		r.mu.Unlock()
@@ -140,22 +142,10 @@
 	r.errs = append(r.errs, err)
 }
 
-// pause waits for d and reports whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func pauseUntil(ctx context.Context, t time.Time) bool {
 	d := time.Until(t)
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	return pause(ctx, d)
+	return delay.For(ctx, d)
 }
--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"savoryhoist.example/savoryhoist/internal/delay"
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
 
@@ -36,7 +37,7 @@
 
 // Run reads until ctx ends.
 func (t *Tail) Run(ctx context.Context) {
-	delay := retryMin
+	backoff := retryMin
 	next := t.start(ctx)
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -46,11 +47,11 @@
 			continue
 		}
 		if err != nil {
-			sleep(ctx, delay/2+rand.N(delay))
-			delay = min(delay*2, retryMax)
+			delay.For(ctx, backoff/2+rand.N(backoff))
+			backoff = min(backoff*2, retryMax)
 			continue
 		}
-		delay = retryMin
+		backoff = retryMin
 		if t.Observed != nil {
 			t.Observed(page.First, page.Next)
 		}
@@ -59,14 +60,14 @@
 }
 
 func (t *Tail) start(ctx context.Context) uint64 {
-	delay := retryMin
+	backoff := retryMin
 	for t.Start != nil && ctx.Err() == nil {
 		next, err := t.Start(ctx)
 		if err == nil {
 			return next
 		}
-		sleep(ctx, delay/2+rand.N(delay))
-		delay = min(delay*2, retryMax)
+		delay.For(ctx, backoff/2+rand.N(backoff))
+		backoff = min(backoff*2, retryMax)
 	}
 	return 0
 }
--- a/internal/platform/writer.go
+++ b/internal/platform/writer.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"savoryhoist.example/savoryhoist/pkg/record"
+
+	"savoryhoist.example/savoryhoist/internal/delay"
 )
 
 // Times of a writer.
@@ -156,7 +158,7 @@
 		w.mu.Lock()
 		wait := w.pace.wait(time.Now())
 		w.mu.Unlock()
-		if !sleep(ctx, wait) {
+		if !delay.For(ctx, wait) {
 			return
 		}
 		w.learnFloor(ctx)
@@ -182,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	delay := retryMin
+	backoff := retryMin
 	unknown := false
 	for {
 		offset, err := w.try(ctx, data)
@@ -193,10 +195,10 @@
 		}
 		unknown = unknown || !errors.Is(err, record.ErrUnavailable)
 		for {
-			if !sleep(ctx, delay/2+rand.N(delay)) {
+			if !delay.For(ctx, backoff/2+rand.N(backoff)) {
 				return endOfWait(err, unknown)
 			}
-			delay = min(delay*2, retryMax)
+			backoff = min(backoff*2, retryMax)
 			if !unknown {
 				break
 			}
@@ -268,18 +270,3 @@
 		}
 	}
 }
-
-// sleep waits for d and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
