Give up attempts that take far longer than expected, where a repetition is safe

The agent says that the attempt runs, so the entry went on waiting.

It ends as not-run only if every attempt is known not to have run, so one given up keeps it unknown.

--- a/internal/entry/request_attempt.go
+++ b/internal/entry/request_attempt.go
@@ -24,6 +24,9 @@
 	// errSilent means that a connection made no progress although the agent
 	// had more to say.
 	errSilent = errors.New("the connection is silent")
+	// errSlow means that an attempt of a repeatable request takes so much longer
+	// than expected that another endpoint is tried.
+	errSlow = errors.New("the attempt takes too long")
 	// errCrossed means that an answer belongs to another attempt.
 	errCrossed = errors.New("the answer belongs to another attempt")
 )
@@ -33,6 +36,9 @@
 	// agent is asked about it; it doubles up to silenceMost.
 	silenceAfter = 500 * time.Millisecond
 	silenceMost  = 4 * time.Second
+	// patience is how many times its expected time an attempt of a repeatable
+	// request is given, if that is longer than silenceAfter.
+	patience = 10
 	// settleTime is what an answer that is on its way is given to arrive.
 	settleTime = 100 * time.Millisecond
 	// fateTimeout bounds one question about an attempt.
@@ -66,6 +72,10 @@
 		if err == nil {
 			return e.judge(q, a)
 		}
+		if errors.Is(err, errSlow) {
+			q.course.Abandon()
+			return e.unanswered(ctx, q.course.Fate(), err)
+		}
 		step := q.course.Lost(connected)
 		if step == endpoint.StepAsk {
 			step = q.course.Asked(e.askFate(ctx, q, t, n), ctx.Err() != nil)
@@ -111,6 +121,7 @@
 // has an end to report and it does not arrive, the connection is given up.
 func (e *Entry) watch(ctx context.Context, x *exchange, q *request, t target, n uint32) {
 	wait := silenceAfter
+	started := time.Now().Add(-silenceAfter)
 	failures := 0
 	for ctx.Err() == nil && !x.answered.Load() {
 		fate, err := e.askOnce(ctx, q, t, n, false)
@@ -130,6 +141,9 @@
 			x.cancel(errSilent)
 			return
 		}
+		if time.Since(started) >= patience*t.ticket.Expected() && e.abandon(ctx, x, q, t, n) {
+			return
+		}
 		wait = min(2*wait, silenceMost)
 		if !delay.For(ctx, wait) {
 			return
@@ -137,6 +151,20 @@
 	}
 }
 
+// abandon gives an attempt of a repeatable request up for one elsewhere, and
+// tells the agent that nobody waits for it any more.
+func (e *Entry) abandon(ctx context.Context, x *exchange, q *request, t target, n uint32) bool {
+	if !q.course.Repeat() || x.answered.Load() {
+		return false
+	}
+	e.count("attempts-abandoned")
+	e.log.Warn().Str("decision", "abandon-attempt").Str("request-id", q.id).Str("endpoint", t.name).
+		Str("reason", "it takes much longer than expected").Msg("")
+	x.cancel(errSlow)
+	_, _ = e.askOnce(context.WithoutCancel(ctx), q, t, n, true)
+	return true
+}
+
 func buildAttempt(ctx context.Context, r *http.Request, q *request, t target, n uint32) (*http.Request, error) {
 	path := link.PathRequests + q.service.Name + strings.TrimPrefix(r.URL.Path, "/services/"+q.service.Name)
 	out, err := http.NewRequestWithContext(ctx, r.Method, "https://"+t.address+path, bytes.NewReader(q.body))
--- a/internal/entry/spill.go
+++ b/internal/entry/spill.go
@@ -148,7 +148,7 @@
 // repeatable requests from callers leave: if the way is lost, nobody can say
 // what became of one there.
 func (e *Entry) spillTo(now time.Time, r *http.Request, q *request, deadline time.Time) string {
-	if r.TLS != nil || !q.course.Repeatable() {
+	if r.TLS != nil || !q.course.Repeat() {
 		return ""
 	}
 	e.routes.mu.Lock()
--- a/pkg/endpoint/course.go
+++ b/pkg/endpoint/course.go
@@ -38,9 +38,6 @@
 // more than once.
 func NewCourse(repeat bool) Course { return Course{repeat: repeat} }
 
-// Repeatable reports whether the request may run more than once.
-func (c *Course) Repeatable() bool { return c.repeat }
-
 // together returns the fate of a request of which one part has fate a and
 // another one b.
 func together(a, b Fate) Fate {
@@ -102,6 +99,9 @@
 	return StepFetch
 }
 
+// Abandon notes that the attempt is given up while it may still run.
+func (c *Course) Abandon() { c.fate = FateUnknown }
+
 // Refused notes that the agent refused the attempt with a fate.
 func (c *Course) Refused(fate Fate) { c.fate = fate }
 
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -32,6 +32,9 @@
 // Class returns the request's class.
 func (t *Ticket) Class() string { return t.class }
 
+// Expected returns how long the request is expected to take.
+func (t *Ticket) Expected() time.Duration { return t.work }
+
 // Long reports whether the request counts as long work.
 func (t *Ticket) Long() bool { return t.long }
 
