Explore attempts that are given up

Cause: giving up an attempt that may still run is a new step of a request's course, and the exploration did not take it.

Change: in three of ten slow exchanges of repeatable requests the attempt is abandoned and cancelled at the agent.

--- a/internal/explore/request/entry.go
+++ b/internal/explore/request/entry.go
@@ -11,6 +11,10 @@
 // known is what an entry has heard of an agent.
 type known struct{ incarnation, mark uint64 }
 
+// abandonPart is the part of the slow attempts of repeatable requests that are
+// given up for another one.
+const abandonPart = 0.3
+
 // entry is an entry; a restart loses its requests.
 type entry struct {
 	w     *world
@@ -133,10 +137,24 @@
 }
 
 func (x *exchange) giveUp() {
-	if x.live() {
-		x.end()
-		x.j.lost()
+	if !x.live() {
+		return
+	}
+	x.end()
+	if x.j.course.Repeat() && x.j.e.w.random.Float64() < abandonPart {
+		x.j.abandon()
+		return
 	}
+	x.j.lost()
+}
+
+// abandon gives up an attempt that may still run and tells the agent so.
+func (j *journey) abandon() {
+	w := j.e.w
+	a, in := j.agent, j.attempt
+	j.course.Abandon()
+	w.send(func() { a.ask(in.id, in.incarnation, in.mark, true) })
+	j.ended()
 }
 
 // lost goes on after an exchange without a reply.
