--- a/internal/entry/spill.go
+++ b/internal/entry/spill.go
@@ -6,9 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/link"
@@ -183,9 +181,7 @@
 	if !ok {
 		return false
 	}
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	out, err := http.NewRequestWithContext(traced, r.Method, "https://"+address+r.URL.Path, bytes.NewReader(q.body))
+	out, err := http.NewRequestWithContext(ctx, r.Method, "https://"+address+r.URL.Path, bytes.NewReader(q.body))
 	if err != nil {
 		return false
 	}
@@ -197,11 +193,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		out.Header.Set(link.HeaderDeadline, time.Until(deadline).String())
 	}
-	resp, err := e.entries.Requests().RoundTrip(out)
+	resp, err := e.entries.Control().RoundTrip(out)
 	if err != nil {
-		if !connected.Load() {
-			q.course.Refused(endpoint.FateNotRun)
-		}
+		q.course.Abandon()
 		e.log.Warn().Err(err).Str("request-id", q.id).Str("data-centre", dataCentre).Msg("spilling a request failed")
 		return false
 	}
