Give up an attempt once, and only with time for another

Cause: TestPlannedStopFinishesLongRequests failed: requests of 3 s in a class of 20 ms were given up at every endpoint and ended as unknown after four tries. Work that takes long anywhere must come to its end.

Change: a request gives up at most one attempt, and only if half of its time is left. Whether it may is read before the attempt, not by the watcher.

--- a/internal/entry/request_attempt.go
+++ b/internal/entry/request_attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -59,7 +60,9 @@
 type exchange struct {
 	connected atomic.Bool
 	answered  atomic.Bool
-	cancel    context.CancelCauseFunc
+	// mayAbandon says whether the attempt may be given up while it runs.
+	mayAbandon bool
+	cancel     context.CancelCauseFunc
 }
 
 // try makes one attempt. If a connection fails or goes silent, it asks the
@@ -90,7 +93,7 @@
 // exchange sends the attempt and reads its answer. It reports whether a
 // connection was there to send it on.
 func (e *Entry) exchange(ctx context.Context, transport http.RoundTripper, r *http.Request, q *request, t target, n uint32) (*answer, bool, error) {
-	x := &exchange{}
+	x := &exchange{mayAbandon: q.course.MayAbandon()}
 	own, cancel := context.WithCancelCause(ctx)
 	x.cancel = cancel
 	watch := time.AfterFunc(silenceAfter, func() { e.watch(own, x, q, t, n) })
@@ -141,7 +144,7 @@
 			x.cancel(errSilent)
 			return
 		}
-		if time.Since(started) >= patience*t.ticket.Expected() && e.abandon(ctx, x, q, t, n) {
+		if elapsed := time.Since(started); elapsed >= patience*t.ticket.Expected() && elapsed < timeLeft(ctx) && e.abandon(ctx, x, q, t, n) {
 			return
 		}
 		wait = min(2*wait, silenceMost)
@@ -151,10 +154,19 @@
 	}
 }
 
+// timeLeft returns the time to a request's deadline.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return math.MaxInt64
+	}
+	return time.Until(deadline)
+}
+
 // abandon gives an attempt of a repeatable request up for one elsewhere, and
 // tells the agent that nobody waits for it any more.
 func (e *Entry) abandon(ctx context.Context, x *exchange, q *request, t target, n uint32) bool {
-	if !q.course.Repeat() || x.answered.Load() {
+	if !x.mayAbandon || x.answered.Load() {
 		return false
 	}
 	e.count("attempts-abandoned")
--- a/pkg/endpoint/course.go
+++ b/pkg/endpoint/course.go
@@ -29,6 +29,7 @@
 	attempt   uint32
 	exchanges int
 	connected bool
+	abandoned bool
 	fate      Fate
 	// earlier is the fate of the earlier attempts together.
 	earlier Fate
@@ -99,8 +100,15 @@
 	return StepFetch
 }
 
+// MayAbandon reports whether an attempt may be given up while it runs. That is
+// so once for a request: work that takes long anywhere must still come to its end.
+func (c *Course) MayAbandon() bool { return c.repeat && !c.abandoned }
+
 // Abandon notes that the attempt is given up while it may still run.
-func (c *Course) Abandon() { c.fate = FateUnknown }
+func (c *Course) Abandon() {
+	c.abandoned = true
+	c.fate = FateUnknown
+}
 
 // Refused notes that the agent refused the attempt with a fate.
 func (c *Course) Refused(fate Fate) { c.fate = fate }
