Run the whole path on the users' platform

Jobs of steps are stored through the platform's store, dispatched by the entry that holds the newest claim, and run through agents beside the runners. Decisions live in pkg/workflow, pkg/dispatch and pkg/tenure; platform/ only translates.

--- /dev/null
+++ b/internal/attendant/orders.go
@@ -0,0 +1,163 @@
+package attendant
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
+)
+
+// take carries the dispatcher's orders out.
+func (a *Attendant) take(ctx context.Context, o *peer.Orders) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if o.Term != a.term {
+		a.log.Warn().Uint64("term", o.Term).Uint64("newest", a.term).Msg("orders of another term are dropped")
+		return
+	}
+	now := clock.Steady()
+	for i := range o.Starts {
+		s := o.Starts[i]
+		k := runKey{s.Task, s.Run}
+		if s.Life != a.life {
+			a.refuse(s.Life, k, "another life of the runner")
+			continue
+		}
+		until := a.until(now)
+		if until == 0 || a.grant.Left(now) < shortestGrant {
+			a.refuse(s.Life, k, errNoGrant.Error())
+			continue
+		}
+		a.orders[k] = &order{start: s, sentAt: now, open: true}
+		c := a.call()
+		a.group.Go(func() { a.start(ctx, c, &s, until) })
+	}
+	for i := range o.Stops {
+		s := o.Stops[i]
+		if s.Life != a.life {
+			a.refuse(s.Life, runKey{s.Task, s.Run}, "another life of the runner")
+			continue
+		}
+		a.group.Go(func() { a.fence(ctx, s.Life, runKey{s.Task, s.Run}, s.Reason) })
+	}
+}
+
+// refuse tells the dispatcher that an order never runs. The caller holds mu.
+func (a *Attendant) refuse(life uint64, k runKey, reason string) {
+	delete(a.orders, k)
+	a.log.Info().Str("task", k.task.String()).Uint64("run", k.run).Str("reason", reason).Msg("order refused")
+	if a.conn != nil {
+		a.conn.Send(&peer.Message{Refused: &peer.Refused{Life: life, Task: k.task, Run: k.run, Reason: reason}})
+	}
+}
+
+// start orders the runner to start a task.
+func (a *Attendant) start(ctx context.Context, c Call, s *dispatch.Start, until int64) {
+	k := runKey{s.Task, s.Run}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := a.runner.Start(callCtx, c, s, until)
+	switch {
+	case err == nil:
+		a.mu.Lock()
+		if o := a.orders[k]; o != nil {
+			o.open = false
+		}
+		a.mu.Unlock()
+	case errors.Is(err, ErrNotRun):
+		a.mu.Lock()
+		a.refuse(s.Life, k, err.Error())
+		a.mu.Unlock()
+	default:
+		a.log.Warn().Err(err).Str("task", k.task.String()).Uint64("run", k.run).Msg("start not answered")
+		if a.awaitListed(ctx, k) {
+			return
+		}
+		a.fence(ctx, s.Life, k, "its start was not answered")
+	}
+}
+
+// awaitListed looks at the runner once and reports whether it lists a run, or has ended it.
+func (a *Attendant) awaitListed(ctx context.Context, k runKey) bool {
+	if err := a.lookOnce(ctx, 0); err != nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.orders[k] == nil
+}
+
+// fence stops a run, or makes sure that it never starts, and tells the
+// dispatcher if there is nothing to end.
+func (a *Attendant) fence(ctx context.Context, life uint64, k runKey, reason string) {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		c, current := a.call(), a.life == life
+		a.mu.Unlock()
+		if !current {
+			return // fenceAll and the new life's report settle it
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := a.runner.Stop(callCtx, c, k.task, k.run)
+		cancel()
+		if err == nil && a.lookOnce(ctx, 0) == nil {
+			break
+		}
+		pause(ctx, nil, retryAfter)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.life != life || a.lists(k) {
+		return // the end is reported once it is listed
+	}
+	a.refuse(life, k, reason)
+}
+
+// lists reports whether the runner runs k, or has ended it and not forgotten. The caller holds mu.
+func (a *Attendant) lists(k runKey) bool {
+	for _, r := range a.rows {
+		if r.Task == k.task && r.Run == k.run {
+			return true
+		}
+	}
+	for _, e := range a.ends {
+		if e.Task == k.task && e.Run == k.run {
+			return true
+		}
+	}
+	return false
+}
+
+// fenceAll makes sure that no start sent to an earlier life takes effect in the
+// present one. The caller holds mu.
+func (a *Attendant) fenceAll(ctx context.Context) {
+	for k, o := range a.orders {
+		delete(a.orders, k)
+		if !o.open {
+			continue
+		}
+		a.group.Go(func() { a.stopStray(ctx, k.task, k.run) })
+	}
+}
+
+func (a *Attendant) stopStray(ctx context.Context, task workflow.TaskID, run uint64) {
+	for range 5 {
+		a.mu.Lock()
+		c := a.call()
+		a.mu.Unlock()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := a.runner.Stop(callCtx, c, task, run)
+		cancel()
+		if err == nil || !pause(ctx, nil, retryAfter) {
+			return
+		}
+	}
+}
+
+// lateOrders is how long a start may take effect after it was sent.
+const lateOrders = 12 * time.Second
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,21 @@
+// Package clock reads the clocks that decisions are given as arguments.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Steady returns the present time on a clock that is never set and goes on
+// while the machine is suspended.
+func Steady() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Now() // kernels without this clock: the monotonic reading is the next best
+	}
+	return time.Unix(ts.Unix())
+}
+
+// WallMS returns the time of day in Unix milliseconds.
+func WallMS() int64 { return time.Now().UnixMilli() }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -24,6 +24,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		entryCommand(),
+		platformCommand(),
 		agentCommand(),
 		bundleCommand(),
 		jobCommand(),
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,193 @@
+// Package coordinator is an entry for jobs of steps: it stores what callers hand
+// in, answers for jobs, and dispatches all tasks while it holds the term.
+package coordinator
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/tenure"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
+)
+
+// Times of an entry.
+const (
+	// pingEvery is how often peers ping the dispatcher; ClaimAfter misses four of them.
+	pingEvery = 300 * time.Millisecond
+	// tickEvery is how often beliefs about peers and terms are looked at.
+	tickEvery = 100 * time.Millisecond
+	// tailEvery is how often the jobs' records are read; a job is visible everywhere within three seconds.
+	tailEvery = time.Second
+	// storeTimeout bounds one call to the store, of which the slowest known take 0.4 s.
+	storeTimeout = 1200 * time.Millisecond
+	// silentAfter is how long an agent is not heard before it gets no further orders.
+	silentAfter = 900 * time.Millisecond
+	// proveEvery is how often an idle dispatcher writes to the store, well within tenure.ProofFor.
+	proveEvery = 2 * time.Second
+)
+
+// Settings configure an entry.
+type Settings struct {
+	// Name is unique among entries.
+	Name string
+	Zone string
+	// Listen is where peers reach this entry, IP and port.
+	Listen string
+	// Entries are peer addresses of entries that may be up.
+	Entries []string
+	// Incarnation tells this process from earlier ones of the same name.
+	Incarnation uint64
+	// SpreadFactor is how much longer a task takes away from its data.
+	SpreadFactor float64
+	// StatusFor is how long an ended job is known.
+	StatusFor time.Duration
+	// DecodeConfig reads the operators' configuration.
+	DecodeConfig func(data []byte) (*Config, error)
+}
+
+// Coordinator is one running entry.
+type Coordinator struct {
+	settings Settings
+	store    store.Port
+	log      *log.Logger
+	registry gometrics.Registry
+	listener net.Listener
+	group    sync.WaitGroup
+	wake     chan struct{}
+	persist  chan struct{}
+
+	// mu guards everything below. It is never held during I/O.
+	mu        sync.Mutex
+	config    *Config
+	rawConfig []byte
+	book      workflow.Book
+	bookNext  uint64
+	bookRead  time.Time
+	storeSeen time.Time
+	candidate tenure.Candidate
+	// entries are the peer addresses of entries, with their names where known.
+	entries map[string]string
+	// links are the connections of other entries to this one, by their address.
+	links     map[string]*entryLink
+	leaving   bool
+	upstream  *upstream
+	term      *term
+	claiming  bool
+	pending   map[string]int
+	heirUntil time.Time
+}
+
+// New returns an entry that is reachable for its peers.
+func New(s Settings, port store.Port, logger *log.Logger, registry gometrics.Registry) (*Coordinator, error) {
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	c := &Coordinator{
+		settings: s, store: port, log: logger, registry: registry, listener: ln,
+		wake: make(chan struct{}, 1), persist: make(chan struct{}, 1), entries: make(map[string]string), links: make(map[string]*entryLink),
+	}
+	for _, a := range s.Entries {
+		if a != s.Listen {
+			c.entries[a] = ""
+		}
+	}
+	return c, nil
+}
+
+// Run works until ctx ends, then hands the term over and ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	live, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	c.group.Go(func() { c.accept(live) })
+	c.group.Go(func() { c.tailJobs(live) })
+	c.group.Go(func() { c.tailConfig(live) })
+	c.group.Go(func() { c.follow(live) })
+	c.group.Go(func() { c.lead(live) })
+	c.group.Go(func() { c.writeChanges(live) })
+	c.log.Info().Str("address", c.settings.Listen).Uint64("incarnation", c.settings.Incarnation).Msg("coordinator started")
+	<-ctx.Done()
+}
+
+// Leave hands the term over; the entry goes on answering.
+func (c *Coordinator) Leave() {
+	c.mu.Lock()
+	c.leaving = true
+	t := c.term
+	c.mu.Unlock()
+	c.log.Info().Bool("dispatching", t != nil).Msg("coordinator is leaving")
+	if t != nil {
+		c.resign(t, "the entry is leaving")
+	}
+}
+
+// kick makes a loop run now; one kick that waits is enough.
+func kick(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits for d, a kick or the end of ctx, and reports false at the end.
+func pause(ctx context.Context, ch <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ch:
+	case <-timer.C:
+	}
+	return true
+}
+
+// call runs one call to the store within its time and notes whether it answered.
+func call[T any](c *Coordinator, ctx context.Context, extra time.Duration, fn func(ctx context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout+extra)
+	defer cancel()
+	v, err := fn(ctx)
+	if err == nil || errors.Is(err, store.ErrMoved) || errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrTrimmed) {
+		c.mu.Lock()
+		now := clock.Steady()
+		regained := !c.storeSeen.IsZero() && now.Sub(c.storeSeen) > storeLost
+		away := now.Sub(c.storeSeen)
+		c.storeSeen = now
+		c.mu.Unlock()
+		if regained {
+			c.log.Info().Dur("away", away).Msg("store regained")
+		}
+	}
+	return v, err
+}
+
+// storeLost is how long the store gives no answer before it counts as lost; tails read it every second.
+const storeLost = 2500 * time.Millisecond
+
+// Status is what an entry believes, for operators.
+type Status struct {
+	Version     uint64
+	Term        uint64
+	Dispatcher  string
+	Dispatching bool
+	Jobs        int
+}
+
+// Status returns what the entry believes.
+func (c *Coordinator) Status() Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := Status{Term: c.candidate.Claim().Term, Dispatcher: c.candidate.Claim().Entry, Dispatching: c.term != nil, Jobs: c.book.Len()}
+	if c.config != nil {
+		s.Version = c.config.Version
+	}
+	return s
+}
--- /dev/null
+++ b/internal/coordinator/tail.go
@@ -0,0 +1,184 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/store"
+)
+
+// Times of reading the configuration.
+const (
+	// configWait is how long one read waits for a new version; a connection that went silent is noticed soon after.
+	configWait = 1500 * time.Millisecond
+	// configRetry is the delay after a failed read; a version is in force within two seconds.
+	configRetry = 300 * time.Millisecond
+	// configKey is the key of the whole configuration.
+	configKey = "config"
+)
+
+// tailJobs keeps the book of jobs up to date.
+func (c *Coordinator) tailJobs(ctx context.Context) {
+	for pause(ctx, nil, tailEvery) {
+		if _, err := c.catchUp(ctx); err != nil {
+			c.log.Warn().Err(err).Msg("reading jobs from the store failed")
+		}
+	}
+}
+
+// catchUp reads the jobs' records up to the topic's end, which it returns.
+func (c *Coordinator) catchUp(ctx context.Context) (uint64, error) {
+	for {
+		c.mu.Lock()
+		from, known := c.bookNext, !c.bookRead.IsZero()
+		c.mu.Unlock()
+		if !known {
+			return c.reread(ctx)
+		}
+		began := clock.Steady()
+		page, err := call(c, ctx, 0, func(ctx context.Context) (*store.Page, error) {
+			return c.store.Read(ctx, store.TopicJobs, from, 0)
+		})
+		if errors.Is(err, store.ErrTrimmed) {
+			return c.reread(ctx)
+		}
+		if err != nil {
+			return 0, err
+		}
+		c.takeIn(page.Records)
+		c.mu.Lock()
+		next := c.bookNext
+		done := next >= page.End || len(page.Records) == 0
+		if done {
+			c.bookRead = began
+		}
+		c.mu.Unlock()
+		if done {
+			return page.End, nil
+		}
+	}
+}
+
+// reread reads the newest record of every job.
+func (c *Coordinator) reread(ctx context.Context) (uint64, error) {
+	began := clock.Steady()
+	type all struct {
+		records []store.Stored
+		end     uint64
+	}
+	got, err := call(c, ctx, storeTimeout, func(ctx context.Context) (all, error) {
+		records, end, err := c.store.All(ctx, store.TopicJobs)
+		return all{records, end}, err
+	})
+	if err != nil {
+		return 0, err
+	}
+	c.takeIn(got.records)
+	c.mu.Lock()
+	c.bookNext = max(c.bookNext, got.end)
+	c.bookRead = began
+	c.mu.Unlock()
+	c.log.Info().Int("records", len(got.records)).Uint64("end", got.end).Msg("jobs read from the store")
+	return got.end, nil
+}
+
+// takeIn applies records to the book and passes news to the board.
+func (c *Coordinator) takeIn(records []store.Stored) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := clock.Steady()
+	news := false
+	for i := range records {
+		r := &records[i]
+		c.bookNext = max(c.bookNext, r.Offset+1)
+		id, err := c.book.Apply(r.Record)
+		if err != nil {
+			c.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("a record of the jobs topic is skipped")
+			continue
+		}
+		if c.term != nil {
+			news = c.term.tell(now, c, id) || news
+		}
+	}
+	if news {
+		kick(c.wake)
+	}
+}
+
+// tailConfig keeps the configuration up to date.
+func (c *Coordinator) tailConfig(ctx context.Context) {
+	next, known := uint64(0), false
+	for ctx.Err() == nil {
+		end, err := c.readConfig(ctx, next, known)
+		if errors.Is(err, store.ErrTrimmed) {
+			known = false
+			continue
+		}
+		if err != nil {
+			c.log.Warn().Err(err).Msg("reading the configuration failed")
+			pause(ctx, nil, configRetry)
+			continue
+		}
+		next, known = end, true
+	}
+}
+
+func (c *Coordinator) readConfig(ctx context.Context, next uint64, known bool) (uint64, error) {
+	if !known {
+		records, end, err := c.allConfig(ctx)
+		if err != nil {
+			return 0, err
+		}
+		c.offerAll(records)
+		return end, nil
+	}
+	page, err := call(c, ctx, configWait, func(ctx context.Context) (*store.Page, error) {
+		return c.store.Read(ctx, store.TopicConfig, next, configWait)
+	})
+	if err != nil {
+		return 0, err
+	}
+	c.offerAll(page.Records)
+	for i := range page.Records {
+		next = max(next, page.Records[i].Offset+1)
+	}
+	return next, nil
+}
+
+func (c *Coordinator) allConfig(ctx context.Context) ([]store.Stored, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return c.store.All(ctx, store.TopicConfig)
+}
+
+func (c *Coordinator) offerAll(records []store.Stored) {
+	for i := range records {
+		if records[i].Key == configKey {
+			c.offerConfig(records[i].Value, "store")
+		}
+	}
+}
+
+// offerConfig puts a configuration in force unless a newer one is.
+func (c *Coordinator) offerConfig(data []byte, source string) {
+	config, err := c.settings.DecodeConfig(data)
+	if err != nil {
+		c.log.Error().Err(err).Str("source", source).Msg("a configuration cannot be read and is skipped")
+		return
+	}
+	c.mu.Lock()
+	if c.config != nil && c.config.Version >= config.Version {
+		c.mu.Unlock()
+		return
+	}
+	c.config, c.rawConfig = config, data
+	if c.term != nil {
+		c.term.board.SetQueues(config.queues())
+	}
+	c.mu.Unlock()
+	kick(c.wake)
+	c.log.Info().Uint64("version", config.Version).Int("routes", len(config.Routes)).Str("source", source).Msg("configuration in force")
+}
--- /dev/null
+++ b/pkg/dispatch/score.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// Weights of a placement's score, in units of one whole worker.
+const (
+	// weightAvoid speaks against the worker where the last run failed.
+	weightAvoid = 4.0
+	// weightFar speaks against another rack than that of the data, for each unit of the spread factor beyond 1.
+	weightFar = 2.0
+	// weightSlow speaks against a worker for each unit of its pace beyond 1.5.
+	weightSlow = 1.0
+	slowFrom   = 1.5
+	// weightHarm speaks against filling tasks beside a task with a latency target.
+	weightHarm = 1.5
+	// weightServing draws tasks that last to where others last already.
+	weightServing = 0.3
+	// weightCrowd speaks against taking processor time that filling tasks use.
+	weightCrowd = 0.5
+)
+
+// score rates a worker for a task; the lowest is chosen.
+func (b *Board) score(s *stepState, t *taskState, h *host) float64 {
+	v := 0.0
+	if t.avoid == h.name {
+		v += weightAvoid
+	}
+	if s.spec.Rack != "" && s.spec.Rack != h.rack {
+		v += weightFar * max(0, b.spread-1)
+	}
+	if h.health.pace > slowFrom {
+		v += weightSlow * (h.health.pace - slowFrom)
+	}
+	v += h.health.outcomes.Failing()
+	whole := float64(max(1, h.capacity.MilliCPU))
+	left := float64(h.free().MilliCPU) - float64(h.filling)
+	size := float64(s.spec.Size.MilliCPU)
+	switch {
+	case s.spec.Fills:
+		v += max(0, size-left)/whole*2 - left/whole
+		if h.serving > 0 {
+			v += weightHarm
+		}
+	case s.spec.Lasts:
+		if h.lasting > 0 {
+			v -= weightServing
+		}
+		v += weightCrowd * max(0, size-left) / whole
+		v += float64(h.filling) / whole
+	default:
+		v += weightCrowd * max(0, size-left) / whole
+		v -= left / whole / 4
+	}
+	return v
+}
+
+// makeRoom stops tasks of lower priority on the worker where the least is lost,
+// so that a task that lasts fits. It reports whether room will be there.
+func (b *Board) makeRoom(now time.Time, s *stepState, q Queue) bool {
+	var best *host
+	var victims []*run
+	for _, h := range b.workers {
+		if !b.allowed(now, s, q, h) || s.spec.MostPerWorker > 0 && s.perWorker[h.name] >= s.spec.MostPerWorker {
+			continue
+		}
+		if v, ok := b.victims(h, s.spec.Reserved(), q.Priority); ok && (best == nil || len(v) < len(victims) || len(v) == len(victims) && h.name < best.name) {
+			best, victims = h, v
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, r := range victims {
+		b.stop(now, r, "a task that lasts needs the room")
+	}
+	return false
+}
+
+// victims returns runs of lower priority whose end makes room for need.
+func (b *Board) victims(h *host, need worker.Resources, priority int) ([]*run, bool) {
+	free := h.free()
+	var young []*run
+	for _, r := range h.runs {
+		if r.phase == runStopping {
+			free = free.Plus(r.step.spec.Reserved())
+			continue
+		}
+		if !r.step.spec.Lasts && b.queues[r.step.occ.job.sub.Queue].Priority > priority {
+			young = append(young, r)
+		}
+	}
+	sortRuns(young)
+	var out []*run
+	for _, r := range young {
+		if need.Fits(free) {
+			break
+		}
+		free = free.Plus(r.step.spec.Reserved())
+		out = append(out, r)
+	}
+	return out, need.Fits(free)
+}
+
+// sortRuns puts the runs first that lose the least: the youngest.
+func sortRuns(runs []*run) {
+	for i := 1; i < len(runs); i++ {
+		for j := i; j > 0 && younger(runs[j], runs[j-1]); j-- {
+			runs[j], runs[j-1] = runs[j-1], runs[j]
+		}
+	}
+}
+
+func younger(x, y *run) bool {
+	if !x.since.Equal(y.since) {
+		return x.since.After(y.since)
+	}
+	return x.id.String() < y.id.String()
+}
+
+// Wake returns when Decide should run again at the latest.
+func (b *Board) Wake(now time.Time) time.Time { return now.Add(100 * time.Millisecond) }
--- /dev/null
+++ b/pkg/workflow/spec.go
@@ -0,0 +1,166 @@
+// Package workflow models jobs that consist of steps: what a caller asks for,
+// the names of their tasks, what lasts of their progress, and the book of all
+// jobs that a reader of the store keeps.
+package workflow
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+// ErrSpec means that a job's description is not valid.
+var ErrSpec = errors.New("the job is not valid")
+
+// Limits of a job's description.
+const (
+	// MaxTextBytes is the longest text that a job's tasks are given, as the platform accepts it.
+	MaxTextBytes = 4000
+	// MaxSteps and MaxTasks bound the memory that one job takes at an entry.
+	MaxSteps = 256
+	MaxTasks = 20000
+	// MaxOccurrences bounds how often one job repeats.
+	MaxOccurrences = 100000
+)
+
+// Step is one step of a job: tasks that are alike.
+type Step struct {
+	Count int              `cbor:"1,keyasint"`
+	Size  worker.Resources `cbor:"2,keyasint"`
+	// EstimateMS is the caller's rough estimate of a task's running time, in milliseconds.
+	EstimateMS int64 `cbor:"3,keyasint,omitempty"`
+	// After lists earlier steps that must be done first.
+	After []int `cbor:"4,keyasint,omitempty"`
+	// Gang tasks only work together, under one run number.
+	Gang     bool `cbor:"5,keyasint,omitempty"`
+	SameRack bool `cbor:"6,keyasint,omitempty"`
+	// Label is one that the worker must have.
+	Label string `cbor:"7,keyasint,omitempty"`
+	// Rack is where the step's data is; tasks run slower on other racks.
+	Rack string `cbor:"8,keyasint,omitempty"`
+	// MostPerWorker bounds the tasks of the step that run on one worker; 0 is no bound.
+	MostPerWorker int `cbor:"9,keyasint,omitempty"`
+	// Saves means that the tasks keep checkpoints.
+	Saves bool `cbor:"10,keyasint,omitempty"`
+	// Copies means that several runs of one task may run in parallel.
+	Copies bool `cbor:"11,keyasint,omitempty"`
+	// Lasts means that the tasks run until the job is cancelled.
+	Lasts bool   `cbor:"12,keyasint,omitempty"`
+	Image string `cbor:"13,keyasint,omitempty"`
+	// TargetMS bounds the tail latency of a task that serves its own users, in milliseconds.
+	TargetMS float64 `cbor:"14,keyasint,omitempty"`
+	// Fills means that the tasks use what others leave and reserve no processor time.
+	Fills bool `cbor:"15,keyasint,omitempty"`
+	// MayMiss is how many tasks of a lasting step the scheduler may take away at a time.
+	MayMiss int `cbor:"16,keyasint,omitempty"`
+}
+
+// Reserved returns what a task of the step is counted with against a worker's capacity.
+func (s *Step) Reserved() worker.Resources {
+	r := s.Size
+	if s.Fills {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// Spec describes a job.
+type Spec struct {
+	// Text is handed to each task as it is.
+	Text  string `cbor:"1,keyasint"`
+	Steps []Step `cbor:"2,keyasint"`
+	// Times is how often a scheduled job runs; 0 means once, at once.
+	Times int `cbor:"3,keyasint,omitempty"`
+	// FirstMS is when the first occurrence is due, in Unix milliseconds.
+	FirstMS int64 `cbor:"4,keyasint,omitempty"`
+	// EveryMS is the time between two occurrences, in milliseconds.
+	EveryMS int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Occurrences returns how often the job runs.
+func (s *Spec) Occurrences() int { return max(1, s.Times) }
+
+// DueMS returns when occurrence k is due, in Unix milliseconds; 0 means at once.
+func (s *Spec) DueMS(k int) int64 {
+	if s.Times == 0 {
+		return 0
+	}
+	return s.FirstMS + int64(k)*s.EveryMS
+}
+
+// Lasts reports whether a step of the job runs until the job is cancelled.
+func (s *Spec) Lasts() bool {
+	for i := range s.Steps {
+		if s.Steps[i].Lasts {
+			return true
+		}
+	}
+	return false
+}
+
+func invalid(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), ErrSpec)
+}
+
+// Validate returns an error marked ErrSpec that names the first wrong field.
+func (s *Spec) Validate() error {
+	if len(s.Text) > MaxTextBytes {
+		return invalid("text: want at most %d bytes, got %d", MaxTextBytes, len(s.Text))
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return invalid("steps: want 1 to %d, got %d", MaxSteps, len(s.Steps))
+	}
+	if s.Times < 0 || s.Times > MaxOccurrences {
+		return invalid("occurrences: want 0 to %d, got %d", MaxOccurrences, s.Times)
+	}
+	if s.Times > 0 && (s.FirstMS <= 0 || s.EveryMS < 0) {
+		return invalid("occurrences: want a first time after 1970 and no negative interval")
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].validate(i); err != nil {
+			return errors.Mark(errors.Wrapf(err, "step %d", i), ErrSpec)
+		}
+		if tasks += s.Steps[i].Count; tasks > MaxTasks {
+			return invalid("steps: want at most %d tasks", MaxTasks)
+		}
+	}
+	return nil
+}
+
+func (s *Step) validate(index int) error {
+	switch {
+	case s.Count < 1 || s.Count > MaxTasks:
+		return errors.Newf("count: want 1 to %d, got %d", MaxTasks, s.Count)
+	case !s.Size.Valid():
+		return errors.New("size: no amount may be negative")
+	case s.EstimateMS < 0:
+		return errors.New("estimate: must not be negative")
+	case s.MostPerWorker < 0:
+		return errors.New("most per worker: must not be negative")
+	case s.MayMiss < 0:
+		return errors.New("may miss: must not be negative")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return errors.Newf("after: want an earlier step, got %d", a)
+		}
+	}
+	return nil
+}
+
+// TaskID names one task.
+type TaskID struct {
+	_          struct{} `cbor:",toarray"`
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the task's name on a worker.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
