Pace filling tasks beside serving ones

Cause: filling tasks ran at full speed beside serving tasks over their target. The pacer of pkg/worker slows them by the pressure that the runner reports.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -94,6 +94,8 @@
 	entries map[string]bool
 	pings   map[uint64]time.Time
 	guard   guard
+	// beside is set while serving and filling tasks run side by side.
+	beside bool
 }
 
 // New returns an agent.
@@ -209,6 +211,8 @@
 		wait := holdWait
 		if a.clockAt.IsZero() {
 			wait = 0
+		} else if a.beside {
+			wait = paceWait
 		}
 		a.mu.Unlock()
 		if !known {
@@ -307,7 +311,7 @@
 	}
 	for _, r := range l.Rows {
 		if o := a.orders[runKey{r.Task, r.Run}]; o != nil {
-			a.guard.started(r.Task, o.start.TargetMS, o.start.Fills)
+			a.guard.learn([]dispatch.Guarded{{Task: r.Task, TargetMS: o.start.TargetMS, Fills: o.start.Fills}})
 			delete(a.orders, runKey{r.Task, r.Run})
 		}
 	}
@@ -348,7 +352,7 @@
 
 // worker describes the runner. The caller holds mu.
 func (a *Attendant) worker() dispatch.Worker {
-	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true}
+	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, Pace: a.guard.pacer.Percent()}
 	if b := &a.announced; b.Born == a.life {
 		w.Service, w.Capacity, w.Labels, w.Draining = b.Service, b.Capacity, b.Labels, b.Draining
 	}
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +20,7 @@
 		return
 	}
 	now := clock.Steady()
+	a.guard.learn(o.Guarded)
 	for i := range o.Starts {
 		s := o.Starts[i]
 		k := runKey{s.Task, s.Run}
@@ -158,6 +158,3 @@
 		}
 	}
 }
-
-// lateOrders is how long a start may take effect after it was sent.
-const lateOrders = 12 * time.Second
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -86,6 +86,9 @@
 		return
 	}
 	t.board.Report(now, clock.WallMS(), &r.Worker, r.Rows, r.Ends)
+	if a, g := t.agents[r.Worker.Name], t.board.Guarded(r.Worker.Name); a != nil && a.conn != nil && len(g) > 0 {
+		a.conn.Send(&peer.Message{Orders: &peer.Orders{Term: t.number, Guarded: g}})
+	}
 	c.log.Info().Str("worker", r.Worker.Name).Uint64("life", r.Worker.Life).Int("runs", len(r.Rows)).Int("ends", len(r.Ends)).
 		Uint64("term", t.number).Msg("worker reported")
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -122,6 +122,8 @@
 	Term   uint64           `cbor:"1,keyasint"`
 	Starts []dispatch.Start `cbor:"2,keyasint,omitempty"`
 	Stops  []dispatch.Stop  `cbor:"3,keyasint,omitempty"`
+	// Guarded says what the agent's guard needs to know of tasks that run already.
+	Guarded []dispatch.Guarded `cbor:"4,keyasint,omitempty"`
 }
 
 // Noted says up to which end a worker may forget.
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -193,8 +193,10 @@
 	labels   map[string]bool
 	rack     string
 	draining bool
-	heard    time.Time
-	silent   bool
+	// pace is the percentage at which filling tasks work there.
+	pace   int
+	heard  time.Time
+	silent bool
 	// lapsed is set while nothing can run there.
 	lapsed bool
 	runs   map[workflow.TaskID]*run
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -74,6 +74,8 @@
 	Capacity worker.Resources `cbor:"4,keyasint"`
 	Labels   []string         `cbor:"5,keyasint"`
 	Draining bool             `cbor:"6,keyasint,omitempty"`
+	// Pace is the percentage at which filling tasks work there.
+	Pace int `cbor:"7,keyasint,omitempty"`
 }
 
 // Report takes in a worker's whole state: what it runs, and the ends that it
@@ -125,7 +127,7 @@
 
 func (b *Board) describe(now time.Time, h *host, w *Worker) {
 	h.heard, h.silent, h.lapsed = now, false, false
-	h.service, h.capacity, h.draining = w.Service, w.Capacity, w.Draining
+	h.service, h.capacity, h.draining, h.pace = w.Service, w.Capacity, w.Draining, w.Pace
 	h.labels = make(map[string]bool, len(w.Labels))
 	h.rack = ""
 	for _, l := range w.Labels {
@@ -340,6 +342,30 @@
 	}
 }
 
+// Guarded is what a worker's guard needs to know of a task.
+type Guarded struct {
+	_    struct{} `cbor:",toarray"`
+	Task workflow.TaskID
+	// TargetMS bounds the tail latency of a task that serves, in milliseconds.
+	TargetMS float64
+	Fills    bool
+}
+
+// Guarded returns the tasks at a worker that serve or fill.
+func (b *Board) Guarded(name string) []Guarded {
+	h := b.workers[name]
+	if h == nil {
+		return nil
+	}
+	var out []Guarded
+	for id, r := range h.runs {
+		if s := r.step.spec; s.TargetMS > 0 || s.Fills {
+			out = append(out, Guarded{Task: id, TargetMS: s.TargetMS, Fills: s.Fills})
+		}
+	}
+	return out
+}
+
 // Silent notes that a worker is not heard; it gets no further orders.
 func (b *Board) Silent(name string) {
 	if h := b.workers[name]; h != nil {
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -17,6 +17,8 @@
 	slowFrom   = 1.5
 	// weightHarm speaks against filling tasks beside a task with a latency target.
 	weightHarm = 1.5
+	// weightPaced speaks against filling tasks where they are slowed down to nothing.
+	weightPaced = 2.0
 	// weightServing draws tasks that last to where others last already.
 	weightServing = 0.3
 	// weightCrowd speaks against taking processor time that filling tasks use.
@@ -43,7 +45,7 @@
 	case s.spec.Fills:
 		v += max(0, size-left)/whole*2 - left/whole
 		if h.serving > 0 {
-			v += weightHarm
+			v += weightHarm + weightPaced*float64(100-h.pace)/100
 		}
 	case s.spec.Lasts:
 		if h.lasting > 0 {
