Let pace calls outlive the look that caused them

Cause: the context of a look at the runner ended before the calls that it started, so that no run was paced and stray starts were not fenced.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -232,7 +232,7 @@
 
 // lookOnce extends leases and takes in what the runner lists.
 func (a *Attendant) lookOnce(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
 	a.mu.Lock()
 	now := clock.Steady()
@@ -241,7 +241,7 @@
 		a.held = now.Add(a.grant.Left(now))
 	}
 	a.mu.Unlock()
-	l, err := a.runner.Hold(ctx, h)
+	l, err := a.runner.Hold(callCtx, h)
 	if err != nil {
 		a.unanswered(err)
 		return err
