--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -352,7 +352,7 @@
 
 // worker describes the runner. The caller holds mu.
 func (a *Attendant) worker() dispatch.Worker {
-	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, Pace: a.guard.pacer.Percent()}
+	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, Pace: a.guard.pacer.Percent(), Pressure: a.guard.pressure}
 	if b := &a.announced; b.Born == a.life {
 		w.Service, w.Capacity, w.Labels, w.Draining = b.Service, b.Capacity, b.Labels, b.Draining
 	}
--- a/internal/attendant/guard.go
+++ b/internal/attendant/guard.go
@@ -15,6 +15,8 @@
 // guard keeps tasks that serve below their targets by pacing those that fill.
 type guard struct {
 	pacer worker.Pacer
+	// pressure is the highest quotient of a reading and its target.
+	pressure float64
 	// targets are the tail latencies, in milliseconds, of tasks that serve.
 	targets map[workflow.TaskID]float64
 	// percents are what filling runs were last paced to; a run without one works at full speed or is not known.
@@ -60,6 +62,7 @@
 			filling = append(filling, runKey{r.Task, r.Run})
 		}
 	}
+	g.pressure = pressure
 	percent := 100
 	if serving > 0 && len(filling) > 0 {
 		percent = g.pacer.Decide(now, pressure)
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -194,9 +194,11 @@
 	rack     string
 	draining bool
 	// pace is the percentage at which filling tasks work there.
-	pace   int
-	heard  time.Time
-	silent bool
+	pace int
+	// pressure is the highest quotient of a serving task's tail latency and its target.
+	pressure float64
+	heard    time.Time
+	silent   bool
 	// lapsed is set while nothing can run there.
 	lapsed bool
 	runs   map[workflow.TaskID]*run
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -79,6 +79,7 @@
 		}
 	}
 	o := &Orders{}
+	b.moveFilling(now)
 	for _, s := range b.line(now) {
 		b.placeStep(now, s, o)
 	}
@@ -212,7 +213,7 @@
 		if s.spec.MostPerWorker > 0 && s.perWorker[h.name]+n >= s.spec.MostPerWorker {
 			continue
 		}
-		if running(t, h) {
+		if running(t, h) || s.spec.Fills && !s.fillable(h) {
 			continue
 		}
 		score := b.score(s, t, h)
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -76,6 +76,8 @@
 	Draining bool             `cbor:"6,keyasint,omitempty"`
 	// Pace is the percentage at which filling tasks work there.
 	Pace int `cbor:"7,keyasint,omitempty"`
+	// Pressure is the highest quotient of a serving task's tail latency and its target.
+	Pressure float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Report takes in a worker's whole state: what it runs, and the ends that it
@@ -128,6 +130,7 @@
 func (b *Board) describe(now time.Time, h *host, w *Worker) {
 	h.heard, h.silent, h.lapsed = now, false, false
 	h.service, h.capacity, h.draining, h.pace = w.Service, w.Capacity, w.Draining, w.Pace
+	h.pressure = w.Pressure
 	h.labels = make(map[string]bool, len(w.Labels))
 	h.rack = ""
 	for _, l := range w.Labels {
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -17,14 +17,32 @@
 	slowFrom   = 1.5
 	// weightHarm speaks against filling tasks beside a task with a latency target.
 	weightHarm = 1.5
-	// weightPaced speaks against filling tasks where they are slowed down to nothing.
-	weightPaced = 2.0
-	// weightServing draws tasks that last to where others last already.
-	weightServing = 0.3
+	// weightTogether draws tasks that last to where others last already, and
+	// short tasks to where filling ones would disturb.
+	weightTogether = 2.0
 	// weightCrowd speaks against taking processor time that filling tasks use.
 	weightCrowd = 0.5
+	// fillFit is the part of its processor time that must be left for a filling
+	// task: with less, all filling tasks of the worker get slower.
+	fillFit = 0.9
+	// calmPressure is the highest pressure of serving tasks, as part of their
+	// target, beside which a filling task starts.
+	calmPressure = 0.6
+	// fullPace is the pace of filling tasks that are not slowed down.
+	fullPace = 100
 )
 
+// fillable reports whether a filling task would work at about full speed and
+// without harm. It answers surges of wide filling jobs: they wait for processor
+// time instead of sharing too little of it.
+func (s *stepState) fillable(h *host) bool {
+	left := float64(h.free().MilliCPU - h.filling)
+	if left < fillFit*float64(s.spec.Size.MilliCPU) {
+		return false
+	}
+	return h.serving == 0 || h.pace == fullPace && h.pressure < calmPressure
+}
+
 // score rates a worker for a task; the lowest is chosen.
 func (b *Board) score(s *stepState, t *taskState, h *host) float64 {
 	v := 0.0
@@ -39,27 +57,38 @@
 	}
 	v += h.health.outcomes.Failing()
 	whole := float64(max(1, h.capacity.MilliCPU))
-	left := float64(h.free().MilliCPU) - float64(h.filling)
+	left := float64(h.free().MilliCPU - h.filling)
 	size := float64(s.spec.Size.MilliCPU)
+	crowd := weightCrowd * max(0, size-left) / whole
 	switch {
 	case s.spec.Fills:
-		v += max(0, size-left)/whole*2 - left/whole
+		v -= left / whole
 		if h.serving > 0 {
-			v += weightHarm + weightPaced*float64(100-h.pace)/100
+			v += weightHarm
 		}
 	case s.spec.Lasts:
+		v += crowd + float64(h.filling)/whole + float64(h.free().MilliCPU)/float64(b.largest())
 		if h.lasting > 0 {
-			v -= weightServing
+			v -= weightTogether
 		}
-		v += weightCrowd * max(0, size-left) / whole
-		v += float64(h.filling) / whole
 	default:
-		v += weightCrowd * max(0, size-left) / whole
-		v -= left / whole / 4
+		v += crowd - left/whole/4
+		if h.serving > 0 {
+			v -= weightTogether / 4
+		}
 	}
 	return v
 }
 
+// largest returns the processor time of the largest worker.
+func (b *Board) largest() int64 {
+	most := int64(1)
+	for _, h := range b.workers {
+		most = max(most, h.capacity.MilliCPU)
+	}
+	return most
+}
+
 // makeRoom stops tasks of lower priority on the worker where the least is lost,
 // so that a task that lasts fits. It reports whether room will be there.
 func (b *Board) makeRoom(now time.Time, s *stepState, q Queue) bool {
