Never hold filling tasks back

Cause: with every worker serving, filling tasks waited for a calm one for good. They are placed by what is left and by the pressure of serving tasks instead. Pacing all filling tasks of a pressed worker still costs most of their work: most pairs of images do no harm.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -213,7 +213,7 @@
 		if s.spec.MostPerWorker > 0 && s.perWorker[h.name]+n >= s.spec.MostPerWorker {
 			continue
 		}
-		if running(t, h) || s.spec.Fills && !s.fillable(h) {
+		if running(t, h) {
 			continue
 		}
 		score := b.score(s, t, h)
--- a/pkg/dispatch/move.go
+++ b/pkg/dispatch/move.go
@@ -32,7 +32,7 @@
 func (b *Board) hasCalmRoom(now time.Time, r *run) bool {
 	q := b.queues[r.step.occ.job.sub.Queue]
 	for _, h := range b.workers {
-		if h != r.host && h.serving == 0 && b.allowed(now, r.step, q, h) && r.step.fillable(h) && r.step.spec.Reserved().Fits(h.free()) {
+		if h != r.host && h.serving == 0 && b.allowed(now, r.step, q, h) && h.unused() >= float64(r.step.spec.Size.MilliCPU) && r.step.spec.Reserved().Fits(h.free()) {
 			return true
 		}
 	}
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -15,19 +15,15 @@
 	// weightSlow speaks against a worker for each unit of its pace beyond 1.5.
 	weightSlow = 1.0
 	slowFrom   = 1.5
-	// weightHarm speaks against filling tasks beside a task with a latency target.
+	// weightHarm speaks against filling tasks beside serving ones, for each unit of their pressure.
 	weightHarm = 1.5
 	// weightTogether draws tasks that last to where others last already, and
 	// short tasks to where filling ones would disturb.
 	weightTogether = 2.0
 	// weightCrowd speaks against taking processor time that filling tasks use.
 	weightCrowd = 0.5
-	// fillFit is the part of its processor time that must be left for a filling
-	// task: with less, all filling tasks of the worker get slower.
-	fillFit = 0.9
-	// calmPressure is the highest pressure of serving tasks, as part of their
-	// target, beside which a filling task starts.
-	calmPressure = 0.6
+	// weightStarve speaks against a filling task where no processor time is left for it.
+	weightStarve = 1.0
 	// lastingUnused is the part of its reservation that a task that lasts leaves
 	// unused: served load is at 0.42 on average, by the sites' sheets.
 	lastingUnused = 0.55
@@ -35,17 +31,6 @@
 	fullPace = 100
 )
 
-// fillable reports whether a filling task would work at about full speed and
-// without harm. It answers surges of wide filling jobs: they wait for processor
-// time instead of sharing too little of it.
-func (s *stepState) fillable(h *host) bool {
-	left := h.unused()
-	if left < fillFit*float64(s.spec.Size.MilliCPU) {
-		return false
-	}
-	return h.serving == 0 || h.pace == fullPace && h.pressure < calmPressure
-}
-
 // unused returns the processor time that filling tasks at a worker could still
 // use: what nobody reserves, and a part of what tasks that last reserve.
 func (h *host) unused() float64 {
@@ -71,9 +56,9 @@
 	crowd := weightCrowd * max(0, size-left) / whole
 	switch {
 	case s.spec.Fills:
-		v -= left / whole
+		v += weightStarve*max(0, size-left)/size - left/whole
 		if h.serving > 0 {
-			v += weightHarm
+			v += weightHarm * (h.pressure + float64(fullPace-h.pace)/fullPace)
 		}
 	case s.spec.Lasts:
 		v += crowd + float64(h.filling)/whole + float64(h.free().MilliCPU)/float64(b.largest())
