Learn which filling images harm which serving ones

Cause: pacing every filling task of a pressed worker cost most of their work, while few pairs of images do harm. The board learns the harm of pairs from the readings, places by it, and moves what does harm; the agent's pacer acts on what stays.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -316,7 +316,7 @@
 	}
 	for _, r := range l.Rows {
 		if o := a.orders[runKey{r.Task, r.Run}]; o != nil {
-			a.guard.learn([]dispatch.Guarded{{Task: r.Task, TargetMS: o.start.TargetMS, Fills: o.start.Fills}})
+			a.guard.learn([]dispatch.Guarded{{Task: r.Task, TargetMS: o.start.TargetMS, Fills: o.start.Fills, Harm: o.start.Harm}})
 			delete(a.orders, runKey{r.Task, r.Run})
 		}
 	}
@@ -357,7 +357,7 @@
 
 // worker describes the runner. The caller holds mu.
 func (a *Attendant) worker() dispatch.Worker {
-	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, Pace: a.guard.pacer.Percent(), Pressure: a.guard.pressure}
+	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, Pace: a.guard.pacer.Percent()}
 	if b := &a.announced; b.Born == a.life {
 		w.Service, w.Capacity, w.Labels, w.Draining = b.Service, b.Capacity, b.Labels, b.Draining
 	}
--- a/internal/attendant/guard.go
+++ b/internal/attendant/guard.go
@@ -15,20 +15,19 @@
 // guard keeps tasks that serve below their targets by pacing those that fill.
 type guard struct {
 	pacer worker.Pacer
-	// pressure is the highest quotient of a reading and its target.
-	pressure float64
 	// targets are the tail latencies, in milliseconds, of tasks that serve.
 	targets map[workflow.TaskID]float64
 	// percents are what filling runs were last paced to; a run without one works at full speed or is not known.
 	percents map[runKey]int
-	fills    map[workflow.TaskID]bool
+	// fills holds the harm expected of filling tasks.
+	fills map[workflow.TaskID]float64
 }
 
 // learn notes what the dispatcher says of tasks.
 func (g *guard) learn(tasks []dispatch.Guarded) {
 	if g.targets == nil {
 		g.targets = make(map[workflow.TaskID]float64)
-		g.fills = make(map[workflow.TaskID]bool)
+		g.fills = make(map[workflow.TaskID]float64)
 		g.percents = make(map[runKey]int)
 	}
 	for _, t := range tasks {
@@ -36,11 +35,14 @@
 			g.targets[t.Task] = t.TargetMS
 		}
 		if t.Fills {
-			g.fills[t.Task] = true
+			g.fills[t.Task] = t.Harm
 		}
 	}
 }
 
+// blame is the expected harm from which a filling task is paced before others.
+const blame = 0.35
+
 // change is one run to pace.
 type change struct {
 	key     runKey
@@ -58,20 +60,27 @@
 			serving++
 			pressure = max(pressure, r.Reading/target)
 		}
-		if g.fills[r.Task] {
+		if _, ok := g.fills[r.Task]; ok {
 			filling = append(filling, runKey{r.Task, r.Run})
 		}
 	}
-	g.pressure = pressure
 	percent := 100
 	if serving > 0 && len(filling) > 0 {
 		percent = g.pacer.Decide(now, pressure)
 	} else if serving == 0 {
 		g.pacer = worker.Pacer{}
 	}
+	blamed := false
+	for _, k := range filling {
+		blamed = blamed || g.fills[k.task] >= blame
+	}
 	kept := make(map[runKey]int, len(filling))
 	for _, k := range filling {
 		have, known := g.percents[k]
+		percent := percent
+		if blamed && g.fills[k.task] < blame {
+			percent = 100
+		}
 		if known {
 			kept[k] = have
 		}
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -43,6 +43,8 @@
 	urgent bool
 	stops  []Stop
 	spread float64
+	// harm is what was learned about filling tasks beside serving ones.
+	harm map[pair]float64
 }
 
 // noted is up to which end a worker's list has been taken in.
@@ -57,7 +59,7 @@
 // Begin starts a term. Jobs that are admitted as old may run at one of the
 // workers named, until each has reported or lapsed.
 func (b *Board) Begin(term uint64, workers []string) {
-	*b = Board{queues: b.queues, spread: b.spread}
+	*b = Board{queues: b.queues, spread: b.spread, harm: make(map[pair]float64)}
 	b.workers = make(map[string]*host)
 	b.jobs = make(map[string]*jobState)
 	b.unheard = make(map[string]bool)
@@ -197,8 +199,12 @@
 	pace int
 	// pressure is the highest quotient of a serving task's tail latency and its target.
 	pressure float64
-	heard    time.Time
-	silent   bool
+	// pressedSince is since when a target is missed, movedAt when filling tasks were moved away last.
+	pressedSince, movedAt time.Time
+	// servingImages counts tasks with a latency target by image.
+	servingImages map[string]int
+	heard         time.Time
+	silent        bool
 	// lapsed is set while nothing can run there.
 	lapsed bool
 	runs   map[workflow.TaskID]*run
@@ -236,6 +242,9 @@
 	}
 	if r.step.spec.TargetMS > 0 {
 		h.serving += by
+		if h.servingImages[r.step.spec.Image] += by; h.servingImages[r.step.spec.Image] <= 0 {
+			delete(h.servingImages, r.step.spec.Image)
+		}
 	}
 	if r.step.spec.Lasts {
 		h.lasting += by
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -38,7 +38,9 @@
 	// Fills and TargetMS are what the worker's guard needs to know.
 	Fills    bool
 	TargetMS float64
-	Reason   string
+	// Harm is how much a filling task is expected to harm the serving ones there, from 0 to 1.
+	Harm   float64
+	Reason string
 }
 
 // Stop is an order to stop a run, or to make sure that it never starts.
@@ -189,7 +191,7 @@
 	b.begin(s.occ.job)
 	o.starts = append(o.starts, Start{
 		Worker: h.name, Life: h.life, Task: id, Run: number, Text: s.occ.job.sub.Spec.Text,
-		Saved: t.saved, Fills: s.spec.Fills, TargetMS: s.spec.TargetMS, Reason: why,
+		Saved: t.saved, Fills: s.spec.Fills, TargetMS: s.spec.TargetMS, Harm: b.harmBeside(s.spec.Image, h), Reason: why,
 	})
 }
 
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -76,8 +76,6 @@
 	Draining bool             `cbor:"6,keyasint,omitempty"`
 	// Pace is the percentage at which filling tasks work there.
 	Pace int `cbor:"7,keyasint,omitempty"`
-	// Pressure is the highest quotient of a serving task's tail latency and its target.
-	Pressure float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Report takes in a worker's whole state: what it runs, and the ends that it
@@ -116,12 +114,13 @@
 			b.observe(now, r, &rows[i])
 		}
 	}
+	b.learnHarm(now, h)
 }
 
 func (b *Board) host(name string) *host {
 	h := b.workers[name]
 	if h == nil {
-		h = &host{name: name, runs: make(map[workflow.TaskID]*run)}
+		h = &host{name: name, runs: make(map[workflow.TaskID]*run), servingImages: make(map[string]int)}
 		b.workers[name] = h
 	}
 	return h
@@ -130,7 +129,6 @@
 func (b *Board) describe(now time.Time, h *host, w *Worker) {
 	h.heard, h.silent, h.lapsed = now, false, false
 	h.service, h.capacity, h.draining, h.pace = w.Service, w.Capacity, w.Draining, w.Pace
-	h.pressure = w.Pressure
 	h.labels = make(map[string]bool, len(w.Labels))
 	h.rack = ""
 	for _, l := range w.Labels {
@@ -352,6 +350,8 @@
 	// TargetMS bounds the tail latency of a task that serves, in milliseconds.
 	TargetMS float64
 	Fills    bool
+	// Harm is how much a filling task is expected to harm the serving ones there, from 0 to 1.
+	Harm float64
 }
 
 // Guarded returns the tasks at a worker that serve or fill.
@@ -363,7 +363,7 @@
 	var out []Guarded
 	for id, r := range h.runs {
 		if s := r.step.spec; s.TargetMS > 0 || s.Fills {
-			out = append(out, Guarded{Task: id, TargetMS: s.TargetMS, Fills: s.Fills})
+			out = append(out, Guarded{Task: id, TargetMS: s.TargetMS, Fills: s.Fills, Harm: b.harmBeside(s.Image, h)})
 		}
 	}
 	return out
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -15,11 +15,13 @@
 	// weightSlow speaks against a worker for each unit of its pace beyond 1.5.
 	weightSlow = 1.0
 	slowFrom   = 1.5
-	// weightHarm speaks against filling tasks beside serving ones, for each unit of their pressure.
+	// weightHarm speaks against filling tasks beside serving ones, for the harm expected and the pace lost.
 	weightHarm = 1.5
 	// weightTogether draws tasks that last to where others last already, and
 	// short tasks to where filling ones would disturb.
 	weightTogether = 2.0
+	// weightAlike draws serving tasks of one image together: fewer pairs of images meet.
+	weightAlike = 0.3
 	// weightCrowd speaks against taking processor time that filling tasks use.
 	weightCrowd = 0.5
 	// weightStarve speaks against a filling task where no processor time is left for it.
@@ -58,13 +60,16 @@
 	case s.spec.Fills:
 		v += weightStarve*max(0, size-left)/size - left/whole
 		if h.serving > 0 {
-			v += weightHarm * (h.pressure + float64(fullPace-h.pace)/fullPace)
+			v += weightHarm * (b.harmBeside(s.spec.Image, h) + float64(fullPace-h.pace)/fullPace)
 		}
 	case s.spec.Lasts:
 		v += crowd + float64(h.filling)/whole + float64(h.free().MilliCPU)/float64(b.largest())
 		if h.lasting > 0 {
 			v -= weightTogether
 		}
+		if h.servingImages[s.spec.Image] > 0 {
+			v -= weightAlike
+		}
 	default:
 		v += crowd - left/whole/4
 		if h.serving > 0 {
--- a/pkg/worker/pacer.go
+++ b/pkg/worker/pacer.go
@@ -9,8 +9,9 @@
 	// pacerLow is the pressure below which they may work faster.
 	pacerLow = 0.8
 	// pacerPatience is how long a target is missed before filling tasks are
-	// slowed down: loads swing within seconds, and work that is slowed down is late.
-	pacerPatience = 400 * time.Millisecond
+	// slowed down: loads swing within seconds, and the dispatcher moves what does
+	// harm first. A target is never to be missed for four seconds on end.
+	pacerPatience = 1200 * time.Millisecond
 	// pacerSettle is how long a change takes to show: readings cover half a second.
 	pacerSettle = 600 * time.Millisecond
 	// pacerMemory is how long a percentage that was too much is not tried again.
@@ -53,7 +54,7 @@
 	switch {
 	case pressure > pacerOver:
 		if now.Sub(p.over) >= pacerPatience {
-			p.lower(now, 3, last)
+			p.lower(now, last, last)
 		}
 	case pressure < pacerLow && p.down > 0:
 		if step := last - p.down + 1; step != p.tooMuch || !now.Before(p.expires) {
