--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -19,3 +19,7 @@
 
 // WallMS returns the time of day in Unix milliseconds.
 func WallMS() int64 { return time.Now().UnixMilli() }
+
+// Incarnation returns a number that tells this process from earlier ones of the
+// same name.
+func Incarnation() uint64 { return uint64(time.Now().UnixMicro()) }
--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -89,7 +89,7 @@
 func (c *Coordinator) keep(ctx context.Context, r store.Record) error {
 	unknown := false
 	for {
-		_, err := call(c, ctx, 0, func(ctx context.Context) (uint64, error) {
+		_, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
 			return c.store.Append(ctx, store.Append{Topic: store.TopicJobs, Records: []store.Record{r}})
 		})
 		if err == nil {
--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -45,7 +45,7 @@
 	if len(records) == 0 {
 		return
 	}
-	_, err := call(c, ctx, 0, func(ctx context.Context) (uint64, error) {
+	_, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
 		return c.store.Append(ctx, store.Append{Topic: store.TopicWorkers, Records: records})
 	})
 	if err != nil {
@@ -111,7 +111,7 @@
 	for {
 		sent := clock.Steady()
 		a := store.Append{Topic: store.TopicJobs, Records: records, Term: t.number, Seq: seq}
-		_, err := call(c, ctx, 0, func(ctx context.Context) (uint64, error) { return c.store.Append(ctx, a) })
+		_, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) { return c.store.Append(ctx, a) })
 		var wrong *store.SequenceError
 		switch {
 		case err == nil:
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -80,7 +80,6 @@
 	leaving   bool
 	upstream  *upstream
 	term      *term
-	claiming  bool
 	pending   map[string]int
 	heirUntil time.Time
 }
@@ -151,7 +150,7 @@
 }
 
 // call runs one call to the store within its time and notes whether it answered.
-func call[T any](c *Coordinator, ctx context.Context, extra time.Duration, fn func(ctx context.Context) (T, error)) (T, error) {
+func call[T any](ctx context.Context, c *Coordinator, extra time.Duration, fn func(ctx context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+extra)
 	defer cancel()
 	v, err := fn(ctx)
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = call(c, ctx, 0, func(ctx context.Context) (uint64, error) {
+	_, err = call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
 		return c.store.Append(ctx, store.Append{Topic: store.TopicDispatch, At: end, AtSet: true, Records: []store.Record{record}})
 	})
 	if err != nil {
@@ -143,7 +143,7 @@
 		claim tenure.Claim
 		end   uint64
 	}
-	got, err := call(c, ctx, 0, func(ctx context.Context) (found, error) {
+	got, err := call(ctx, c, 0, func(ctx context.Context) (found, error) {
 		claim, end, skipped, err := c.store.NewestClaim(ctx)
 		if skipped > 0 {
 			c.log.Warn().Int("records", skipped).Msg("records of the dispatch topic that are no claims are skipped")
@@ -160,7 +160,7 @@
 	c.mu.Lock()
 	c.candidate.Learn(sent, own)
 	c.mu.Unlock()
-	if _, err := call(c, ctx, 0, func(ctx context.Context) (uint64, error) {
+	if _, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
 		return c.store.Append(ctx, store.Append{Topic: store.TopicJobs, Term: t.number})
 	}); err != nil {
 		c.abandon(own.Term)
@@ -169,7 +169,7 @@
 	t.holder.Prove(sent)
 	workers, err := c.workers(ctx)
 	if err == nil {
-		_, err = c.catchUp(ctx)
+		err = c.catchUp(ctx)
 	}
 	if err != nil {
 		c.abandon(own.Term)
@@ -208,7 +208,7 @@
 
 // workers returns the names of the workers that may run tasks.
 func (c *Coordinator) workers(ctx context.Context) ([]string, error) {
-	records, err := call(c, ctx, 0, func(ctx context.Context) ([]store.Stored, error) {
+	records, err := call(ctx, c, 0, func(ctx context.Context) ([]store.Stored, error) {
 		records, _, err := c.store.All(ctx, store.TopicWorkers)
 		return records, err
 	})
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -225,7 +225,7 @@
 
 // relay appends records for an entry that cannot reach the store.
 func (c *Coordinator) relay(ctx context.Context, conn *peer.Conn, r *peer.Relay) {
-	_, err := call(c, ctx, 0, func(ctx context.Context) (uint64, error) {
+	_, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
 		return c.store.Append(ctx, store.Append{Topic: store.TopicJobs, Records: r.Records})
 	})
 	conn.Send(&peer.Message{Relayed: &peer.Relayed{Seq: r.Seq, Stored: err == nil, Refused: refused(err)}})
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -23,14 +23,14 @@
 // tailJobs keeps the book of jobs up to date.
 func (c *Coordinator) tailJobs(ctx context.Context) {
 	for pause(ctx, nil, tailEvery) {
-		if _, err := c.catchUp(ctx); err != nil {
+		if err := c.catchUp(ctx); err != nil {
 			c.log.Warn().Err(err).Msg("reading jobs from the store failed")
 		}
 	}
 }
 
-// catchUp reads the jobs' records up to the topic's end, which it returns.
-func (c *Coordinator) catchUp(ctx context.Context) (uint64, error) {
+// catchUp reads the jobs' records up to the topic's end.
+func (c *Coordinator) catchUp(ctx context.Context) error {
 	for {
 		c.mu.Lock()
 		from, known := c.bookNext, !c.bookRead.IsZero()
@@ -39,14 +39,14 @@
 			return c.reread(ctx)
 		}
 		began := clock.Steady()
-		page, err := call(c, ctx, 0, func(ctx context.Context) (*store.Page, error) {
+		page, err := call(ctx, c, 0, func(ctx context.Context) (*store.Page, error) {
 			return c.store.Read(ctx, store.TopicJobs, from, 0)
 		})
 		if errors.Is(err, store.ErrTrimmed) {
 			return c.reread(ctx)
 		}
 		if err != nil {
-			return 0, err
+			return err
 		}
 		c.takeIn(page.Records)
 		c.mu.Lock()
@@ -57,24 +57,24 @@
 		}
 		c.mu.Unlock()
 		if done {
-			return page.End, nil
+			return nil
 		}
 	}
 }
 
 // reread reads the newest record of every job.
-func (c *Coordinator) reread(ctx context.Context) (uint64, error) {
+func (c *Coordinator) reread(ctx context.Context) error {
 	began := clock.Steady()
 	type all struct {
 		records []store.Stored
 		end     uint64
 	}
-	got, err := call(c, ctx, storeTimeout, func(ctx context.Context) (all, error) {
+	got, err := call(ctx, c, storeTimeout, func(ctx context.Context) (all, error) {
 		records, end, err := c.store.All(ctx, store.TopicJobs)
 		return all{records, end}, err
 	})
 	if err != nil {
-		return 0, err
+		return err
 	}
 	c.takeIn(got.records)
 	c.mu.Lock()
@@ -82,7 +82,7 @@
 	c.bookRead = began
 	c.mu.Unlock()
 	c.log.Info().Int("records", len(got.records)).Uint64("end", got.end).Msg("jobs read from the store")
-	return got.end, nil
+	return nil
 }
 
 // takeIn applies records to the book and passes news to the board.
@@ -135,7 +135,7 @@
 		c.offerAll(records)
 		return end, nil
 	}
-	page, err := call(c, ctx, configWait, func(ctx context.Context) (*store.Page, error) {
+	page, err := call(ctx, c, configWait, func(ctx context.Context) (*store.Page, error) {
 		return c.store.Read(ctx, store.TopicConfig, next, configWait)
 	})
 	if err != nil {
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -173,10 +173,10 @@
 		}
 		h, why := b.choose(now, s, t, q, nil)
 		if h == nil {
-			if !s.spec.Lasts || now.Sub(t.freed) < preemptAfter || !b.makeRoom(now, s, q) {
-				return
+			if s.spec.Lasts && now.Sub(t.freed) >= preemptAfter {
+				b.makeRoom(now, s, q)
 			}
-			continue
+			return
 		}
 		b.start(now, s, i, h, t.lastRun+1, why, o)
 	}
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -10,8 +10,6 @@
 const (
 	// paceWeight is the weight of the newest run in a worker's pace.
 	paceWeight = 0.25
-	// slowPace is the pace from which a worker counts as slow: estimates are off by a fifth, tasks by half.
-	slowPace = 2.5
 	// shortestPaced is the estimate below which a run says nothing about the pace.
 	shortestPaced = 50
 )
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -89,8 +89,8 @@
 }
 
 // makeRoom stops tasks of lower priority on the worker where the least is lost,
-// so that a task that lasts fits. It reports whether room will be there.
-func (b *Board) makeRoom(now time.Time, s *stepState, q Queue) bool {
+// so that a task that lasts fits once they have ended.
+func (b *Board) makeRoom(now time.Time, s *stepState, q Queue) {
 	var best *host
 	var victims []*run
 	for _, h := range b.workers {
@@ -101,13 +101,9 @@
 			best, victims = h, v
 		}
 	}
-	if best == nil {
-		return false
-	}
 	for _, r := range victims {
 		b.stop(now, r, "a task that lasts needs the room")
 	}
-	return false
 }
 
 // victims returns runs of lower priority whose end makes room for need.
@@ -150,6 +146,3 @@
 	}
 	return x.id.String() < y.id.String()
 }
-
-// Wake returns when Decide should run again at the latest.
-func (b *Board) Wake(now time.Time) time.Time { return now.Add(100 * time.Millisecond) }
