--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,151 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"savoryhoist.example/savoryhoist/internal/standin"
+	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/worker"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
+)
+
+// newTest returns an entry that is not running.
+func newTest(t *testing.T, name string, s *standin.Store) *Coordinator {
+	t.Helper()
+	logger := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	c, err := New(Settings{Name: name, Listen: "127.0.0.1:0", Incarnation: 1}, s.Port(), logger, gometrics.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.listener.Close() })
+	return c
+}
+
+func submission(id string) *workflow.Submission {
+	return &workflow.Submission{ID: id, Queue: "plans", Spec: workflow.Spec{Steps: []workflow.Step{{Count: 1, Size: worker.Resources{MilliCPU: 100}}}}}
+}
+
+func mustAppend(t *testing.T, s *standin.Store, a store.Append) {
+	t.Helper()
+	if _, err := s.Port().Append(context.Background(), a); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A job that is stored while the newest records are read page by page must not
+// be missed: it may sort before the page that is read next.
+func TestRereadMissesNothing(t *testing.T) {
+	s := &standin.Store{PageSize: 2}
+	for i := range 6 {
+		r, err := workflow.SubmissionRecord(submission(fmt.Sprintf("c%d", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		mustAppend(t, s, store.Append{Topic: store.TopicJobs, Records: []store.Record{r}})
+	}
+	pages := 0
+	s.OnPage = func() {
+		if pages++; pages > 2 {
+			return
+		}
+		// The first sorts before what has been read, the second after it.
+		for _, id := range []string{fmt.Sprintf("a%d", pages), fmt.Sprintf("z%d", pages)} {
+			r, err := workflow.SubmissionRecord(submission(id))
+			if err != nil {
+				t.Error(err)
+			}
+			mustAppend(t, s, store.Append{Topic: store.TopicJobs, Records: []store.Record{r}})
+		}
+	}
+	c := newTest(t, "entry-a", s)
+	for range 2 {
+		if err := c.catchUp(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := c.book.Len(), 10; got != want {
+		t.Errorf("jobs known: got %d, want %d", got, want)
+	}
+}
+
+func TestSubmit(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault error
+		done  bool
+		want  error
+	}{
+		{"stored", nil, false, nil},
+		{"a call that the store refused never runs", store.ErrRefused, false, ErrRefused},
+		{"a lost answer leaves the outcome unknown", store.ErrUnknown, true, ErrUnknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &standin.Store{}
+			s.Fail(tc.fault, tc.done)
+			c := newTest(t, "entry-a", s)
+			ctx, cancel := context.WithCancel(context.Background())
+			if tc.want != nil {
+				cancel() // no time is left for another attempt
+			}
+			defer cancel()
+			if got := c.Submit(ctx, submission("a")); !errors.Is(got, tc.want) {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// An entry that has not read the store lately must not say that a job does not exist.
+func TestPhaseOfUnknownJob(t *testing.T) {
+	s := &standin.Store{}
+	c := newTest(t, "entry-a", s)
+	if _, got := c.Phase(context.Background(), "a"); !errors.Is(got, ErrUnsure) {
+		t.Errorf("before the first reading: got %v, want %v", got, ErrUnsure)
+	}
+	if err := c.catchUp(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if _, got := c.Phase(context.Background(), "a"); !errors.Is(got, ErrNoJob) {
+		t.Errorf("after a reading: got %v, want %v", got, ErrNoJob)
+	}
+}
+
+// A claim is void once another entry has claimed, and the earlier dispatcher
+// cannot store anything any more.
+func TestClaim(t *testing.T) {
+	s := &standin.Store{}
+	a, b := newTest(t, "entry-a", s), newTest(t, "entry-b", s)
+	ctx := context.Background()
+	if err := a.claim(ctx, "test"); err != nil {
+		t.Fatal(err)
+	}
+	first := a.term
+	if first == nil {
+		t.Fatal("the first claim: got no term, want one")
+	}
+	if err := b.claim(ctx, "test"); err != nil {
+		t.Fatal(err)
+	}
+	if b.term != nil {
+		t.Error("a claim that was just learned: got a term, want none")
+	}
+	if err := b.claim(ctx, "test"); err != nil {
+		t.Fatal(err)
+	}
+	if b.term == nil || b.term.number <= first.number {
+		t.Fatal("the second claim: got no later term, want one")
+	}
+	if got := a.storeRecords(ctx, first, []store.Record{workflow.CancellationRecord("x")}, false); got {
+		t.Error("a write of the earlier term: got stored, want fenced")
+	}
+	if a.term != nil {
+		t.Error("the fenced entry: got a term, want none")
+	}
+}
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -78,7 +78,7 @@
 	}
 	c.takeIn(got.records)
 	c.mu.Lock()
-	c.bookNext = max(c.bookNext, got.end)
+	c.bookNext = got.end // not after the newest record seen: later pages skip what was written in between
 	c.bookRead = began
 	c.mu.Unlock()
 	c.log.Info().Int("records", len(got.records)).Uint64("end", got.end).Msg("jobs read from the store")
