Keep the term while no other entry can take it, and store intake apart

Causes: all entries of a roll drained at once, and none dispatched; with a slow store, submissions waited behind progress in one partition and ended with 504.

--- a/internal/attendant/guard.go
+++ b/internal/attendant/guard.go
@@ -43,6 +43,9 @@
 // blame is the expected harm from which a filling task is paced before others.
 const blame = 0.35
 
+// blameFor is how long pacing those that are blamed is given to help, well within four seconds.
+const blameFor = 2200 * time.Millisecond
+
 // change is one run to pace.
 type change struct {
 	key     runKey
@@ -70,10 +73,12 @@
 	} else if serving == 0 {
 		g.pacer = worker.Pacer{}
 	}
+	// Those that are expected to do harm are paced first, all of them if that does not help.
 	blamed := false
 	for _, k := range filling {
 		blamed = blamed || g.fills[k.task] >= blame
 	}
+	blamed = blamed && g.pacer.OverFor(now) < blameFor
 	kept := make(map[runKey]int, len(filling))
 	for _, k := range filling {
 		have, known := g.percents[k]
--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -89,9 +89,7 @@
 func (c *Coordinator) keep(ctx context.Context, r store.Record) error {
 	unknown := false
 	for {
-		_, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
-			return c.store.Append(ctx, store.Append{Topic: store.TopicJobs, Records: []store.Record{r}})
-		})
+		err := c.enqueue(ctx, r)
 		if err == nil {
 			return nil
 		}
@@ -175,7 +173,7 @@
 	if known {
 		phase = e.Phase()
 	}
-	fresh := clock.Steady().Sub(c.bookRead) < bookFresh && !c.bookRead.IsZero()
+	fresh := clock.Steady().Sub(c.bookRead()) < bookFresh && !c.bookRead().IsZero()
 	u, t := c.upstream, c.term
 	c.mu.Unlock()
 	if known && phase.Ended() {
--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -80,12 +80,30 @@
 	forget := t.board.Expired(clock.WallMS() - c.settings.StatusFor.Milliseconds())
 	c.mu.Unlock()
 	records := c.encode(change)
-	for _, id := range forget {
-		records = append(records, workflow.ForgetRecords(id)...)
-	}
 	if c.storeRecords(ctx, t, records, idle) {
 		c.applied(t, change, records)
 	}
+	c.forget(ctx, forget)
+}
+
+// forget drops jobs that ended long ago from the store. What fails is dropped
+// when another dispatcher finds the jobs expired.
+func (c *Coordinator) forget(ctx context.Context, ids []string) {
+	var progress, intake []store.Record
+	for _, id := range ids {
+		p, i := workflow.ForgetRecords(id)
+		progress, intake = append(progress, p...), append(intake, i...)
+	}
+	for topic, records := range map[store.Topic][]store.Record{store.TopicProgress: progress, store.TopicIntake: intake} {
+		if len(records) == 0 {
+			continue
+		}
+		if _, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
+			return c.store.Append(ctx, store.Append{Topic: topic, Records: records})
+		}); err != nil {
+			c.log.Warn().Err(err).Int("jobs", len(ids)).Msg("dropping old jobs from the store failed")
+		}
+	}
 }
 
 func (c *Coordinator) encode(change *dispatch.Change) []store.Record {
@@ -110,7 +128,7 @@
 	seq := t.seq + 1
 	for {
 		sent := clock.Steady()
-		a := store.Append{Topic: store.TopicJobs, Records: records, Term: t.number, Seq: seq}
+		a := store.Append{Topic: store.TopicProgress, Records: records, Term: t.number, Seq: seq}
 		_, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) { return c.store.Append(ctx, a) })
 		var wrong *store.SequenceError
 		switch {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,14 +63,15 @@
 	group    sync.WaitGroup
 	wake     chan struct{}
 	persist  chan struct{}
+	intake   chan *intakeItem
 
 	// mu guards everything below. It is never held during I/O.
 	mu        sync.Mutex
 	config    *Config
 	rawConfig []byte
 	book      workflow.Book
-	bookNext  uint64
-	bookRead  time.Time
+	// tails say how far bookTopics have been read.
+	tails     [len(bookTopics)]tail
 	storeSeen time.Time
 	candidate tenure.Candidate
 	// entries are the peer addresses of entries, with their names where known.
@@ -92,7 +93,7 @@
 	}
 	c := &Coordinator{
 		settings: s, store: port, log: logger, registry: registry, listener: ln,
-		wake: make(chan struct{}, 1), persist: make(chan struct{}, 1), entries: make(map[string]string), links: make(map[string]*entryLink),
+		wake: make(chan struct{}, 1), persist: make(chan struct{}, 1), intake: make(chan *intakeItem, intakeQueue), entries: make(map[string]string), links: make(map[string]*entryLink),
 	}
 	for _, a := range s.Entries {
 		if a != s.Listen {
@@ -112,20 +113,22 @@
 	c.group.Go(func() { c.follow(live) })
 	c.group.Go(func() { c.lead(live) })
 	c.group.Go(func() { c.writeChanges(live) })
+	for range intakeWriters {
+		c.group.Go(func() { c.writeIntake(live) })
+	}
 	c.log.Info().Str("address", c.settings.Listen).Uint64("incarnation", c.settings.Incarnation).Msg("coordinator started")
 	<-ctx.Done()
 }
 
-// Leave hands the term over; the entry goes on answering.
+// Leave hands the term over as soon as another entry can take it; this one goes
+// on answering and, until then, dispatching.
 func (c *Coordinator) Leave() {
 	c.mu.Lock()
 	c.leaving = true
 	t := c.term
 	c.mu.Unlock()
 	c.log.Info().Bool("dispatching", t != nil).Msg("coordinator is leaving")
-	if t != nil {
-		c.resign(t, "the entry is leaving")
-	}
+	kick(c.wake)
 }
 
 // kick makes a loop run now; one kick that waits is enough.
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		mustAppend(t, s, store.Append{Topic: store.TopicJobs, Records: []store.Record{r}})
+		mustAppend(t, s, store.Append{Topic: store.TopicIntake, Records: []store.Record{r}})
 	}
 	pages := 0
 	s.OnPage = func() {
@@ -61,7 +61,7 @@
 			if err != nil {
 				t.Error(err)
 			}
-			mustAppend(t, s, store.Append{Topic: store.TopicJobs, Records: []store.Record{r}})
+			mustAppend(t, s, store.Append{Topic: store.TopicIntake, Records: []store.Record{r}})
 		}
 	}
 	c := newTest(t, "entry-a", s)
@@ -91,10 +91,19 @@
 			s.Fail(tc.fault, tc.done)
 			c := newTest(t, "entry-a", s)
 			ctx, cancel := context.WithCancel(context.Background())
-			if tc.want != nil {
-				cancel() // no time is left for another attempt
-			}
 			defer cancel()
+			writing := make(chan struct{})
+			c.group.Go(func() {
+				defer close(writing)
+				for i := range c.intake {
+					_, err := c.store.Append(ctx, store.Append{Topic: store.TopicIntake, Records: []store.Record{i.record}})
+					if tc.done {
+						cancel() // no time is left for another attempt
+					}
+					i.done <- err
+				}
+			})
+			defer func() { close(c.intake); <-writing }()
 			if got := c.Submit(ctx, submission("a")); !errors.Is(got, tc.want) {
 				t.Errorf("got %v, want %v", got, tc.want)
 			}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -161,7 +161,7 @@
 	c.candidate.Learn(sent, own)
 	c.mu.Unlock()
 	if _, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
-		return c.store.Append(ctx, store.Append{Topic: store.TopicJobs, Term: t.number})
+		return c.store.Append(ctx, store.Append{Topic: store.TopicProgress, Term: t.number})
 	}); err != nil {
 		c.abandon(own.Term)
 		return errors.Wrap(err, "fence earlier terms")
@@ -254,7 +254,7 @@
 	c.term = nil
 	c.candidate.Resigned(t.number)
 	c.heirUntil = clock.Steady().Add(tenure.ClaimAfter)
-	heir := c.chooseHeir()
+	heir := c.chooseHeir(clock.Steady())
 	m := &peer.Message{Resigned: &peer.Resigned{Term: t.number, Heir: heir}}
 	for _, a := range t.agents {
 		if a.conn != nil {
@@ -268,11 +268,11 @@
 	c.log.Warn().Uint64("term", t.number).Str("reason", reason).Str("heir", heir).Msg("term resigned")
 }
 
-// chooseHeir names the entry that reached the store last. The caller holds mu.
-func (c *Coordinator) chooseHeir() string {
+// chooseHeir names the entry that reached the store last, or "". The caller holds mu.
+func (c *Coordinator) chooseHeir(now time.Time) string {
 	var best *entryLink
 	for _, l := range c.links {
-		if l.leaving || l.name == "" {
+		if l.leaving || l.name == "" || now.Sub(l.heard) > silentAfter {
 			continue
 		}
 		if best == nil || l.storeAge < best.storeAge || l.storeAge == best.storeAge && l.name < best.name {
@@ -296,10 +296,14 @@
 		}
 	}
 	newer := c.candidate.Claim().Term > t.number
+	leaving := c.leaving && c.chooseHeir(now) != ""
 	c.mu.Unlock()
-	if newer {
+	switch {
+	case newer:
 		c.resign(t, "a later term has begun")
-	} else if lost && another {
+	case leaving:
+		c.resign(t, "the entry is leaving")
+	case lost && another:
 		c.resign(t, "another entry reaches the store, this one does not")
 	}
 }
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -226,7 +226,7 @@
 // relay appends records for an entry that cannot reach the store.
 func (c *Coordinator) relay(ctx context.Context, conn *peer.Conn, r *peer.Relay) {
 	_, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
-		return c.store.Append(ctx, store.Append{Topic: store.TopicJobs, Records: r.Records})
+		return c.store.Append(ctx, store.Append{Topic: store.TopicIntake, Records: r.Records})
 	})
 	conn.Send(&peer.Message{Relayed: &peer.Relayed{Seq: r.Seq, Stored: err == nil, Refused: refused(err)}})
 }
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -20,6 +20,16 @@
 	configKey = "config"
 )
 
+// bookTopics are the topics whose records make the book of jobs.
+var bookTopics = [...]store.Topic{store.TopicIntake, store.TopicProgress}
+
+// tail is how far a topic has been read.
+type tail struct {
+	next uint64
+	// read is when the newest reading that reached the end began.
+	read time.Time
+}
+
 // tailJobs keeps the book of jobs up to date.
 func (c *Coordinator) tailJobs(ctx context.Context) {
 	for pause(ctx, nil, tailEvery) {
@@ -29,31 +39,53 @@
 	}
 }
 
-// catchUp reads the jobs' records up to the topic's end.
+// catchUp reads the jobs' records up to the end of their topics.
 func (c *Coordinator) catchUp(ctx context.Context) error {
+	for i := range bookTopics {
+		if err := c.catchUpTopic(ctx, bookTopics[i], &c.tails[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// bookRead returns when the oldest of the newest readings of all topics began. The caller holds mu.
+func (c *Coordinator) bookRead() time.Time {
+	oldest := c.tails[0].read
+	for i := range c.tails {
+		if c.tails[i].read.Before(oldest) {
+			oldest = c.tails[i].read
+		}
+	}
+	return oldest
+}
+
+func (c *Coordinator) catchUpTopic(ctx context.Context, topic store.Topic, t *tail) error {
 	for {
 		c.mu.Lock()
-		from, known := c.bookNext, !c.bookRead.IsZero()
+		from, known := t.next, !t.read.IsZero()
 		c.mu.Unlock()
 		if !known {
-			return c.reread(ctx)
+			return c.reread(ctx, topic, t)
 		}
 		began := clock.Steady()
 		page, err := call(ctx, c, 0, func(ctx context.Context) (*store.Page, error) {
-			return c.store.Read(ctx, store.TopicJobs, from, 0)
+			return c.store.Read(ctx, topic, from, 0)
 		})
 		if errors.Is(err, store.ErrTrimmed) {
-			return c.reread(ctx)
+			return c.reread(ctx, topic, t)
 		}
 		if err != nil {
 			return err
 		}
 		c.takeIn(page.Records)
 		c.mu.Lock()
-		next := c.bookNext
-		done := next >= page.End || len(page.Records) == 0
+		for i := range page.Records {
+			t.next = max(t.next, page.Records[i].Offset+1)
+		}
+		done := t.next >= page.End || len(page.Records) == 0
 		if done {
-			c.bookRead = began
+			t.read = began
 		}
 		c.mu.Unlock()
 		if done {
@@ -63,14 +95,14 @@
 }
 
 // reread reads the newest record of every job.
-func (c *Coordinator) reread(ctx context.Context) error {
+func (c *Coordinator) reread(ctx context.Context, topic store.Topic, t *tail) error {
 	began := clock.Steady()
 	type all struct {
 		records []store.Stored
 		end     uint64
 	}
 	got, err := call(ctx, c, storeTimeout, func(ctx context.Context) (all, error) {
-		records, end, err := c.store.All(ctx, store.TopicJobs)
+		records, end, err := c.store.All(ctx, topic)
 		return all{records, end}, err
 	})
 	if err != nil {
@@ -78,10 +110,10 @@
 	}
 	c.takeIn(got.records)
 	c.mu.Lock()
-	c.bookNext = got.end // not after the newest record seen: later pages skip what was written in between
-	c.bookRead = began
+	t.next = max(t.next, got.end) // not after the newest record seen: later pages skip what was written in between
+	t.read = began
 	c.mu.Unlock()
-	c.log.Info().Int("records", len(got.records)).Uint64("end", got.end).Msg("jobs read from the store")
+	c.log.Info().Str("topic", string(topic)).Int("records", len(got.records)).Uint64("end", got.end).Msg("jobs read from the store")
 	return nil
 }
 
@@ -93,10 +125,9 @@
 	news := false
 	for i := range records {
 		r := &records[i]
-		c.bookNext = max(c.bookNext, r.Offset+1)
 		id, err := c.book.Apply(r.Record)
 		if err != nil {
-			c.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("a record of the jobs topic is skipped")
+			c.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("a record of a job is skipped")
 			continue
 		}
 		if c.term != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,8 +31,10 @@
 
 // The topics of the product.
 const (
-	// TopicJobs holds the records of pkg/workflow.
-	TopicJobs Topic = "jobs"
+	// TopicIntake holds the submissions and cancellations of pkg/workflow.
+	TopicIntake Topic = "intake"
+	// TopicProgress holds the progress of jobs; appends to it do not wait for the intake's.
+	TopicProgress Topic = "progress"
 	// TopicDispatch holds claims of the dispatch.
 	TopicDispatch Topic = "dispatch"
 	// TopicWorkers names the workers that may run tasks.
--- a/pkg/dispatch/harm.go
+++ b/pkg/dispatch/harm.go
@@ -100,6 +100,7 @@
 			h.movedAt = now
 			for _, r := range h.runs {
 				if r.step.spec.Fills && r.step.spec.Saves && r.step.spec.Image == image && r.phase == runWorking {
+					r.step.tasks[r.id.Index].avoid = h.name
 					b.stop(now, r, "it harms tasks that serve beside it")
 				}
 			}
--- a/pkg/worker/pacer.go
+++ b/pkg/worker/pacer.go
@@ -39,6 +39,14 @@
 // Percent returns the present percentage.
 func (p *Pacer) Percent() int { return pacerSteps[len(pacerSteps)-1-p.down] }
 
+// OverFor returns how long the target has been missed on end.
+func (p *Pacer) OverFor(now time.Time) time.Duration {
+	if p.over.IsZero() {
+		return 0
+	}
+	return now.Sub(p.over)
+}
+
 // Decide takes in the highest pressure among serving tasks and returns the
 // percentage for filling tasks.
 func (p *Pacer) Decide(now time.Time, pressure float64) int {
--- a/pkg/workflow/book.go
+++ b/pkg/workflow/book.go
@@ -41,9 +41,10 @@
 	return Record{Key: prefixCancellation + id, Value: []byte{1}}
 }
 
-// ForgetRecords returns the records that drop a job.
-func ForgetRecords(id string) []Record {
-	return []Record{{Key: prefixSubmission + id}, {Key: prefixProgress + id}, {Key: prefixCancellation + id}}
+// ForgetRecords returns the records that drop a job: of its progress, and of
+// its submission and cancellation.
+func ForgetRecords(id string) (progress, intake []Record) {
+	return []Record{{Key: prefixProgress + id}}, []Record{{Key: prefixCancellation + id}, {Key: prefixSubmission + id}}
 }
 
 // Entry is what the book holds of one job.
