--- a/pkg/dispatch/harm.go
+++ b/pkg/dispatch/harm.go
@@ -18,7 +18,9 @@
 	// actingMilliCPU is the processor time from which a filling task disturbs.
 	actingMilliCPU = 100
 	// pressedFor is how long a target is missed before filling tasks are moved.
-	pressedFor = 500 * time.Millisecond
+	pressedFor = 1500 * time.Millisecond
+	// settleFor is how long a filling task runs before readings tell about it: they cover half a second.
+	settleFor = 600 * time.Millisecond
 	// movedGap is how long a move takes to show in the readings.
 	movedGap = 900 * time.Millisecond
 )
@@ -48,7 +50,7 @@
 func (b *Board) learnHarm(now time.Time, h *host) {
 	filling := make(map[string]bool)
 	for _, r := range h.runs {
-		if r.step.spec.Fills && r.phase == runWorking && r.reading >= actingMilliCPU && now.Sub(r.since) > pressedFor {
+		if r.step.spec.Fills && r.phase == runWorking && r.reading >= actingMilliCPU && now.Sub(r.since) > settleFor {
 			filling[r.step.spec.Image] = true
 		}
 	}
--- a/pkg/worker/pacer.go
+++ b/pkg/worker/pacer.go
@@ -11,17 +11,17 @@
 	// pacerPatience is how long a target is missed before filling tasks are
 	// slowed down: loads swing within seconds, and the dispatcher moves what does
 	// harm first. A target is never to be missed for four seconds on end.
-	pacerPatience = 1200 * time.Millisecond
+	pacerPatience = 2100 * time.Millisecond
 	// pacerSettle is how long a change takes to show: readings cover half a second.
 	pacerSettle = 600 * time.Millisecond
 	// pacerMemory is how long a percentage that was too much is not tried again.
-	pacerMemory = 4 * time.Second
+	pacerMemory = 1500 * time.Millisecond
 	// pacerFull is the percentage of tasks that are not slowed down.
 	pacerFull = 100
 )
 
 // pacerSteps are the percentages at which filling tasks work.
-var pacerSteps = [...]int{0, 10, 25, 45, 70, pacerFull}
+var pacerSteps = [...]int{0, 30, pacerFull}
 
 // Pacer decides how fast the filling tasks of one worker work, so that the
 // serving tasks beside them stay below their targets. The zero value slows nothing.
