--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -201,6 +201,8 @@
 	pressure float64
 	// pressedSince is since when a target is missed, movedAt when filling tasks were moved away last.
 	pressedSince, movedAt time.Time
+	// fillEnded is when a filling task ended last.
+	fillEnded time.Time
 	// servingImages counts tasks with a latency target by image.
 	servingImages map[string]int
 	heard         time.Time
--- a/pkg/dispatch/harm.go
+++ b/pkg/dispatch/harm.go
@@ -1,14 +1,22 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Limits of what is learned about filling tasks beside serving ones.
+// Limits of what is learned about filling tasks beside serving ones. What is
+// known of a pair of images is a log-odds that the one harms the other.
 const (
-	// unknownHarm stands for a pair of images that has not been seen together.
-	unknownHarm = 0.4
-	// blameRate and calmRate are how far one reading moves the harm of a pair.
-	blameRate = 0.35
-	calmRate  = 0.12
+	// unknownOdds stands for a pair that has not been seen together: of the pairs
+	// of a site, about one in five does harm (journal, standard days).
+	unknownOdds = -1.3
+	// calmOdds is what a calm reading adds: harmful pairs are calm a third of the time.
+	calmOdds = -0.5
+	// pressedOdds is what a missed target adds, shared by the images that may be to blame.
+	pressedOdds = 1.5
+	// mostOdds bounds what is known, so that it can change.
+	mostOdds = 4.0
 	// overPressure and calmPressure bound the readings that say something: the
 	// tail latency as part of its target.
 	overPressure = 1.1
@@ -16,11 +24,11 @@
 	// harmful is the harm from which filling tasks are moved away.
 	harmful = 0.5
 	// actingMilliCPU is the processor time from which a filling task disturbs.
-	actingMilliCPU = 100
+	actingMilliCPU = 200
 	// pressedFor is how long a target is missed before filling tasks are moved.
-	pressedFor = 1500 * time.Millisecond
-	// settleFor is how long a filling task runs before readings tell about it: they cover half a second.
-	settleFor = 600 * time.Millisecond
+	pressedFor = 1200 * time.Millisecond
+	// settleFor is how long a change takes to show: readings cover half a second.
+	settleFor = 700 * time.Millisecond
 	// movedGap is how long a move takes to show in the readings.
 	movedGap = 900 * time.Millisecond
 )
@@ -38,11 +46,15 @@
 	return worst
 }
 
-func (b *Board) harmOf(serving, filling string) float64 {
+func (b *Board) oddsOf(serving, filling string) float64 {
 	if v, ok := b.harm[pair{serving, filling}]; ok {
 		return v
 	}
-	return unknownHarm
+	return unknownOdds
+}
+
+func (b *Board) harmOf(serving, filling string) float64 {
+	return 1 / (1 + math.Exp(-b.oddsOf(serving, filling)))
 }
 
 // learnHarm takes in the readings of a worker. It answers days on which filling
@@ -62,7 +74,9 @@
 		}
 		pressure := r.reading / target
 		worst = max(worst, pressure)
-		b.learnPair(r.step.spec.Image, filling, pressure)
+		if pressure <= calmPressure || now.Sub(h.fillEnded) > settleFor {
+			b.learnPair(r.step.spec.Image, filling, pressure) // else what ended may be to blame
+		}
 	}
 	h.pressure = worst
 	if worst <= overPressure {
@@ -72,6 +86,7 @@
 	}
 }
 
+// learnPair takes in one reading of a serving image beside filling ones.
 func (b *Board) learnPair(serving string, filling map[string]bool, pressure float64) {
 	if len(filling) == 0 || pressure > calmPressure && pressure <= overPressure {
 		return
@@ -81,13 +96,13 @@
 		total += b.harmOf(serving, f)
 	}
 	for f := range filling {
-		v := b.harmOf(serving, f)
+		v := b.oddsOf(serving, f)
 		if pressure <= calmPressure {
-			v -= v * calmRate
+			v += calmOdds
 		} else {
-			v += (1 - v) * blameRate * v / max(total, 1e-9)
+			v += pressedOdds * b.harmOf(serving, f) / total
 		}
-		b.harm[pair{serving, f}] = v
+		b.harm[pair{serving, f}] = min(max(v, -mostOdds), mostOdds)
 	}
 }
 
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -257,6 +257,9 @@
 func (b *Board) release(now time.Time, r *run) {
 	r.host.remove(r)
 	s := r.step
+	if s.spec.Fills {
+		r.host.fillEnded = now
+	}
 	t := &s.tasks[r.id.Index]
 	for i, o := range t.runs {
 		if o == r {
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -16,7 +16,7 @@
 	weightSlow = 1.0
 	slowFrom   = 1.5
 	// weightHarm speaks against filling tasks beside serving ones, for the harm expected and the pace lost.
-	weightHarm = 1.5
+	weightHarm = 3.0
 	// weightTogether draws tasks that last to where others last already, and
 	// short tasks to where filling ones would disturb.
 	weightTogether = 2.0
@@ -24,7 +24,8 @@
 	weightAlike = 0.3
 	// weightCrowd speaks against taking processor time that filling tasks use.
 	weightCrowd = 0.5
-	// weightStarve speaks against a filling task where no processor time is left for it.
+	// weightStarve speaks against a filling task for each further share of its
+	// running time that it would take longer.
 	weightStarve = 1.0
 	// lastingUnused is the part of its reservation that a task that lasts leaves
 	// unused: served load is at 0.42 on average, by the sites' sheets.
@@ -39,6 +40,15 @@
 	return float64(h.free().MilliCPU-h.filling) + lastingUnused*float64(h.reserved)
 }
 
+// slowness returns how much longer filling tasks at a worker would take with
+// one more of a size, as part of their running time.
+func (h *host) slowness(size int64) float64 {
+	most := float64(h.free().MilliCPU) + lastingUnused*float64(h.reserved)
+	asked := float64(h.filling + size)
+	const least = 0.05
+	return 1/min(1, max(least, most/asked)) - 1
+}
+
 // score rates a worker for a task; the lowest is chosen.
 func (b *Board) score(s *stepState, t *taskState, h *host) float64 {
 	v := 0.0
@@ -58,7 +68,7 @@
 	crowd := weightCrowd * max(0, size-left) / whole
 	switch {
 	case s.spec.Fills:
-		v += weightStarve*max(0, size-left)/size - left/whole
+		v += weightStarve*h.slowness(s.spec.Size.MilliCPU) - left/whole/4
 		if h.serving > 0 {
 			v += weightHarm * (b.harmBeside(s.spec.Image, h) + float64(fullPace-h.pace)/fullPace)
 		}
