--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -19,6 +19,9 @@
 	longestLastingDelay = 800 * time.Millisecond
 	// stopAgain is how long a stop is given before it is ordered again.
 	stopAgain = 1500 * time.Millisecond
+	// harmAfter is how long a filling task waits for a worker where it does no
+	// harm: a task that has room everywhere is to run within three seconds.
+	harmAfter = 2 * time.Second
 	// preemptAfter is how long a task that lasts waits for room before others make it.
 	preemptAfter = 300 * time.Millisecond
 )
@@ -215,7 +218,7 @@
 		if s.spec.MostPerWorker > 0 && s.perWorker[h.name]+n >= s.spec.MostPerWorker {
 			continue
 		}
-		if running(t, h) {
+		if running(t, h) || s.spec.Fills && now.Sub(t.freed) < harmAfter && b.harmBeside(s.spec.Image, h) >= harmful {
 			continue
 		}
 		score := b.score(s, t, h)
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -20,8 +20,9 @@
 	// weightTogether draws tasks that last to where others last already, and
 	// short tasks to where filling ones would disturb.
 	weightTogether = 2.0
-	// weightAlike draws serving tasks of one image together: fewer pairs of images meet.
-	weightAlike = 0.3
+	// weightAlike speaks against serving tasks beside those of another image, for
+	// each: fewer pairs of images meet.
+	weightAlike = 1.5
 	// weightCrowd speaks against taking processor time that filling tasks use.
 	weightCrowd = 0.5
 	// weightStarve speaks against a filling task for each further share of its
@@ -40,6 +41,15 @@
 	return float64(h.free().MilliCPU-h.filling) + lastingUnused*float64(h.reserved)
 }
 
+// otherImages counts the images that serve at a worker besides one.
+func (h *host) otherImages(image string) int {
+	n := len(h.servingImages)
+	if h.servingImages[image] > 0 {
+		n--
+	}
+	return n
+}
+
 // slowness returns how much longer filling tasks at a worker would take with
 // one more of a size, as part of their running time.
 func (h *host) slowness(size int64) float64 {
@@ -77,9 +87,7 @@
 		if h.lasting > 0 {
 			v -= weightTogether
 		}
-		if h.servingImages[s.spec.Image] > 0 {
-			v -= weightAlike
-		}
+		v += weightAlike * float64(h.otherImages(s.spec.Image))
 	default:
 		v += crowd - left/whole/4
 		if h.serving > 0 {
