--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -208,6 +208,9 @@
 		for _, s := range o.steps {
 			delete(b.ready, s)
 			for i := range s.tasks {
+				if s.tasks[i].done && s.spec.Gang {
+					continue // the other members end with the one that was listed
+				}
 				for _, r := range s.tasks[i].runs {
 					b.stop(now, r, "the job has ended: "+phase.String())
 				}
--- /dev/null
+++ b/pkg/workflow/workflow_test.go
@@ -0,0 +1,142 @@
+package workflow
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/pkg/worker"
+)
+
+func validSpec() *Spec {
+	return &Spec{Text: "t", Steps: []Step{{Count: 2, Size: worker.Resources{MilliCPU: 100}}, {Count: 1, After: []int{0}}}}
+}
+
+func TestValidate(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(s *Spec)
+		want   string
+	}{
+		{"valid", func(*Spec) {}, ""},
+		{"no steps", func(s *Spec) { s.Steps = nil }, "steps"},
+		{"text too long", func(s *Spec) { s.Text = strings.Repeat("x", MaxTextBytes+1) }, "text"},
+		{"no tasks", func(s *Spec) { s.Steps[1].Count = 0 }, "step 1: count"},
+		{"too many tasks", func(s *Spec) { s.Steps[0].Count = MaxTasks }, "steps"},
+		{"a later step", func(s *Spec) { s.Steps[0].After = []int{1} }, "step 0: after"},
+		{"negative size", func(s *Spec) { s.Steps[0].Size.MemoryMB = -1 }, "step 0: size"},
+		{"negative estimate", func(s *Spec) { s.Steps[0].EstimateMS = -1 }, "step 0: estimate"},
+		{"negative repetition", func(s *Spec) { s.Times = -1 }, "occurrences"},
+		{"no first time", func(s *Spec) { s.Times = 2 }, "occurrences"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := validSpec()
+			tc.change(s)
+			err := s.Validate()
+			if tc.want == "" {
+				if err != nil {
+					t.Errorf("got %v, want no error", err)
+				}
+				return
+			}
+			if !errors.Is(err, ErrSpec) || !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("got %v, want an ErrSpec that names %q", err, tc.want)
+			}
+		})
+	}
+}
+
+func TestParseTask(t *testing.T) {
+	id := TaskID{Job: "5c0e", Occurrence: 3, Step: 1, Index: 17}
+	if got, ok := ParseTask(id.String()); !ok || got != id {
+		t.Errorf("got %v %v, want %v", got, ok, id)
+	}
+	for _, name := range []string{"", "a", "a.0.0", "a.0.0.x", "a.0.0.-1", ".0.0.0", "a.0.0.0.0"} {
+		if got, ok := ParseTask(name); ok {
+			t.Errorf("%q: got %v, want it refused", name, got)
+		}
+	}
+}
+
+func mustRecord(t *testing.T) func(Record, error) Record {
+	t.Helper()
+	return func(r Record, err error) Record {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+}
+
+func TestBook(t *testing.T) {
+	must := mustRecord(t)
+	sub := &Submission{ID: "a", Queue: "q", Spec: *validSpec()}
+	var b Book
+	for _, r := range []Record{
+		must(ProgressRecord("a", &Progress{Phase: PhaseRunning})), // may be read before the submission
+		must(SubmissionRecord(sub)),
+		must(SubmissionRecord(&Submission{ID: "a", Queue: "other"})),
+	} {
+		if _, err := b.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e, ok := b.Entry("a")
+	if !ok || e.Submission().Queue != "q" || e.Phase() != PhaseRunning {
+		t.Fatalf("got %+v, want the first submission, running", e)
+	}
+	if _, err := b.Apply(CancellationRecord("a")); err != nil || e.Phase() != PhaseCancelled {
+		t.Errorf("after the cancellation: got %v %v, want %v", e.Phase(), err, PhaseCancelled)
+	}
+	if _, err := b.Apply(must(ProgressRecord("a", &Progress{Phase: PhaseCompleted}))); err != nil || e.Phase() != PhaseCompleted {
+		t.Errorf("an end that was stored stands: got %v %v, want %v", e.Phase(), err, PhaseCompleted)
+	}
+	progress, intake := ForgetRecords("a")
+	for _, r := range append(progress, intake...) {
+		if _, err := b.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, ok := b.Entry("a"); ok {
+		t.Error("after it was dropped: got the job, want none")
+	}
+}
+
+// Records of another writer change nothing.
+func TestBookSkips(t *testing.T) {
+	must := mustRecord(t)
+	var b Book
+	if _, err := b.Apply(must(SubmissionRecord(&Submission{ID: "a", Queue: "q"}))); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []Record{
+		{Key: "", Value: []byte("x")},
+		{Key: "x/a", Value: []byte("x")},
+		{Key: "s/", Value: []byte("x")},
+		{Key: "s/b", Value: []byte("not a record")},
+		{Key: "p/a", Value: []byte{0xff}},
+		must(ProgressRecord("a", &Progress{Phase: PhaseCancelled + 1})),
+		{Key: "s/c", Value: must(SubmissionRecord(&Submission{ID: "d"})).Value},
+	} {
+		if _, err := b.Apply(r); !errors.Is(err, ErrRecord) {
+			t.Errorf("%q: got %v, want %v", r.Key, err, ErrRecord)
+		}
+	}
+	if got := b.Len(); got != 1 {
+		t.Errorf("jobs: got %d, want 1", got)
+	}
+}
+
+func TestDoneStep(t *testing.T) {
+	var d DoneStep
+	for _, i := range []int{0, 9, 30} {
+		d.Mark(i)
+	}
+	for i := range 40 {
+		if got, want := d.Has(i), i == 0 || i == 9 || i == 30; got != want {
+			t.Errorf("task %d: got %v, want %v", i, got, want)
+		}
+	}
+}
