--- /dev/null
+++ b/internal/attendant/attendant_test.go
@@ -0,0 +1,333 @@
+package attendant
+
+import (
+	"context"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/tenure"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
+)
+
+// fakeRunner is a runner whose answers can be lost.
+type fakeRunner struct {
+	mu      sync.Mutex
+	listing Listing
+	// startErr is returned by a start; it takes effect if runs.
+	startErr error
+	runs     bool
+	// fenced are runs that were stopped before they started.
+	fenced []runKey
+	holds  []Hold
+	paced  map[runKey]int
+	gone   bool
+}
+
+func (f *fakeRunner) port() Runner {
+	return Runner{Start: f.start, Stop: f.stop, Hold: f.hold, Pace: f.pace}
+}
+
+func (f *fakeRunner) start(_ context.Context, _ Call, s *dispatch.Start, _ int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.runs {
+		f.listing.Rows = append(f.listing.Rows, dispatch.Row{Task: s.Task, Run: s.Run})
+	}
+	return f.startErr
+}
+
+func (f *fakeRunner) stop(_ context.Context, _ Call, task workflow.TaskID, run uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, r := range f.listing.Rows {
+		if r.Task == task && r.Run == run {
+			f.listing.Rows = slices.Delete(f.listing.Rows, i, i+1)
+			f.listing.Ends = append(f.listing.Ends, dispatch.End{Number: uint64(len(f.listing.Ends) + 1), Task: task, Run: run, How: dispatch.HowStopped})
+			return nil
+		}
+	}
+	f.fenced = append(f.fenced, runKey{task, run})
+	return nil
+}
+
+func (f *fakeRunner) hold(_ context.Context, h Hold) (*Listing, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holds = append(f.holds, h)
+	if f.gone {
+		return nil, errors.Mark(errors.New("refused"), ErrGone)
+	}
+	f.listing.ClockMS++
+	l := f.listing
+	l.Rows, l.Ends = slices.Clone(l.Rows), slices.Clone(l.Ends)
+	return &l, nil
+}
+
+func (f *fakeRunner) pace(_ context.Context, _ Call, task workflow.TaskID, run uint64, percent int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.paced == nil {
+		f.paced = make(map[runKey]int)
+	}
+	f.paced[runKey{task, run}] = percent
+	return nil
+}
+
+// site is an agent that is connected to a dispatcher.
+type site struct {
+	agent  *Attendant
+	runner *fakeRunner
+	got    chan *peer.Message
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{runner: &fakeRunner{listing: Listing{ClockMS: 1000, Born: 7}}, got: make(chan *peer.Message, 64)}
+	logger := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	s.agent = New(Settings{Name: "w1"}, s.runner.port(), store.Port{}, logger, gometrics.NewRegistry())
+	here, there := net.Pipe()
+	conn, dispatcher := peer.NewConn(here), peer.NewConn(there)
+	var group sync.WaitGroup
+	group.Go(func() { _ = conn.Run(&group, func(*peer.Message) {}) })
+	group.Go(func() { _ = dispatcher.Run(&group, func(m *peer.Message) { s.got <- m }) })
+	t.Cleanup(func() {
+		conn.Close()
+		dispatcher.Close()
+		group.Wait()
+		s.agent.group.Wait()
+	})
+	s.agent.Announce(&Announcement{Instance: "i-1", Born: 7, Seq: 1, Service: "bench"})
+	if err := s.agent.lookOnce(context.Background(), 0); err != nil {
+		t.Fatal(err)
+	}
+	s.agent.mu.Lock()
+	s.agent.term, s.agent.conn = 3, conn
+	s.agent.grant.Renew(clock.Steady())
+	s.agent.mu.Unlock()
+	return s
+}
+
+// next returns the next message of the wanted kind.
+func (s *site) next(t *testing.T, wanted func(*peer.Message) bool) *peer.Message {
+	t.Helper()
+	for {
+		select {
+		case m := <-s.got:
+			if wanted(m) {
+				return m
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("got no such message, want one")
+		}
+	}
+}
+
+var task = workflow.TaskID{Job: "5c", Step: 1}
+
+func orders(term uint64) *peer.Orders {
+	return &peer.Orders{Term: term, Starts: []dispatch.Start{{Worker: "w1", Life: 7, Task: task, Run: 2}}}
+}
+
+// A start without an answer that the runner does not list is made impossible
+// before the dispatcher learns that it never runs.
+func TestUnansweredStartIsFenced(t *testing.T) {
+	s := newSite(t)
+	s.runner.startErr = ErrNoAnswer
+	s.agent.take(context.Background(), orders(3))
+	m := s.next(t, func(m *peer.Message) bool { return m.Refused != nil })
+	if m.Refused.Task != task || m.Refused.Run != 2 {
+		t.Errorf("refused: got %+v, want run 2 of %s", m.Refused, task)
+	}
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	if !slices.Contains(s.runner.fenced, runKey{task, 2}) {
+		t.Errorf("fenced: got %v, want run 2 of %s", s.runner.fenced, task)
+	}
+}
+
+// A start without an answer that took effect goes on.
+func TestUnansweredStartRuns(t *testing.T) {
+	s := newSite(t)
+	s.runner.startErr, s.runner.runs = ErrNoAnswer, true
+	s.agent.take(context.Background(), orders(3))
+	s.agent.group.Wait()
+	s.agent.mu.Lock()
+	defer s.agent.mu.Unlock()
+	if len(s.agent.orders) != 0 || len(s.agent.rows) != 1 || len(s.runner.fenced) != 0 {
+		t.Errorf("got orders %v, rows %v, fenced %v; want one run that goes on", s.agent.orders, s.agent.rows, s.runner.fenced)
+	}
+}
+
+func TestRefusedOrders(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(s *site, o *peer.Orders)
+	}{
+		{"the runner did not take it", func(s *site, _ *peer.Orders) { s.runner.startErr = ErrNotRun }},
+		{"another life", func(_ *site, o *peer.Orders) { o.Starts[0].Life = 6 }},
+		{"no time is granted", func(s *site, _ *peer.Orders) { s.agent.grant = tenure.Grant{} }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSite(t)
+			o := orders(3)
+			tc.change(s, o)
+			s.agent.take(context.Background(), o)
+			s.next(t, func(m *peer.Message) bool { return m.Refused != nil })
+			s.agent.group.Wait()
+			if len(s.runner.listing.Rows) != 0 {
+				t.Errorf("runs: got %v, want none", s.runner.listing.Rows)
+			}
+		})
+	}
+}
+
+// Orders of an earlier dispatcher do nothing.
+func TestOrdersOfEarlierTerm(t *testing.T) {
+	s := newSite(t)
+	s.runner.runs = true
+	s.agent.take(context.Background(), orders(2))
+	s.agent.group.Wait()
+	if len(s.runner.listing.Rows) != 0 {
+		t.Errorf("runs: got %v, want none", s.runner.listing.Rows)
+	}
+}
+
+// A start that was sent to an earlier life must not take effect in the next one.
+func TestNewLifeFencesStrayStarts(t *testing.T) {
+	s := newSite(t)
+	s.agent.mu.Lock()
+	s.agent.orders[runKey{task, 2}] = &order{open: true}
+	s.agent.mu.Unlock()
+	s.runner.mu.Lock()
+	s.runner.listing = Listing{ClockMS: 1, Born: 8}
+	s.runner.mu.Unlock()
+	if err := s.agent.lookOnce(context.Background(), 0); err != nil {
+		t.Fatal(err)
+	}
+	m := s.next(t, func(m *peer.Message) bool { return m.Report != nil })
+	if m.Report.Worker.Life != 8 || len(m.Report.Rows) != 0 {
+		t.Errorf("report: got %+v, want life 8 without runs", m.Report)
+	}
+	s.agent.group.Wait()
+	if !slices.Contains(s.runner.fenced, runKey{task, 2}) {
+		t.Errorf("fenced: got %v, want run 2 of %s", s.runner.fenced, task)
+	}
+}
+
+// Leases end no later than the grant on the slowest clock allowed.
+func TestLeaseStaysWithinGrant(t *testing.T) {
+	s := newSite(t)
+	a := s.agent
+	now := clock.Steady()
+	a.grant.Renew(now)
+	a.clockMS, a.clockAt = 50_000, now.Add(-time.Second)
+	left := a.grant.Left(now)
+	until := a.until(now)
+	slowest := time.Duration(until-a.clockMS) * time.Millisecond * 102 / 100
+	if end := a.clockAt.Add(slowest); end.After(now.Add(left)) {
+		t.Errorf("the lease ends %v after the grant, want no later", end.Sub(now.Add(left)))
+	}
+	if got := a.until(now.Add(left)); got != 0 {
+		t.Errorf("after the grant: got a lease until %d, want none", got)
+	}
+}
+
+// Once nothing listens, the dispatcher learns that all runs have ended.
+func TestGoneRunnerIsReported(t *testing.T) {
+	s := newSite(t)
+	s.runner.gone = true
+	if err := s.agent.lookOnce(context.Background(), 0); !errors.Is(err, ErrGone) {
+		t.Fatalf("got %v, want %v", err, ErrGone)
+	}
+	m := s.next(t, func(m *peer.Message) bool { return m.Report != nil })
+	if m.Report.Worker.Life != 0 {
+		t.Errorf("life: got %d, want 0", m.Report.Worker.Life)
+	}
+	s.runner.gone = false
+	if err := s.agent.lookOnce(context.Background(), 0); err != nil {
+		t.Fatal(err)
+	}
+	m = s.next(t, func(m *peer.Message) bool { return m.Report != nil })
+	if m.Report.Worker.Life != 7 {
+		t.Errorf("life after its return: got %d, want 7", m.Report.Worker.Life)
+	}
+}
+
+// A heartbeat that was held up changes nothing.
+func TestOldHeartbeat(t *testing.T) {
+	s := newSite(t)
+	s.agent.Announce(&Announcement{Instance: "i-1", Born: 7, Seq: 5, Service: "bench", Draining: true})
+	s.agent.Announce(&Announcement{Instance: "i-1", Born: 7, Seq: 4, Service: "bench"})
+	s.agent.Announce(&Announcement{Instance: "i-0", Born: 6, Seq: 9, Service: "bench"})
+	if got := s.agent.worker(); !got.Draining {
+		t.Errorf("got %+v, want it draining", got)
+	}
+}
+
+// Ends are told once, and may be forgotten once they are stored.
+func TestEndsAreToldOnce(t *testing.T) {
+	s := newSite(t)
+	s.runner.mu.Lock()
+	s.runner.listing.Ends = []dispatch.End{{Number: 1, Task: task, Run: 1, How: dispatch.HowDone}}
+	s.runner.mu.Unlock()
+	for range 3 {
+		if err := s.agent.lookOnce(context.Background(), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m := s.next(t, func(m *peer.Message) bool { return m.Ends != nil })
+	if len(m.Ends.Ends) != 1 {
+		t.Errorf("ends: got %v, want one", m.Ends.Ends)
+	}
+	s.agent.note(&peer.Noted{Life: 6, End: 9})
+	s.agent.note(&peer.Noted{Life: 7, End: 1})
+	if err := s.agent.lookOnce(context.Background(), 0); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.runner.holds[len(s.runner.holds)-1].Noted; got != 1 {
+		t.Errorf("noted: got %d, want 1", got)
+	}
+	select {
+	case m := <-s.got:
+		if m.Ends != nil {
+			t.Errorf("got %v again, want it told once", m.Ends)
+		}
+	default:
+	}
+}
+
+// A filling run that is harmful is paced, also the first time it is seen.
+func TestGuardPacesNewRuns(t *testing.T) {
+	var g guard
+	fill := workflow.TaskID{Job: "f"}
+	g.learn([]dispatch.Guarded{{Task: task, TargetMS: 10}, {Task: fill, Fills: true, Harm: 0.9}})
+	now := clock.Steady()
+	rows := []dispatch.Row{{Task: task, Run: 1, Reading: 50}, {Task: fill, Run: 1, Reading: 1000}}
+	var last []change
+	for i := range 8 {
+		if changes, _ := g.decide(now.Add(time.Duration(i)*400*time.Millisecond), rows); len(changes) > 0 {
+			last = changes
+		}
+	}
+	if len(last) != 1 || last[0].percent != 0 {
+		t.Fatalf("changes: got %v, want the filling run paced to 0", last)
+	}
+	g.percents[runKey{fill, 1}] = 0
+	rows[1].Run = 2
+	changes, _ := g.decide(now.Add(3300*time.Millisecond), rows)
+	if len(changes) != 1 || changes[0].key.run != 2 || changes[0].percent != 0 {
+		t.Errorf("changes: got %v, want run 2 paced to 0", changes)
+	}
+}
