--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -121,6 +121,11 @@
 	a.log.Info().Msg("attendant stopped")
 }
 
+// count adds to a counter.
+func (a *Attendant) count(name string) {
+	gometrics.GetOrRegisterCounter(name, a.registry).Inc(1)
+}
+
 func pause(ctx context.Context, ch <-chan struct{}, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -264,6 +269,7 @@
 		return
 	}
 	a.vacant = true
+	a.count("runners-lost")
 	a.log.Warn().Err(err).Uint64("life", a.life).Bool("lapsed", lapsed).Msg("runner lost; its runs have ended")
 	a.conn.Send(&peer.Message{Report: &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}}})
 }
--- a/internal/attendant/guard.go
+++ b/internal/attendant/guard.go
@@ -127,6 +127,7 @@
 	c := a.call()
 	for _, ch := range changes {
 		a.guard.percents[ch.key] = ch.percent
+		a.count("paces")
 		a.log.Info().Str("task", ch.key.task.String()).Uint64("run", ch.key.run).Int("percent", ch.percent).Msg("filling task paced")
 		a.group.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -50,6 +50,7 @@
 // refuse tells the dispatcher that an order never runs. The caller holds mu.
 func (a *Attendant) refuse(life uint64, k runKey, reason string) {
 	delete(a.orders, k)
+	a.count("orders-refused")
 	a.log.Info().Str("task", k.task.String()).Uint64("run", k.run).Str("reason", reason).Msg("order refused")
 	if a.conn != nil {
 		a.conn.Send(&peer.Message{Refused: &peer.Refused{Life: life, Task: k.task, Run: k.run, Reason: reason}})
@@ -64,6 +65,7 @@
 	err := a.runner.Start(callCtx, c, s, until)
 	switch {
 	case err == nil:
+		a.count("starts")
 		a.mu.Lock()
 		if o := a.orders[k]; o != nil {
 			o.open = false
@@ -74,6 +76,7 @@
 		a.refuse(s.Life, k, err.Error())
 		a.mu.Unlock()
 	default:
+		a.count("starts-unanswered")
 		a.log.Warn().Err(err).Str("task", k.task.String()).Uint64("run", k.run).Msg("start not answered")
 		if a.awaitListed(ctx, k) {
 			return
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -33,6 +33,7 @@
 		devCommand(),
 		benchCommand(),
 		loadCommand(),
+		explainCommand(),
 		standinCommand(),
 		versionCommand(),
 	}
--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"savoryhoist.example/savoryhoist/internal/story"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "print what the log lines of any number of processes say about one job, in order",
+		ArgsUsage: "JOB [FILE...]; without files, lines are read from standard input",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			args := cmd.Args().Slice()
+			if len(args) == 0 {
+				return errors.Wrap(ErrUsage, "want a job's id")
+			}
+			return explain(cmd.Root().Writer, os.Stdin, args[0], args[1:])
+		},
+	}
+}
+
+func explain(out io.Writer, in io.Reader, job string, files []string) error {
+	var lines []story.Line
+	read := func(r io.Reader) error {
+		more, err := story.Read(r, job)
+		lines = append(lines, more...)
+		return err
+	}
+	if len(files) == 0 {
+		if err := read(in); err != nil {
+			return err
+		}
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return errors.Mark(errors.Wrap(err, "open the log file"), ErrUsage)
+		}
+		err = read(f)
+		_ = f.Close()
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
+	if len(lines) == 0 {
+		return errors.Newf("no log line speaks of job %s", job)
+	}
+	for _, l := range story.Order(lines) {
+		if _, err := fmt.Fprintln(out, l.Text()); err != nil {
+			return errors.Wrap(err, "print the story")
+		}
+	}
+	return nil
+}
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -159,13 +159,17 @@
 }
 
 func (c *checker) logger() *log.Logger {
-	level := c.cmd.String("log-level")
+	return newLogger(c.level("log-level"), c.cmd.String("name"))
+}
+
+func (c *checker) level(flag string) log.Level {
+	level := c.cmd.String(flag)
 	switch level {
 	case "debug", "info", "warn", "error":
 	default:
-		c.wrong("log-level", "want debug, info, warn or error")
+		c.wrong(flag, "want debug, info, warn or error")
 	}
-	return newLogger(log.ParseLevel(level), c.cmd.String("name"))
+	return log.ParseLevel(level)
 }
 
 func newLogger(level log.Level, name string) *log.Logger {
--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -49,6 +49,21 @@
 
 // Submit stores a job. The error is ErrRefused only if the job never runs.
 func (c *Coordinator) Submit(ctx context.Context, sub *workflow.Submission) error {
+	began := clock.Steady()
+	err := c.submit(ctx, sub)
+	switch {
+	case err == nil:
+		c.count("jobs-accepted", 1)
+		c.since("hand-in", began, clock.Steady())
+	case errors.Is(err, ErrRefused):
+		c.count("jobs-refused", 1)
+	default:
+		c.count("jobs-unknown", 1)
+	}
+	return err
+}
+
+func (c *Coordinator) submit(ctx context.Context, sub *workflow.Submission) error {
 	c.mu.Lock()
 	e, ok := c.book.Entry(sub.ID)
 	known := ok && e.Submission() != nil
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -131,6 +131,21 @@
 	kick(c.wake)
 }
 
+// count adds to a counter.
+func (c *Coordinator) count(name string, n int) {
+	gometrics.GetOrRegisterCounter(name, c.registry).Inc(int64(n))
+}
+
+// gauge sets a gauge.
+func (c *Coordinator) gauge(name string, v int64) {
+	gometrics.GetOrRegisterGauge(name, c.registry).Update(v)
+}
+
+// since adds a duration to a latency histogram.
+func (c *Coordinator) since(name string, start, now time.Time) {
+	gometrics.GetOrRegisterTimer(name, c.registry).Update(now.Sub(start))
+}
+
 // kick makes a loop run now; one kick that waits is enough.
 func kick(ch chan struct{}) {
 	select {
@@ -156,7 +171,9 @@
 func call[T any](ctx context.Context, c *Coordinator, extra time.Duration, fn func(ctx context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+extra)
 	defer cancel()
+	began := clock.Steady()
 	v, err := fn(ctx)
+	c.countCall(began, extra, err)
 	if err == nil || errors.Is(err, store.ErrMoved) || errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrTrimmed) {
 		c.mu.Lock()
 		now := clock.Steady()
@@ -171,6 +188,23 @@
 	return v, err
 }
 
+// countCall counts a call to the store by its outcome.
+func (c *Coordinator) countCall(began time.Time, extra time.Duration, err error) {
+	switch {
+	case err == nil:
+		c.count("store-calls-answered", 1)
+		if extra == 0 {
+			c.since("store-call", began, clock.Steady())
+		}
+	case errors.Is(err, store.ErrRefused):
+		c.count("store-calls-refused", 1)
+	case errors.Is(err, store.ErrUnknown):
+		c.count("store-calls-unanswered", 1)
+	default:
+		c.count("store-calls-rejected", 1)
+	}
+}
+
 // storeLost is how long the store gives no answer before it counts as lost; tails read it every second.
 const storeLost = 2500 * time.Millisecond
 
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -53,6 +53,8 @@
 		}
 		return out[worker]
 	}
+	c.count("starts-ordered", len(orders.Starts()))
+	c.count("stops-ordered", len(orders.Stops()))
 	for _, s := range orders.Starts() {
 		c.log.Info().Str("task", s.Task.String()).Uint64("run", s.Run).Str("worker", s.Worker).Str("reason", s.Reason).Msg("start ordered")
 		o := of(s.Worker)
@@ -191,6 +193,8 @@
 	t.begin(now, c, workers)
 	c.term = t
 	c.mu.Unlock()
+	c.count("terms-begun", 1)
+	c.gauge("term", int64(t.number))
 	c.log.Info().Uint64("term", t.number).Str("reason", reason).Str("before", before.Entry).Int("workers", len(workers)).
 		Int("jobs", c.Status().Jobs).Dur("took", now.Sub(sent)).Msg("this entry dispatches")
 	if before.Term != 0 && before.Entry != c.settings.Name {
@@ -265,6 +269,7 @@
 		l.conn.Send(m)
 	}
 	c.mu.Unlock()
+	c.count("terms-resigned", 1)
 	c.log.Warn().Uint64("term", t.number).Str("reason", reason).Str("heir", heir).Msg("term resigned")
 }
 
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -148,10 +148,12 @@
 	case m.Ends != nil:
 		for i := range m.Ends.Ends {
 			e := &m.Ends.Ends[i]
+			c.count("runs-"+e.How.String(), 1)
 			c.log.Info().Str("task", e.Task.String()).Uint64("run", e.Run).Str("worker", h.Name).Str("how", e.How.String()).Msg("run ended")
 		}
 		t.board.Ended(now, clock.WallMS(), h.Name, m.Ends.Life, m.Ends.Ends)
 	case m.Refused != nil:
+		c.count("orders-refused", 1)
 		c.log.Info().Str("task", m.Refused.Task.String()).Uint64("run", m.Refused.Run).Str("worker", h.Name).Str("reason", m.Refused.Reason).Msg("order never runs")
 		t.board.Refused(now, clock.WallMS(), h.Name, m.Refused.Life, m.Refused.Task, m.Refused.Run)
 	}
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -211,5 +211,6 @@
 	}
 	c.mu.Unlock()
 	kick(c.wake)
+	c.gauge("config-version", int64(config.Version))
 	c.log.Info().Uint64("version", config.Version).Int("routes", len(config.Routes)).Str("source", source).Msg("configuration in force")
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -105,6 +105,7 @@
 		}
 		if tenure.Lapsed(now, a.heard) {
 			a.lapsed = true
+			c.count("workers-lost", 1)
 			n := t.board.Lapsed(now, a.name)
 			c.log.Warn().Str("worker", a.name).Dur("silent", silence).Int("runs", n).Msg("worker lost; its runs have ended")
 		}
