Place filling tasks by harm, and move them less

Cause: filling tasks were spread as if they shared what is left, yet with up to twice as much asked for, runs took as long as alone; tasks were moved up to six times before their first checkpoint.

--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -140,6 +140,8 @@
 	freed time.Time
 	// avoid is the worker where the last run failed.
 	avoid string
+	// moves counts how often the task was moved away from serving ones.
+	moves int
 }
 
 type runPhase uint8
--- a/pkg/dispatch/harm.go
+++ b/pkg/dispatch/harm.go
@@ -29,6 +29,11 @@
 	pressedFor = 1200 * time.Millisecond
 	// settleFor is how long a change takes to show: readings cover half a second.
 	settleFor = 700 * time.Millisecond
+	// movableAfter is how long a filling task runs before it is moved: a checkpoint
+	// is kept for each second of work.
+	movableAfter = 1200 * time.Millisecond
+	// mostMoves bounds how often a task is moved: each costs it up to a second of work.
+	mostMoves = 3
 	// movedGap is how long a move takes to show in the readings.
 	movedGap = 900 * time.Millisecond
 )
@@ -113,11 +118,12 @@
 		if h.pressedSince.IsZero() || now.Sub(h.pressedSince) < pressedFor || now.Sub(h.movedAt) < movedGap || h.silent || h.lapsed {
 			continue
 		}
-		if image, found := b.worstImage(h); found {
+		if image, found := b.worstImage(now, h); found {
 			h.movedAt = now
 			for _, r := range h.runs {
-				if r.step.spec.Fills && r.step.spec.Saves && r.step.spec.Image == image && r.phase == runWorking {
-					r.step.tasks[r.id.Index].avoid = h.name
+				if t := &r.step.tasks[r.id.Index]; r.movable(now) && r.step.spec.Image == image && t.moves < mostMoves {
+					t.avoid = h.name
+					t.moves++
 					b.stop(now, r, "it harms tasks that serve beside it")
 				}
 			}
@@ -125,11 +131,16 @@
 	}
 }
 
+// movable reports whether a filling run loses little by being moved.
+func (r *run) movable(now time.Time) bool {
+	return r.step.spec.Fills && r.step.spec.Saves && r.phase == runWorking && now.Sub(r.since) >= movableAfter
+}
+
 // worstImage returns the image of filling tasks at a worker that does the most harm.
-func (b *Board) worstImage(h *host) (string, bool) {
+func (b *Board) worstImage(now time.Time, h *host) (string, bool) {
 	image, worst := "", harmful
 	for _, r := range h.runs {
-		if !r.step.spec.Fills || !r.step.spec.Saves || r.phase != runWorking {
+		if !r.movable(now) {
 			continue
 		}
 		if v := b.harmBeside(r.step.spec.Image, h); v > worst || v == worst && image != "" && r.step.spec.Image < image {
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -31,6 +31,9 @@
 	// lastingUnused is the part of its reservation that a task that lasts leaves
 	// unused: served load is at 0.42 on average, by the sites' sheets.
 	lastingUnused = 0.55
+	// fillShare is how much more than what is left filling tasks may ask for
+	// before they get slower: up to twice as much, runs were as fast as alone.
+	fillShare = 2.0
 	// fullPace is the pace of filling tasks that are not slowed down.
 	fullPace = 100
 )
@@ -53,7 +56,7 @@
 // slowness returns how much longer filling tasks at a worker would take with
 // one more of a size, as part of their running time.
 func (h *host) slowness(size int64) float64 {
-	most := float64(h.free().MilliCPU) + lastingUnused*float64(h.reserved)
+	most := fillShare * (float64(h.free().MilliCPU) + lastingUnused*float64(h.reserved))
 	asked := float64(h.filling + size)
 	const least = 0.05
 	return 1/min(1, max(least, most/asked)) - 1
