Stop filling tasks late and let them go on early

Cause: steps of pace and a memory of what was too much kept filling tasks slow long after serving ones were calm.

--- a/internal/attendant/guard.go
+++ b/internal/attendant/guard.go
@@ -44,7 +44,7 @@
 const blame = 0.35
 
 // blameFor is how long pacing those that are blamed is given to help, well within four seconds.
-const blameFor = 2900 * time.Millisecond
+const blameFor = 2700 * time.Millisecond
 
 // change is one run to pace.
 type change struct {
