Refuse hand-ins at once while the store is away

Cause: each hand-in of an outage tried the store until its deadline and ended with 504, though the entry knew that the store was away. A record that is never sent is refused truly. Test: TestSubmitWhileStoreIsAway.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -104,7 +104,7 @@
 func (c *Coordinator) keep(ctx context.Context, r store.Record) error {
 	unknown := false
 	for {
-		err := c.enqueue(ctx, r)
+		err := c.tryStore(ctx, r)
 		if err == nil {
 			return nil
 		}
@@ -124,6 +124,17 @@
 	}
 }
 
+// tryStore stores a record unless the store is away.
+func (c *Coordinator) tryStore(ctx context.Context, r store.Record) error {
+	c.mu.Lock()
+	away := c.storeAway(clock.Steady())
+	c.mu.Unlock()
+	if away {
+		return errors.Mark(errors.New("the store is away"), store.ErrRefused)
+	}
+	return c.enqueue(ctx, r)
+}
+
 func refused(err error) bool { return errors.Is(err, store.ErrRefused) }
 
 // relayed asks the dispatcher to store a record. If it is not stored, sure says
@@ -138,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+queryTimeout)
 	defer cancel()
 	m, ok := u.ask(ctx, func(seq uint64) *peer.Message {
-		return &peer.Message{Relay: &peer.Relay{Seq: seq, Records: []workflow.Record{r}}}
+		return &peer.Message{Relay: &peer.Relay{Seq: seq, Record: r}}
 	})
 	if !ok {
 		return false, false
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -73,7 +73,9 @@
 	// tails say how far bookTopics have been read.
 	tails     [len(bookTopics)]tail
 	storeSeen time.Time
-	candidate tenure.Candidate
+	// storeFails counts calls to the store in a row that it did not carry out or answer.
+	storeFails int
+	candidate  tenure.Candidate
 	// entries are the peer addresses of entries, with their names where known.
 	entries map[string]string
 	// links are the connections of other entries to this one, by their address.
@@ -174,20 +176,46 @@
 	began := clock.Steady()
 	v, err := fn(ctx)
 	c.countCall(began, extra, err)
-	if err == nil || errors.Is(err, store.ErrMoved) || errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrTrimmed) {
-		c.mu.Lock()
-		now := clock.Steady()
-		regained := !c.storeSeen.IsZero() && now.Sub(c.storeSeen) > storeLost
-		away := now.Sub(c.storeSeen)
-		c.storeSeen = now
+	c.noteCall(err)
+	return v, err
+}
+
+// noteCall updates what is believed of the store.
+func (c *Coordinator) noteCall(err error) {
+	c.mu.Lock()
+	now := clock.Steady()
+	if errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrUnknown) {
+		before := c.storeAway(now)
+		c.storeFails++
+		lost := !before && c.storeAway(now)
 		c.mu.Unlock()
-		if regained {
-			c.log.Info().Dur("away", away).Msg("store regained")
+		if lost {
+			c.log.Warn().Err(err).Msg("store lost; what callers hand in is refused")
 		}
+		return
+	}
+	away, was := now.Sub(c.storeSeen), c.storeAway(now)
+	c.storeSeen, c.storeFails = now, 0
+	c.mu.Unlock()
+	if was {
+		c.log.Info().Dur("away", away).Msg("store regained")
 	}
-	return v, err
 }
 
+// storeAway reports whether the store seems not to serve this entry, so that a
+// new record should not be sent to it. The caller holds mu.
+func (c *Coordinator) storeAway(now time.Time) bool {
+	return c.storeFails >= failsInRow && now.Sub(c.storeSeen) > awayAfter
+}
+
+// Limits of the belief in the store.
+const (
+	// failsInRow tells an outage from single lost answers: a third may be lost.
+	failsInRow = 3
+	// awayAfter is how long no call succeeds before the store counts as away.
+	awayAfter = 400 * time.Millisecond
+)
+
 // countCall counts a call to the store by its outcome.
 func (c *Coordinator) countCall(began time.Time, extra time.Duration, err error) {
 	switch {
@@ -205,9 +233,6 @@
 	}
 }
 
-// storeLost is how long the store gives no answer before it counts as lost; tails read it every second.
-const storeLost = 2500 * time.Millisecond
-
 // Status is what an entry believes, for operators.
 type Status struct {
 	Version     uint64
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -158,3 +159,30 @@
 		t.Error("the fenced entry: got a term, want none")
 	}
 }
+
+// While the store is away, callers learn at once that their job never runs, and
+// nothing is sent that could still take effect.
+func TestSubmitWhileStoreIsAway(t *testing.T) {
+	s := &standin.Store{}
+	s.Fail(store.ErrUnknown, true)
+	c := newTest(t, "entry-a", s)
+	ctx := context.Background()
+	for range failsInRow {
+		if err := c.catchUp(ctx); err == nil {
+			t.Fatal("reading: got no error, want one")
+		}
+	}
+	if got := c.Submit(ctx, submission("a")); !errors.Is(got, ErrRefused) {
+		t.Errorf("got %v, want %v", got, ErrRefused)
+	}
+	s.Fail(nil, false)
+	if err := c.catchUp(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.book.Len(); got != 0 {
+		t.Errorf("jobs stored: got %d, want 0", got)
+	}
+	if c.storeAway(clock.Steady()) {
+		t.Error("after an answer: got the store away, want it back")
+	}
+}
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -6,7 +6,6 @@
 
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
-	"savoryhoist.example/savoryhoist/internal/store"
 )
 
 // entryLink is the connection of another entry to this one.
@@ -227,8 +226,6 @@
 
 // relay appends records for an entry that cannot reach the store.
 func (c *Coordinator) relay(ctx context.Context, conn *peer.Conn, r *peer.Relay) {
-	_, err := call(ctx, c, 0, func(ctx context.Context) (uint64, error) {
-		return c.store.Append(ctx, store.Append{Topic: store.TopicIntake, Records: r.Records})
-	})
+	err := c.tryStore(ctx, r.Record)
 	conn.Send(&peer.Message{Relayed: &peer.Relayed{Seq: r.Seq, Stored: err == nil, Refused: refused(err)}})
 }
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -32,13 +32,27 @@
 
 // tailJobs keeps the book of jobs up to date.
 func (c *Coordinator) tailJobs(ctx context.Context) {
-	for pause(ctx, nil, tailEvery) {
+	for pause(ctx, nil, c.tailPause()) {
 		if err := c.catchUp(ctx); err != nil {
 			c.log.Warn().Err(err).Msg("reading jobs from the store failed")
 		}
 	}
 }
 
+// tailPause returns the delay before the next reading; while the store is away,
+// readings find out when it is back.
+func (c *Coordinator) tailPause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.storeFails > 0 {
+		return probeEvery
+	}
+	return tailEvery
+}
+
+// probeEvery is how often the store is tried while calls fail.
+const probeEvery = 200 * time.Millisecond
+
 // catchUp reads the jobs' records up to the end of their topics.
 func (c *Coordinator) catchUp(ctx context.Context) error {
 	for i := range bookTopics {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -168,10 +168,10 @@
 	Data    []byte `cbor:"2,keyasint"`
 }
 
-// Relay asks an entry to append records for another that cannot reach the store.
+// Relay asks an entry to store a record for another that cannot reach the store.
 type Relay struct {
-	Seq     uint64            `cbor:"1,keyasint"`
-	Records []workflow.Record `cbor:"2,keyasint"`
+	Seq    uint64          `cbor:"1,keyasint"`
+	Record workflow.Record `cbor:"2,keyasint"`
 }
 
 // Relayed answers a Relay.
