--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -208,6 +208,7 @@
 // tasks of a gang that take room already.
 func (b *Board) choose(now time.Time, s *stepState, t *taskState, q Queue, planned map[*host]int) (*host, string) {
 	need := s.spec.Reserved()
+	patient := s.spec.Fills && now.Sub(t.freed) < harmAfter && b.harmless(now, s, q, nil)
 	var best *host
 	lowest := 0.0
 	for _, h := range b.workers {
@@ -218,7 +219,7 @@
 		if s.spec.MostPerWorker > 0 && s.perWorker[h.name]+n >= s.spec.MostPerWorker {
 			continue
 		}
-		if running(t, h) || s.spec.Fills && now.Sub(t.freed) < harmAfter && b.harmBeside(s.spec.Image, h) >= harmful {
+		if running(t, h) || patient && b.harmBeside(s.spec.Image, h) >= harmful {
 			continue
 		}
 		score := b.score(s, t, h)
--- a/pkg/dispatch/harm.go
+++ b/pkg/dispatch/harm.go
@@ -119,9 +119,9 @@
 			continue
 		}
 		if image, found := b.worstImage(now, h); found {
-			h.movedAt = now
 			for _, r := range h.runs {
-				if t := &r.step.tasks[r.id.Index]; r.movable(now) && r.step.spec.Image == image && t.moves < mostMoves {
+				if t := &r.step.tasks[r.id.Index]; r.movable(now) && r.step.spec.Image == image && t.moves < mostMoves && b.harmless(now, r.step, b.queues[r.step.occ.job.sub.Queue], h) {
+					h.movedAt = now
 					t.avoid = h.name
 					t.moves++
 					b.stop(now, r, "it harms tasks that serve beside it")
@@ -131,6 +131,17 @@
 	}
 }
 
+// harmless reports whether a worker other than one may run a filling step where
+// it does no harm, though it may have no room now.
+func (b *Board) harmless(now time.Time, s *stepState, q Queue, except *host) bool {
+	for _, h := range b.workers {
+		if h != except && b.allowed(now, s, q, h) && b.harmBeside(s.spec.Image, h) < harmful {
+			return true
+		}
+	}
+	return false
+}
+
 // movable reports whether a filling run loses little by being moved.
 func (r *run) movable(now time.Time) bool {
 	return r.step.spec.Fills && r.step.spec.Saves && r.phase == runWorking && now.Sub(r.since) >= movableAfter
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -17,8 +17,8 @@
 	slowFrom   = 1.5
 	// weightHarm speaks against filling tasks beside serving ones, for the harm expected and the pace lost.
 	weightHarm = 3.0
-	// weightTogether draws tasks that last to where others last already, and
-	// short tasks to where filling ones would disturb.
+	// weightTogether draws tasks that last to where others of their image last
+	// already, and short tasks to where filling ones would disturb.
 	weightTogether = 2.0
 	// weightAlike speaks against serving tasks beside those of another image, for
 	// each: fewer pairs of images meet.
@@ -87,7 +87,7 @@
 		}
 	case s.spec.Lasts:
 		v += crowd + float64(h.filling)/whole + float64(h.free().MilliCPU)/float64(b.largest())
-		if h.lasting > 0 {
+		if h.servingImages[s.spec.Image] > 0 || s.spec.TargetMS == 0 && h.lasting > 0 {
 			v -= weightTogether
 		}
 		v += weightAlike * float64(h.otherImages(s.spec.Image))
