Trial: learn which share of a worker each filling image may use beside a serving one

Harm grows with the share that a filling image uses, in half of the pairs: a few tasks of an image do none, a dozen do.

--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -43,8 +43,8 @@
 	urgent bool
 	stops  []Stop
 	spread float64
-	// harm is what was learned about filling tasks beside serving ones.
-	harm map[pair]float64
+	// shares are what filling images may use beside serving ones.
+	shares map[pair]float64
 }
 
 // noted is up to which end a worker's list has been taken in.
@@ -59,7 +59,7 @@
 // Begin starts a term. Jobs that are admitted as old may run at one of the
 // workers named, until each has reported or lapsed.
 func (b *Board) Begin(term uint64, workers []string) {
-	*b = Board{queues: b.queues, spread: b.spread, harm: make(map[pair]float64)}
+	*b = Board{queues: b.queues, spread: b.spread, shares: make(map[pair]float64)}
 	b.workers = make(map[string]*host)
 	b.jobs = make(map[string]*jobState)
 	b.unheard = make(map[string]bool)
@@ -165,6 +165,8 @@
 	saved   string
 	stopped time.Time
 	reason  string
+	// unfilled is set once a filling run is counted out of its worker's load.
+	unfilled bool
 }
 
 // task returns the state of a task, or nil if the job, occurrence or step is not known.
@@ -207,8 +209,10 @@
 	fillEnded time.Time
 	// servingImages counts tasks with a latency target by image.
 	servingImages map[string]int
-	heard         time.Time
-	silent        bool
+	// fillShares are the shares of the processors that filling images ask for.
+	fillShares map[string]float64
+	heard      time.Time
+	silent     bool
 	// lapsed is set while nothing can run there.
 	lapsed bool
 	runs   map[workflow.TaskID]*run
@@ -240,9 +244,21 @@
 	h.count(r, -1)
 }
 
+// fill counts a filling run, or counts it out; a run that is being stopped is
+// counted out before it ends.
+func (h *host) fill(r *run, by int) {
+	r.unfilled = by < 0
+	image := r.step.spec.Image
+	h.filling += int64(by) * r.step.spec.Size.MilliCPU
+	h.fillShares[image] += float64(by) * float64(r.step.spec.Size.MilliCPU) / float64(max(1, h.capacity.MilliCPU))
+	if h.fillShares[image] < 1e-9 {
+		delete(h.fillShares, image)
+	}
+}
+
 func (h *host) count(r *run, by int) {
-	if r.step.spec.Fills {
-		h.filling += int64(by) * r.step.spec.Size.MilliCPU
+	if r.step.spec.Fills && !(by < 0 && r.unfilled) {
+		h.fill(r, by)
 	}
 	if r.step.spec.TargetMS > 0 {
 		h.serving += by
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -194,7 +194,7 @@
 	b.begin(s.occ.job)
 	o.starts = append(o.starts, Start{
 		Worker: h.name, Life: h.life, Task: id, Run: number, Text: s.occ.job.sub.Spec.Text,
-		Saved: t.saved, Fills: s.spec.Fills, TargetMS: s.spec.TargetMS, Harm: b.harmBeside(s.spec.Image, h), Reason: why,
+		Saved: t.saved, Fills: s.spec.Fills, TargetMS: s.spec.TargetMS, Harm: b.blameOf(h, s.spec.Image), Reason: why,
 	})
 }
 
@@ -219,7 +219,7 @@
 		if s.spec.MostPerWorker > 0 && s.perWorker[h.name]+n >= s.spec.MostPerWorker {
 			continue
 		}
-		if running(t, h) || patient && b.harmBeside(s.spec.Image, h) >= harmful {
+		if running(t, h) || patient && b.loadWith(h, s.spec.Image, s.spec.Size.MilliCPU) >= harmful {
 			continue
 		}
 		score := b.score(s, t, h)
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -120,7 +120,7 @@
 func (b *Board) host(name string) *host {
 	h := b.workers[name]
 	if h == nil {
-		h = &host{name: name, runs: make(map[workflow.TaskID]*run), servingImages: make(map[string]int)}
+		h = &host{name: name, runs: make(map[workflow.TaskID]*run), servingImages: make(map[string]int), fillShares: make(map[string]float64)}
 		b.workers[name] = h
 	}
 	return h
@@ -366,7 +366,7 @@
 	var out []Guarded
 	for id, r := range h.runs {
 		if s := r.step.spec; s.TargetMS > 0 || s.Fills {
-			out = append(out, Guarded{Task: id, TargetMS: s.TargetMS, Fills: s.Fills, Harm: b.harmBeside(s.Image, h)})
+			out = append(out, Guarded{Task: id, TargetMS: s.TargetMS, Fills: s.Fills, Harm: b.blameOf(h, s.Image)})
 		}
 	}
 	return out
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -17,12 +17,9 @@
 	slowFrom   = 1.5
 	// weightHarm speaks against filling tasks beside serving ones, for the harm expected and the pace lost.
 	weightHarm = 3.0
-	// weightTogether draws tasks that last to where others of their image last
-	// already, and short tasks to where filling ones would disturb.
+	// weightTogether draws tasks that last to where others last already, so that
+	// some workers stay free for filling ones, and short tasks to the others.
 	weightTogether = 2.0
-	// weightAlike speaks against serving tasks beside those of another image, for
-	// each: fewer pairs of images meet.
-	weightAlike = 1.5
 	// weightCrowd speaks against taking processor time that filling tasks use.
 	weightCrowd = 0.5
 	// weightStarve speaks against a filling task for each further share of its
@@ -44,13 +41,11 @@
 	return float64(h.free().MilliCPU-h.filling) + lastingUnused*float64(h.reserved)
 }
 
-// otherImages counts the images that serve at a worker besides one.
-func (h *host) otherImages(image string) int {
-	n := len(h.servingImages)
-	if h.servingImages[image] > 0 {
-		n--
-	}
-	return n
+// harmOf returns the harm expected at a load, from 0 to 1: little below the
+// limit, full from one and a half times the limit on.
+func harmOf(load float64) float64 {
+	const from, to = 0.5, 1.5
+	return min(1, max(0, (load-from)/(to-from)))
 }
 
 // slowness returns how much longer filling tasks at a worker would take with
@@ -83,14 +78,13 @@
 	case s.spec.Fills:
 		v += weightStarve*h.slowness(s.spec.Size.MilliCPU) - left/whole/4
 		if h.serving > 0 {
-			v += weightHarm * (b.harmBeside(s.spec.Image, h) + float64(fullPace-h.pace)/fullPace)
+			v += weightHarm * (harmOf(b.loadWith(h, s.spec.Image, s.spec.Size.MilliCPU)) + float64(fullPace-h.pace)/fullPace)
 		}
 	case s.spec.Lasts:
 		v += crowd + float64(h.filling)/whole + float64(h.free().MilliCPU)/float64(b.largest())
-		if h.servingImages[s.spec.Image] > 0 || s.spec.TargetMS == 0 && h.lasting > 0 {
+		if h.lasting > 0 {
 			v -= weightTogether
 		}
-		v += weightAlike * float64(h.otherImages(s.spec.Image))
 	default:
 		v += crowd - left/whole/4
 		if h.serving > 0 {
