Drop the moves of filling tasks

The test that filling work moves is replaced by one that it is placed by its learned harm, as strict; moves were the design that was dropped.

--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -140,8 +140,6 @@
 	freed time.Time
 	// avoid is the worker where the last run failed.
 	avoid string
-	// moves counts how often the task was moved away from serving ones.
-	moves int
 }
 
 type runPhase uint8
@@ -165,8 +163,6 @@
 	saved   string
 	stopped time.Time
 	reason  string
-	// unfilled is set once a filling run is counted out of its worker's load.
-	unfilled bool
 }
 
 // task returns the state of a task, or nil if the job, occurrence or step is not known.
@@ -203,8 +199,6 @@
 	pace int
 	// pressure is the highest quotient of a serving task's tail latency and its target.
 	pressure float64
-	// pressedSince is since when a target is missed, movedAt when filling tasks were moved away last.
-	pressedSince, movedAt time.Time
 	// fillEnded is when a filling task ended last.
 	fillEnded time.Time
 	// servingImages counts tasks with a latency target by image.
@@ -244,10 +238,8 @@
 	h.count(r, -1)
 }
 
-// fill counts a filling run, or counts it out; a run that is being stopped is
-// counted out before it ends.
+// fill counts a filling run, or counts it out.
 func (h *host) fill(r *run, by int) {
-	r.unfilled = by < 0
 	image := r.step.spec.Image
 	h.filling += int64(by) * r.step.spec.Size.MilliCPU
 	h.fillShares[image] += float64(by) * float64(r.step.spec.Size.MilliCPU) / float64(max(1, h.capacity.MilliCPU))
@@ -257,7 +249,7 @@
 }
 
 func (h *host) count(r *run, by int) {
-	if r.step.spec.Fills && !(by < 0 && r.unfilled) {
+	if r.step.spec.Fills {
 		h.fill(r, by)
 	}
 	if r.step.spec.TargetMS > 0 {
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -84,7 +84,6 @@
 		}
 	}
 	o := &Orders{}
-	b.moveFilling(now)
 	for _, s := range b.line(now) {
 		b.placeStep(now, s, o)
 	}
@@ -208,7 +207,7 @@
 // tasks of a gang that take room already.
 func (b *Board) choose(now time.Time, s *stepState, t *taskState, q Queue, planned map[*host]int) (*host, string) {
 	need := s.spec.Reserved()
-	patient := s.spec.Fills && now.Sub(t.freed) < harmAfter && b.harmless(now, s, q, nil)
+	patient := s.spec.Fills && now.Sub(t.freed) < harmAfter && b.harmless(now, s, q)
 	var best *host
 	lowest := 0.0
 	for _, h := range b.workers {
--- a/pkg/dispatch/harm.go
+++ b/pkg/dispatch/harm.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 )
 
@@ -30,19 +29,8 @@
 	calmPressure = 1.0
 	// harmful is the load from which a worker's serving tasks are expected to miss their targets.
 	harmful = 1.0
-	// calmLoad is the load to which a pressed worker is brought by moves.
-	calmLoad = 0.8
-	// pressedFor is how long a target is missed before filling tasks are moved.
-	pressedFor = 1200 * time.Millisecond
 	// settleFor is how long a change takes to show: readings cover half a second.
 	settleFor = 700 * time.Millisecond
-	// movableAfter is how long a filling task runs before it is moved: a checkpoint
-	// is kept for each second of work.
-	movableAfter = 1200 * time.Millisecond
-	// mostMoves bounds how often a task is moved: each costs it up to a second of work.
-	mostMoves = 3
-	// movedGap is how long a move takes to show in the readings.
-	movedGap = 900 * time.Millisecond
 )
 
 // pair names the images of a serving and of a filling task.
@@ -93,23 +81,16 @@
 			using[r.step.spec.Image] += r.reading / float64(max(1, h.capacity.MilliCPU))
 		}
 	}
-	worst := 0.0
 	for _, r := range h.runs {
 		target := r.step.spec.TargetMS
 		if target <= 0 || r.phase != runWorking {
 			continue
 		}
 		pressure := r.reading / target
-		worst = max(worst, pressure)
 		if pressure <= calmPressure || now.Sub(h.fillEnded) > settleFor {
 			b.learnPair(r.step.spec.Image, using, pressure) // else what ended may be to blame
 		}
 	}
-	if worst <= overPressure {
-		h.pressedSince = time.Time{}
-	} else if h.pressedSince.IsZero() {
-		h.pressedSince = now
-	}
 }
 
 // learnPair takes in one reading of a serving image beside filling ones.
@@ -130,53 +111,11 @@
 	}
 }
 
-// moveFilling stops filling tasks that harm serving ones beside them, as many as
-// it takes; they go on from their checkpoints elsewhere.
-func (b *Board) moveFilling(now time.Time) {
-	for _, h := range b.workers {
-		if h.pressedSince.IsZero() || now.Sub(h.pressedSince) < pressedFor || now.Sub(h.movedAt) < movedGap || h.silent || h.lapsed {
-			continue
-		}
-		for _, r := range b.culprits(now, h) {
-			if b.loadWith(h, "", 0) <= calmLoad {
-				break
-			}
-			t := &r.step.tasks[r.id.Index]
-			t.avoid = h.name
-			t.moves++
-			h.movedAt = now
-			b.stop(now, r, "it harms tasks that serve beside it")
-			h.fill(r, -1)
-		}
-	}
-}
-
-// culprits returns the filling runs of a worker that may be moved to where they
-// do no harm, those of the most harmful images first.
-func (b *Board) culprits(now time.Time, h *host) []*run {
-	var out []*run
-	for _, r := range h.runs {
-		s := r.step
-		if s.spec.Fills && s.spec.Saves && r.phase == runWorking && now.Sub(r.since) >= movableAfter && s.tasks[r.id.Index].moves < mostMoves &&
-			b.harmless(now, s, b.queues[s.occ.job.sub.Queue], h) {
-			out = append(out, r)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool {
-		x, y := b.blameOf(h, out[i].step.spec.Image), b.blameOf(h, out[j].step.spec.Image)
-		if x != y {
-			return x > y
-		}
-		return out[i].id.String() < out[j].id.String()
-	})
-	return out
-}
-
-// harmless reports whether a worker other than one may run a filling step where
-// it does no harm, though it may have no room now.
-func (b *Board) harmless(now time.Time, s *stepState, q Queue, except *host) bool {
+// harmless reports whether a worker may run a filling step where it does no
+// harm, though it may have no room now.
+func (b *Board) harmless(now time.Time, s *stepState, q Queue) bool {
 	for _, h := range b.workers {
-		if h != except && b.allowed(now, s, q, h) && b.loadWith(h, s.spec.Image, s.spec.Size.MilliCPU) < harmful {
+		if b.allowed(now, s, q, h) && b.loadWith(h, s.spec.Image, s.spec.Size.MilliCPU) < harmful {
 			return true
 		}
 	}
