--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -153,9 +153,6 @@
 	if changed {
 		a.log.Info().Str("instance", b.Instance).Uint64("born", b.Born).Bool("draining", b.Draining).Msg("runner announced itself")
 	}
-	if b.Born != a.life && a.life != 0 {
-		a.beginLife(b.Born)
-	}
 	if changed && !first && a.conn != nil {
 		a.ping(clock.Steady())
 	}
--- a/internal/attendant/attendant_test.go
+++ b/internal/attendant/attendant_test.go
@@ -226,6 +226,29 @@
 	}
 }
 
+// A life that announces itself before it is looked at is reported like any other.
+func TestAnnouncedLifeIsReported(t *testing.T) {
+	s := newSite(t)
+	s.runner.mu.Lock()
+	s.runner.gone = true
+	s.runner.mu.Unlock()
+	if err := s.agent.lookOnce(context.Background(), 0); !errors.Is(err, ErrGone) {
+		t.Fatalf("got %v, want %v", err, ErrGone)
+	}
+	s.next(t, func(m *peer.Message) bool { return m.Report != nil && m.Report.Worker.Life == 0 })
+	s.agent.Announce(&Announcement{Instance: "i-2", Born: 8, Seq: 1, Service: "bench"})
+	s.runner.mu.Lock()
+	s.runner.gone, s.runner.listing = false, Listing{ClockMS: 1, Born: 8}
+	s.runner.mu.Unlock()
+	if err := s.agent.lookOnce(context.Background(), 0); err != nil {
+		t.Fatal(err)
+	}
+	m := s.next(t, func(m *peer.Message) bool { return m.Report != nil })
+	if m.Report.Worker.Life != 8 || m.Report.Worker.Draining {
+		t.Errorf("got %+v, want life 8, ready", m.Report.Worker)
+	}
+}
+
 // Leases end no later than the grant on the slowest clock allowed.
 func TestLeaseStaysWithinGrant(t *testing.T) {
 	s := newSite(t)
