--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 
-.PHONY: build test lint tools explore bench-batch experiments bench-capacity bench-request
+.PHONY: build test lint tools explore bench-batch experiments bench-capacity bench-request soak
 
 build: ## Builds the program.
 	go build -o bin/savoryhoist .
@@ -41,6 +41,9 @@
 bench-capacity: build ## Measures the slopes of docs/CAPACITY.md; savoryhoist bench capacity --help says how to run longer.
 	bin/savoryhoist bench capacity
 
+soak: ## Runs real processes under faults; SEED=n begins with another seed, SEEDS=n runs more.
+	SOAK_SEED=$(or $(SEED),1) SOAK_SEEDS=$(if $(filter file,$(origin SEEDS)),1,$(SEEDS)) go test -count=1 -v -timeout 60m ./soak
+
 SEEDS ?= 10000
 
 explore: build ## Explores the deciding code over 10,000 seeds; SEEDS=n explores fewer, SEED=n repeats one.
--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -104,6 +104,7 @@
 func New(s Settings, runner Runner, port store.Port, logger *log.Logger, registry gometrics.Registry) *Attendant {
 	a := &Attendant{
 		settings: s, runner: runner, store: port, log: logger, registry: registry, looked: make(chan struct{}, 1),
+		held:   clock.Steady().Add(tenure.GrantFor), // an agent before this one may have extended leases
 		orders: make(map[runKey]*order), entries: make(map[string]bool), pings: make(map[uint64]time.Time),
 	}
 	for _, e := range s.Entries {
@@ -261,14 +262,24 @@
 func (a *Attendant) unanswered(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	lapsed := clock.Steady().After(a.held.Add(leaseSlack))
-	if a.vacant || a.conn == nil || a.life == 0 || !lapsed && !errors.Is(err, ErrGone) {
+	if a.vacant || a.conn == nil || !a.ended(err) {
 		return
 	}
 	a.vacant = true
 	a.count("runners-lost")
-	a.log.Warn().Err(err).Uint64("life", a.life).Bool("lapsed", lapsed).Msg("runner lost; its runs have ended")
-	a.conn.Send(&peer.Message{Report: &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}}})
+	a.log.Warn().Err(err).Uint64("life", a.life).Msg("runner lost; its runs have ended")
+	a.conn.Send(&peer.Message{Report: a.emptyReport()})
+}
+
+// ended reports whether nothing can run after a look failed: no runner listens,
+// or the last lease is over. The caller holds mu.
+func (a *Attendant) ended(err error) bool {
+	return errors.Is(err, ErrGone) || clock.Steady().After(a.held.Add(leaseSlack))
+}
+
+// emptyReport says that nothing runs at the worker.
+func (a *Attendant) emptyReport() *peer.Report {
+	return &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}}
 }
 
 // leaseSlack covers the time until a call reaches the runner.
--- a/internal/attendant/attendant_test.go
+++ b/internal/attendant/attendant_test.go
@@ -226,6 +226,42 @@
 	}
 }
 
+// An agent whose runner is gone reports so to a dispatcher that it joins: the
+// dispatcher waits for all workers before it starts earlier work again.
+func TestJoinWithoutRunner(t *testing.T) {
+	s := newSite(t)
+	s.runner.mu.Lock()
+	s.runner.gone = true
+	s.runner.mu.Unlock()
+	s.agent.mu.Lock()
+	conn := s.agent.conn
+	s.agent.conn = nil
+	s.agent.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if !s.agent.join(ctx, conn, 4) {
+		t.Fatal("join: got false, want true")
+	}
+	m := s.next(t, func(m *peer.Message) bool { return m.Report != nil })
+	if m.Report.Worker.Name != "w1" || m.Report.Worker.Life != 0 {
+		t.Errorf("report: got %+v, want an empty one of w1", m.Report)
+	}
+}
+
+// A runner that does not answer may still run what an earlier agent held.
+func TestSilentRunnerIsNotEmpty(t *testing.T) {
+	s := newSite(t)
+	s.agent.mu.Lock()
+	defer s.agent.mu.Unlock()
+	if s.agent.ended(ErrNoAnswer) {
+		t.Error("within the lease: got ended, want not")
+	}
+	s.agent.held = clock.Steady().Add(-time.Second)
+	if !s.agent.ended(ErrNoAnswer) {
+		t.Error("after the lease: got not ended, want ended")
+	}
+}
+
 // A life that announces itself before it is looked at is reported like any other.
 func TestAnnouncedLifeIsReported(t *testing.T) {
 	s := newSite(t)
--- a/internal/attendant/link.go
+++ b/internal/attendant/link.go
@@ -142,24 +142,48 @@
 	return true
 }
 
-// serveTerm reports a fresh look at the runner, then pings.
-func (a *Attendant) serveTerm(ctx context.Context, conn *peer.Conn) {
-	for a.lookOnce(ctx, 0) != nil {
+// firstLook looks at the runner until it answers or nothing can run there any
+// more, which it reports as empty.
+func (a *Attendant) firstLook(ctx context.Context, conn *peer.Conn) (empty, ok bool) {
+	for {
+		err := a.lookOnce(ctx, 0)
+		if err == nil {
+			return false, true
+		}
+		a.mu.Lock()
+		ended := a.ended(err)
+		a.mu.Unlock()
+		if ended {
+			a.log.Warn().Err(err).Msg("no runner; an empty worker is reported")
+			return true, true
+		}
 		if !pause(ctx, conn.Done(), retryAfter) {
-			return
+			return false, false
 		}
 		select {
 		case <-conn.Done():
-			return
+			return false, false
 		default:
 		}
 	}
+}
+
+// serveTerm reports a fresh look at the runner, then pings.
+func (a *Attendant) serveTerm(ctx context.Context, conn *peer.Conn) {
+	empty, ok := a.firstLook(ctx, conn)
+	if !ok {
+		return
+	}
 	a.mu.Lock()
 	a.conn = conn
-	a.vacant = false
+	a.vacant = empty
 	a.told = a.lastEnd()
 	clear(a.pings)
-	conn.Send(&peer.Message{Report: a.report()})
+	if empty {
+		conn.Send(&peer.Message{Report: a.emptyReport()})
+	} else {
+		conn.Send(&peer.Message{Report: a.report()})
+	}
 	a.ping(clock.Steady())
 	a.mu.Unlock()
 	for {
