--- a/internal/attendant/link.go
+++ b/internal/attendant/link.go
@@ -95,7 +95,7 @@
 	err = conn.Run(&a.group, func(m *peer.Message) {
 		switch {
 		case m.Welcome != nil:
-			a.learnEntries(m.Welcome.Entries)
+			a.LearnEntries(m.Welcome.Entries)
 			if m.Welcome.Dispatches && a.join(live, conn, m.Welcome.Term) {
 				stayed = true
 				a.log.Info().Str("dispatcher", m.Welcome.Name).Uint64("term", m.Welcome.Term).Msg("dispatcher connected")
@@ -213,7 +213,7 @@
 
 // ponged takes in the answer to a ping.
 func (a *Attendant) ponged(conn *peer.Conn, p *peer.Pong) {
-	a.learnEntries(p.Entries)
+	a.LearnEntries(p.Entries)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p.Term != a.term || a.conn != conn {
@@ -235,7 +235,8 @@
 	}
 }
 
-func (a *Attendant) learnEntries(addresses []string) {
+// LearnEntries notes addresses of entries.
+func (a *Attendant) LearnEntries(addresses []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, e := range addresses {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,6 +2,8 @@
 package clock
 
 import (
+	"context"
+	"os"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -23,3 +25,17 @@
 // Incarnation returns a number that tells this process from earlier ones of the
 // same name.
 func Incarnation() uint64 { return uint64(time.Now().UnixMicro()) }
+
+// Wait returns when a signal arrives, d has passed or ctx ends, and reports
+// whether there was a signal.
+func Wait(ctx context.Context, signals <-chan os.Signal, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-signals:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -189,6 +189,13 @@
 	}
 }
 
+// LearnEntries notes addresses of entries.
+func (c *Coordinator) LearnEntries(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learnEntries(addresses)
+}
+
 // learnEntries notes addresses of entries. The caller holds mu.
 func (c *Coordinator) learnEntries(addresses []string) {
 	for _, a := range addresses {
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -197,8 +197,6 @@
 	draining bool
 	// pace is the percentage at which filling tasks work there.
 	pace int
-	// pressure is the highest quotient of a serving task's tail latency and its target.
-	pressure float64
 	// fillEnded is when a filling task ended last.
 	fillEnded time.Time
 	// servingImages counts tasks with a latency target by image.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"testing"
@@ -124,7 +123,7 @@
 				return
 			}
 		}
-		if err == io.EOF || err != nil {
+		if err != nil {
 			return
 		}
 	}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/platform/standin"
 )
 
@@ -81,7 +82,7 @@
 	for i := range runnerCount {
 		ip := fmt.Sprintf("127.2.%d.%d", base, i+1)
 		r := &standin.Runner{Name: fmt.Sprintf("worker-%d", i), Work: 150 * time.Millisecond, History: &s.history}
-		r.Begin(time.Now())
+		r.Begin(clock.Steady())
 		s.runners = append(s.runners, r)
 		serve(t, fmt.Sprintf("%s:%d", ip, portApp), r)
 		s.add(t, "agent", r.Name, ip, storeAt)
@@ -212,7 +213,7 @@
 		return fmt.Sprintf("%s silent to the store for %v", m.name, span)
 	default:
 		r := s.runners[random.IntN(len(s.runners))]
-		r.Begin(time.Now())
+		r.Begin(clock.Steady())
 		return "restart the runner of " + r.Name
 	}
 }
@@ -230,7 +231,7 @@
 func (s *site) beat(r *standin.Runner, ip string) {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for n := 0; s.live.Err() == nil; n++ {
-		r.Step(time.Now())
+		r.Step(clock.Steady())
 		if n%25 == 0 {
 			body, _ := json.Marshal(map[string]any{
 				"service": "bench", "phase": "ready", "seq": n + 1, "born": r.Born(), "labels": []string{"a", "r1-1"},
