--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -56,8 +56,7 @@
 
 // order is a start that the runner has not listed yet.
 type order struct {
-	start  dispatch.Start
-	sentAt time.Time
+	start dispatch.Start
 	// open is set while the start may still take effect unseen.
 	open bool
 }
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -33,7 +33,7 @@
 			a.refuse(s.Life, k, errNoGrant.Error())
 			continue
 		}
-		a.orders[k] = &order{start: s, sentAt: now, open: true}
+		a.orders[k] = &order{start: s, open: true}
 		c := a.call()
 		a.group.Go(func() { a.start(ctx, c, &s, until) })
 	}
--- a/internal/attendant/runner.go
+++ b/internal/attendant/runner.go
@@ -71,6 +71,4 @@
 	Capacity worker.Resources
 	Labels   []string
 	Draining bool
-	// Left is how long a draining runner stays at least.
-	Left time.Duration
 }
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -140,6 +140,8 @@
 	freed time.Time
 	// avoid is the worker where the last run failed.
 	avoid string
+	// stalls counts runs that were stopped because they stood still.
+	stalls int
 }
 
 type runPhase uint8
@@ -197,6 +199,8 @@
 	draining bool
 	// pace is the percentage at which filling tasks work there.
 	pace int
+	// paced is when filling tasks were last seen slowed down.
+	paced time.Time
 	// fillEnded is when a filling task ended last.
 	fillEnded time.Time
 	// servingImages counts tasks with a latency target by image.
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -129,6 +129,9 @@
 func (b *Board) describe(now time.Time, h *host, w *Worker) {
 	h.heard, h.silent, h.lapsed = now, false, false
 	h.service, h.capacity, h.draining, h.pace = w.Service, w.Capacity, w.Draining, w.Pace
+	if h.pace < fullPace {
+		h.paced = now
+	}
 	h.labels = make(map[string]bool, len(w.Labels))
 	h.rack = ""
 	for _, l := range w.Labels {
