--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -42,6 +42,10 @@
 
 // decide sends the orders that are due. The caller holds mu.
 func (c *Coordinator) decide(now time.Time, t *term) {
+	for _, l := range t.board.TakeLost() {
+		c.count("runs-lost", 1)
+		c.log.Warn().Str("task", l.Task.String()).Uint64("run", l.Run).Str("worker", l.Worker).Msg("run lost with its worker")
+	}
 	if !t.holder.Valid(now) {
 		return
 	}
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -42,6 +42,7 @@
 	// urgent is set if a dirty job has ended.
 	urgent bool
 	stops  []Stop
+	lost   []Lost
 	spread float64
 	// shares are what filling images may use beside serving ones.
 	shares map[pair]float64
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -47,6 +47,8 @@
 	// Start and Stop are the orders wanted: "task run worker"; a worker * is any.
 	Start []string `json:"start"`
 	Stop  []string `json:"stop"`
+	// Lost are the runs lost with their workers: "task run worker"; not compared if missing.
+	Lost []string `json:"lost"`
 	// Phase is the phase wanted of the job.
 	Phase string `json:"phase"`
 }
@@ -118,6 +120,13 @@
 		}
 		compare(t, fmt.Sprintf("event %d (%s): starts", i, e.Do), starts, e.Start)
 		compare(t, fmt.Sprintf("event %d (%s): stops", i, e.Do), stops, e.Stop)
+		if e.Lost != nil {
+			var lost []string
+			for _, l := range b.TakeLost() {
+				lost = append(lost, fmt.Sprintf("%s %d %s", l.Task, l.Run, l.Worker))
+			}
+			compare(t, fmt.Sprintf("event %d (%s): lost", i, e.Do), lost, e.Lost)
+		}
 		if e.Phase != "" {
 			got := "unknown"
 			if p, ok := b.Phase(e.Job); ok {
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -345,6 +345,7 @@
 // vacate ends every run at a worker.
 func (b *Board) vacate(now time.Time, h *host) {
 	for _, r := range h.runs {
+		b.lost = append(b.lost, Lost{Task: r.id, Run: r.number, Worker: h.name})
 		b.finish(now, 0, h, &End{Task: r.id, Run: r.number, How: HowGone})
 	}
 }
@@ -375,6 +376,20 @@
 	return out
 }
 
+// Lost is a run that ended with its worker.
+type Lost struct {
+	Task   workflow.TaskID
+	Run    uint64
+	Worker string
+}
+
+// TakeLost returns the runs that were lost since the last call.
+func (b *Board) TakeLost() []Lost {
+	out := b.lost
+	b.lost = nil
+	return out
+}
+
 // Silent notes that a worker is not heard; it gets no further orders.
 func (b *Board) Silent(name string) {
 	if h := b.workers[name]; h != nil {
