--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -137,12 +137,10 @@
 
 func refused(err error) bool { return errors.Is(err, store.ErrRefused) }
 
-// relayed asks the dispatcher to store a record. If it is not stored, sure says
+// relayed asks the dispatcher, or at the dispatcher another entry, to store a record. If it is not stored, sure says
 // that it certainly is not.
 func (c *Coordinator) relayed(ctx context.Context, r store.Record) (stored, sure bool) {
-	c.mu.Lock()
-	u := c.upstream
-	c.mu.Unlock()
+	u := c.storingEntry()
 	if u == nil {
 		return false, true
 	}
@@ -157,6 +155,22 @@
 	return m.Relayed.Stored, m.Relayed.Refused
 }
 
+// storingEntry returns the entry to ask to store a record, or nil.
+func (c *Coordinator) storingEntry() *upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term == nil {
+		return c.upstream
+	}
+	name := c.chooseHeir(clock.Steady())
+	for _, l := range c.links {
+		if l.name == name && l.storeAge < resignAfter {
+			return l.calls
+		}
+	}
+	return nil
+}
+
 // toDispatcher passes news to the dispatcher, which otherwise reads them from the store a second later.
 func (c *Coordinator) toDispatcher(m *peer.Message, own func(now time.Time)) {
 	c.mu.Lock()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"sync"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +13,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -186,3 +189,50 @@
 		t.Error("after an answer: got the store away, want it back")
 	}
 }
+
+// A dispatcher that the store refuses lets another entry store what callers hand in.
+func TestDispatcherStoresThroughAnotherEntry(t *testing.T) {
+	s := &standin.Store{}
+	c := newTest(t, "entry-a", s)
+	ctx := context.Background()
+	if err := c.claim(ctx, "test"); err != nil {
+		t.Fatal(err)
+	}
+	here, there := net.Pipe()
+	conn, other := peer.NewConn(here), peer.NewConn(there)
+	hello := &peer.Hello{Role: peer.RoleEntry, Name: "entry-b", Address: "b", Stays: true}
+	var group sync.WaitGroup
+	group.Go(func() { _ = conn.Run(&group, func(m *peer.Message) { c.fromEntry(ctx, conn, hello, m) }) })
+	stored := make(chan store.Record, 1)
+	group.Go(func() {
+		_ = other.Run(&group, func(m *peer.Message) {
+			if m.Relay != nil {
+				stored <- m.Relay.Record
+				other.Send(&peer.Message{Relayed: &peer.Relayed{Seq: m.Relay.Seq, Stored: true}})
+			}
+		})
+	})
+	t.Cleanup(func() {
+		conn.Close()
+		other.Close()
+		group.Wait()
+	})
+	c.welcome(conn, hello)
+	c.mu.Lock()
+	c.links["b"].storeAge = 0
+	c.storeSeen = clock.Steady().Add(-2 * awayAfter)
+	c.mu.Unlock()
+	s.Fail(store.ErrRefused, false)
+	for range failsInRow {
+		_ = c.catchUp(ctx) // each failure is counted
+	}
+	if err := c.Submit(ctx, submission("a")); err != nil {
+		t.Fatalf("got %v, want no error", err)
+	}
+	if got, want := (<-stored).Key, "s/a"; got != want {
+		t.Errorf("stored: got %s, want %s", got, want)
+	}
+	if !c.term.board.Known("a") {
+		t.Error("the board: got no job, want it")
+	}
+}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -17,10 +17,9 @@
 // askTimeout bounds one question to another entry before a claim.
 const askTimeout = 400 * time.Millisecond
 
-// upstream is the connection to the dispatching entry.
+// upstream is a connection to another entry that answers calls.
 type upstream struct {
-	conn    *peer.Conn
-	address string
+	conn *peer.Conn
 
 	// mu guards the calls that wait for an answer.
 	mu      sync.Mutex
@@ -28,6 +27,10 @@
 	waiting map[uint64]chan *peer.Message
 }
 
+func newUpstream(conn *peer.Conn) *upstream {
+	return &upstream{conn: conn, waiting: make(map[uint64]chan *peer.Message)}
+}
+
 // ask sends the message that build returns for a call number and waits for the answer.
 func (u *upstream) ask(ctx context.Context, build func(seq uint64) *peer.Message) (*peer.Message, bool) {
 	u.mu.Lock()
@@ -98,14 +101,14 @@
 		}
 		return
 	}
-	u := &upstream{conn: conn, address: claim.Address, waiting: make(map[uint64]chan *peer.Message)}
+	u := newUpstream(conn)
 	live, stop := context.WithCancel(ctx)
 	defer stop()
 	detach := context.AfterFunc(live, conn.Close)
 	defer detach()
 	conn.Send(c.hello(true))
 	c.group.Go(func() { c.pingUpstream(live, u, claim.Term) })
-	err = conn.Run(&c.group, func(m *peer.Message) { c.fromDispatcher(u, claim, m) })
+	err = conn.Run(&c.group, func(m *peer.Message) { c.fromDispatcher(live, u, claim, m) })
 	c.mu.Lock()
 	lost := c.upstream == u
 	if lost {
@@ -140,7 +143,7 @@
 }
 
 // fromDispatcher handles a message of the dispatching entry.
-func (c *Coordinator) fromDispatcher(u *upstream, claim tenure.Claim, m *peer.Message) {
+func (c *Coordinator) fromDispatcher(ctx context.Context, u *upstream, claim tenure.Claim, m *peer.Message) {
 	now := clock.Steady()
 	switch {
 	case m.Welcome != nil:
@@ -158,6 +161,8 @@
 		c.mu.Unlock()
 	case m.Answer != nil:
 		u.answer(m.Answer.Seq, m)
+	case m.Relay != nil:
+		c.group.Go(func() { c.relay(ctx, u.conn, m.Relay) })
 	case m.Relayed != nil:
 		u.answer(m.Relayed.Seq, m)
 	case m.Config != nil:
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -16,6 +16,8 @@
 	leaving bool
 	// storeAge is how long ago the entry heard from the store.
 	storeAge time.Duration
+	// calls are those that this entry makes to the other one.
+	calls *upstream
 }
 
 // accept serves peers until ctx ends.
@@ -70,7 +72,7 @@
 	if h.Role == peer.RoleEntry && h.Address != "" {
 		c.entries[h.Address] = h.Name
 		if h.Stays {
-			c.links[h.Address] = &entryLink{conn: conn, name: h.Name, heard: now, storeAge: time.Hour}
+			c.links[h.Address] = &entryLink{conn: conn, name: h.Name, heard: now, storeAge: time.Hour, calls: newUpstream(conn)}
 		}
 	}
 	c.yield(h.Term, h.Name)
@@ -189,6 +191,13 @@
 		c.offerConfig(m.Config.Data, "peer "+h.Name)
 	case m.Relay != nil:
 		c.group.Go(func() { c.relay(ctx, conn, m.Relay) })
+	case m.Relayed != nil:
+		c.mu.Lock()
+		l := c.links[h.Address]
+		c.mu.Unlock()
+		if l != nil {
+			l.calls.answer(m.Relayed.Seq, m)
+		}
 	case m.Resigned != nil:
 		c.dispatcherResigned(m.Resigned)
 	}
