--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,7 +13,7 @@
 
 	"savoryhoist.example/savoryhoist/internal/link"
 	"savoryhoist.example/savoryhoist/internal/metrics"
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/endpoint"
 	"savoryhoist.example/savoryhoist/pkg/lease"
@@ -49,7 +49,7 @@
 	id          *link.Identity
 	client      *link.Client
 	log         *log.Logger
-	worker      platform.Worker
+	worker      services.Worker
 	runner      *http.Transport
 	registry    gometrics.Registry
 	server      *link.Server
@@ -90,7 +90,7 @@
 		id:          id,
 		client:      link.NewClient(id, link.RoleEntry),
 		log:         logger,
-		worker:      platform.NewWorker(&http.Client{}, s.WorkerURL),
+		worker:      services.NewWorker(&http.Client{}, s.WorkerURL),
 		runner:      newRunnerTransport(),
 		registry:    gometrics.NewRegistry(),
 		incarnation: uint64(now.UnixNano()),
--- a/internal/agent/guard.go
+++ b/internal/agent/guard.go
@@ -7,7 +7,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"savoryhoist.example/savoryhoist/internal/link"
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/worker"
 )
 
@@ -38,7 +38,7 @@
 
 // protect lets the guard decide about the tasks that run and does what it
 // asks for; tasksMu is held.
-func (a *Agent) protect(ctx context.Context, now time.Time, listing *platform.Listing) {
+func (a *Agent) protect(ctx context.Context, now time.Time, listing *services.Listing) {
 	if now.Sub(a.guard.looked) < guardEvery {
 		return
 	}
@@ -72,14 +72,14 @@
 	return r
 }
 
-func (a *Agent) guardTasks(listing *platform.Listing) []worker.GuardTask {
+func (a *Agent) guardTasks(listing *services.Listing) []worker.GuardTask {
 	a.mu.Lock()
 	document := a.chain.Document()
 	a.mu.Unlock()
 	var out []worker.GuardTask
 	for i := range listing.Tasks {
 		t := &listing.Tasks[i]
-		if t.State != platform.TaskRunning {
+		if t.State != services.TaskRunning {
 			continue
 		}
 		g := worker.GuardTask{Key: taskKey(t.Hold()), Class: t.Class, Share: t.Size.Dominant(worker.Resources{MilliCPU: listing.Total.MilliCPU})}
@@ -94,13 +94,13 @@
 }
 
 // usesOf sums up by class what running tasks were granted and use.
-func usesOf(listing *platform.Listing, usage *platform.Usage) []link.ClassUse {
+func usesOf(listing *services.Listing, usage *services.Usage) []link.ClassUse {
 	var out []link.ClassUse
 	index := make(map[string]int)
 	for i := range listing.Tasks {
 		t := &listing.Tasks[i]
 		used, ok := usage.Tasks[taskKey(t.Hold())]
-		if !ok || t.State != platform.TaskRunning {
+		if !ok || t.State != services.TaskRunning {
 			continue
 		}
 		k, ok := index[t.Class]
--- a/internal/agent/guard_test.go
+++ b/internal/agent/guard_test.go
@@ -12,7 +12,7 @@
 	"github.com/phuslu/log"
 	gometrics "github.com/rcrowley/go-metrics"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/endpoint"
 	"savoryhoist.example/savoryhoist/pkg/worker"
@@ -40,7 +40,7 @@
 	agent   *Agent
 	calls   []string
 	failing string
-	listing platform.Listing
+	listing services.Listing
 	now     time.Time
 }
 
@@ -71,21 +71,21 @@
 	if err := g.agent.chain.Offer(signed); err != nil {
 		t.Fatal(err)
 	}
-	g.agent.worker = platform.Worker{
+	g.agent.worker = services.Worker{
 		Throttle: func(_ context.Context, key string, percent int) error {
 			return g.call("throttle", fmt.Sprint(key, "=", percent))
 		},
 		Checkpoint: func(_ context.Context, key string) (string, error) { return "ref", g.call("checkpoint", key) },
 		Stop:       func(_ context.Context, key string) error { return g.call("stop", key) },
-		Usage: func(context.Context) (platform.Usage, error) {
+		Usage: func(context.Context) (services.Usage, error) {
 			used := worker.Resources{MilliCPU: 250}
-			return platform.Usage{Tasks: map[string]worker.Resources{"a.0@1": used, "b.0@1": used}}, g.call("usage", "")
+			return services.Usage{Tasks: map[string]worker.Resources{"a.0@1": used, "b.0@1": used}}, g.call("usage", "")
 		},
 	}
 	g.listing.Total = worker.Resources{MilliCPU: 1000}
 	for _, id := range []string{"a", "b"} {
-		g.listing.Tasks = append(g.listing.Tasks, platform.WorkerTask{
-			Job: id, Epoch: 1, Size: worker.Resources{MilliCPU: 500}, State: platform.TaskRunning, Class: "archive",
+		g.listing.Tasks = append(g.listing.Tasks, services.WorkerTask{
+			Job: id, Epoch: 1, Size: worker.Resources{MilliCPU: 500}, State: services.TaskRunning, Class: "archive",
 		})
 		g.agent.guard.decide.Started(g.now, id+".0@1")
 	}
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"savoryhoist.example/savoryhoist/internal/link"
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/lease"
 
@@ -197,7 +197,7 @@
 }
 
 // heartbeat says what the agent knows; a nil listing means that the worker did not answer.
-func (a *Agent) heartbeat(listing *platform.Listing) link.Heartbeat {
+func (a *Agent) heartbeat(listing *services.Listing) link.Heartbeat {
 	h := link.Heartbeat{
 		Worker: a.settings.Name, Rack: a.settings.Rack, Service: a.settings.Service, Address: a.Address(),
 		Incarnation: a.incarnation, Round: a.holder.Round(), Ready: listing != nil && a.holder.Ledger().Ready(),
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -4,13 +4,13 @@
 	"context"
 	"time"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/lease"
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
 
 // listingOf returns the worker's listing in the form that decisions need.
-func listingOf(l *platform.Listing) *lease.Listing {
+func listingOf(l *services.Listing) *lease.Listing {
 	out := &lease.Listing{
 		Incarnation: l.Incarnation,
 		Uptime:      time.Duration(l.UptimeMS) * time.Millisecond,
@@ -27,13 +27,13 @@
 	return out
 }
 
-func stateOf(s platform.TaskState) lease.State {
+func stateOf(s services.TaskState) lease.State {
 	switch s {
-	case platform.TaskSucceeded:
+	case services.TaskSucceeded:
 		return lease.Succeeded
-	case platform.TaskFailed:
+	case services.TaskFailed:
 		return lease.Failed
-	case platform.TaskStopped:
+	case services.TaskStopped:
 		return lease.Stopped
 	default:
 		return lease.Runs
@@ -56,10 +56,10 @@
 // act calls the worker. A call that fails is repeated in the next round, unless
 // the listing then shows that it took effect.
 func (a *Agent) act(ctx context.Context, actions []lease.Action) {
-	var renewals []platform.Renewal
+	var renewals []services.Renewal
 	for _, c := range actions {
 		if c.Act() == lease.ActRenew {
-			renewals = append(renewals, platform.Renewal{Key: taskKey(c.Hold()), UntilMS: c.Until().Milliseconds()})
+			renewals = append(renewals, services.Renewal{Key: taskKey(c.Hold()), UntilMS: c.Until().Milliseconds()})
 			continue
 		}
 		if err := a.actOn(ctx, &c); err != nil {
@@ -104,10 +104,10 @@
 	return a.worker.Stop(ctx, key)
 }
 
-func startOrder(c *lease.Action) platform.StartOrder {
+func startOrder(c *lease.Action) services.StartOrder {
 	o := c.Order()
-	return platform.StartOrder{
-		WorkerTask: platform.WorkerTask{
+	return services.StartOrder{
+		WorkerTask: services.WorkerTask{
 			Job: o.Hold.Task.Job, Index: o.Hold.Task.Index, Epoch: uint64(o.Hold.Epoch), Size: o.Spec.Size, Ref: o.Checkpoint,
 			UntilMS: c.Until().Milliseconds(), TakeoverMS: o.Spec.TakeoverMS, Class: o.Spec.Class,
 		},
@@ -116,4 +116,4 @@
 }
 
 // taskKey names a task under one epoch on the worker.
-func taskKey(h record.Hold) string { return platform.TaskKey(h) }
+func taskKey(h record.Hold) string { return services.TaskKey(h) }
--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -126,18 +126,6 @@
 	gometrics.GetOrRegisterCounter(name, a.registry).Inc(1)
 }
 
-func pause(ctx context.Context, ch <-chan struct{}, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-ch:
-	case <-timer.C:
-	}
-	return true
-}
-
 // Announce takes in a heartbeat of the runner. Older ones than the newest of the
 // same life, and those of an earlier life, change nothing.
 func (a *Attendant) Announce(b *Announcement) {
@@ -220,7 +208,7 @@
 		}
 		a.mu.Unlock()
 		if !known {
-			pause(ctx, a.looked, retryAfter)
+			clock.Pause(ctx, a.looked, retryAfter)
 			continue
 		}
 		began := clock.Steady()
@@ -230,9 +218,9 @@
 			a.log.Warn().Err(err).Bool("failing", failing).Msg("looking at the runner")
 		}
 		if err != nil {
-			pause(ctx, nil, retryAfter)
+			clock.Pause(ctx, nil, retryAfter)
 		} else if gap := lookGap - clock.Steady().Sub(began); gap > 0 {
-			pause(ctx, nil, gap) // a look returns at once while the runner keeps ends that are not noted
+			clock.Pause(ctx, nil, gap) // a look returns at once while the runner keeps ends that are not noted
 		}
 	}
 }
--- a/internal/attendant/link.go
+++ b/internal/attendant/link.go
@@ -42,7 +42,7 @@
 			next = a.askStore(ctx)
 			searching = clock.Steady()
 		}
-		pause(ctx, nil, reconnectAfter)
+		clock.Pause(ctx, nil, reconnectAfter)
 	}
 }
 
@@ -157,7 +157,7 @@
 			a.log.Warn().Err(err).Msg("no runner; an empty worker is reported")
 			return true, true
 		}
-		if !pause(ctx, conn.Done(), retryAfter) {
+		if !clock.Pause(ctx, conn.Done(), retryAfter) {
 			return false, false
 		}
 		select {
@@ -187,7 +187,7 @@
 	a.ping(clock.Steady())
 	a.mu.Unlock()
 	for {
-		if !pause(ctx, conn.Done(), pingEvery) {
+		if !clock.Pause(ctx, conn.Done(), pingEvery) {
 			return
 		}
 		a.mu.Lock()
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -111,7 +111,7 @@
 		if err == nil && a.lookOnce(ctx, 0) == nil {
 			break
 		}
-		pause(ctx, nil, retryAfter)
+		clock.Pause(ctx, nil, retryAfter)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -156,7 +156,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := a.runner.Stop(callCtx, c, task, run)
 		cancel()
-		if err == nil || !pause(ctx, nil, retryAfter) {
+		if err == nil || !clock.Pause(ctx, nil, retryAfter) {
 			return
 		}
 	}
--- a/internal/bench/capacity/appends.go
+++ b/internal/bench/capacity/appends.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/entry"
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/pkg/record"
 
@@ -46,11 +46,11 @@
 	defer group.Wait()
 	defer func() { _ = server.Close() }()
 	group.Go(func() { _ = server.Serve(ln) })
-	port := platform.NewLog(&http.Client{}, "http://"+ln.Addr().String())
-	var writers []*platform.Writer
+	port := services.NewLog(&http.Client{}, "http://"+ln.Addr().String())
+	var writers []*services.Writer
 	var running sync.WaitGroup
 	for i := range entriesPerDataCentre {
-		w := platform.NewWriter(port, "jobs-dc-1", fmt.Sprintf("entry-%d@1", i), entry.StreamGap*entriesPerDataCentre)
+		w := services.NewWriter(port, "jobs-dc-1", fmt.Sprintf("entry-%d@1", i), entry.StreamGap*entriesPerDataCentre)
 		writers = append(writers, w)
 		running.Go(func() { w.Run(ctx, 0) })
 	}
--- a/internal/bench/log/appends.go
+++ b/internal/bench/log/appends.go
@@ -11,7 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"savoryhoist.example/savoryhoist/internal/entry"
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/pkg/record"
 
@@ -31,7 +31,7 @@
 
 // appendLoad is the writers of all entries and what they measured.
 type appendLoad struct {
-	writers [][]*platform.Writer
+	writers [][]*services.Writer
 	group   sync.WaitGroup
 	mu      sync.Mutex
 	delays  *hdrhistogram.Histogram
@@ -76,10 +76,10 @@
 
 func (a *appendLoad) addWriters(ctx context.Context, group *sync.WaitGroup, url, dataCentre string) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: entriesPerCentre}}
-	var writers []*platform.Writer
+	var writers []*services.Writer
 	for i := range entriesPerCentre {
 		name := fmt.Sprintf("%s/entry-%d@1", dataCentre, i)
-		w := platform.NewWriter(platform.NewLog(client, url), entry.JobsStream(dataCentre), name, entriesPerCentre*entry.StreamGap)
+		w := services.NewWriter(services.NewLog(client, url), entry.JobsStream(dataCentre), name, entriesPerCentre*entry.StreamGap)
 		group.Go(func() { w.Run(ctx, time.Second) })
 		writers = append(writers, w)
 	}
@@ -101,7 +101,7 @@
 }
 
 // append adds one record through any entry of a data centre.
-func (a *appendLoad) append(ctx context.Context, centre []*platform.Writer, m record.Message) {
+func (a *appendLoad) append(ctx context.Context, centre []*services.Writer, m record.Message) {
 	w := centre[rand.IntN(len(centre))]
 	a.records++
 	a.group.Go(func() {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -39,3 +39,16 @@
 	}
 	return false
 }
+
+// Pause waits for d, a wake-up or the end of ctx, and reports false at the end.
+func Pause(ctx context.Context, wake <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wake:
+	case <-timer.C:
+	}
+	return true
+}
--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -118,7 +118,7 @@
 			c.log.Warn().Err(err).Str("key", r.Key).Msg("a record was refused by the store")
 			return errors.Mark(err, ErrRefused)
 		}
-		if !pause(ctx, nil, appendRetry) {
+		if !clock.Pause(ctx, nil, appendRetry) {
 			return errors.Mark(err, ErrUnknown)
 		}
 	}
--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -22,7 +22,7 @@
 
 // writeChanges stores what the board changes, then lets workers forget ends.
 func (c *Coordinator) writeChanges(ctx context.Context) {
-	for pause(ctx, c.persist, flushEvery) {
+	for clock.Pause(ctx, c.persist, flushEvery) {
 		c.mu.Lock()
 		t := c.term
 		c.mu.Unlock()
@@ -152,7 +152,7 @@
 		c.mu.Lock()
 		current := c.term == t
 		c.mu.Unlock()
-		if !current || !pause(ctx, nil, changeRetry) {
+		if !current || !clock.Pause(ctx, nil, changeRetry) {
 			return false
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -156,19 +156,6 @@
 	}
 }
 
-// pause waits for d, a kick or the end of ctx, and reports false at the end.
-func pause(ctx context.Context, ch <-chan struct{}, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-ch:
-	case <-timer.C:
-	}
-	return true
-}
-
 // call runs one call to the store within its time and notes whether it answered.
 func call[T any](ctx context.Context, c *Coordinator, extra time.Duration, fn func(ctx context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+extra)
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -77,7 +77,7 @@
 
 // follow keeps a connection to the dispatching entry while it is another one.
 func (c *Coordinator) follow(ctx context.Context) {
-	for pause(ctx, nil, tickEvery) {
+	for clock.Pause(ctx, nil, tickEvery) {
 		c.mu.Lock()
 		claim, own := c.candidate.Claim(), c.term != nil
 		c.mu.Unlock()
@@ -136,7 +136,7 @@
 		if !current || !u.conn.Send(&peer.Message{Ping: p}) {
 			return
 		}
-		if !pause(ctx, u.conn.Done(), pingEvery) {
+		if !clock.Pause(ctx, u.conn.Done(), pingEvery) {
 			return
 		}
 	}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -22,7 +22,7 @@
 
 // lead claims the dispatch when it should, and decides while this entry holds it.
 func (c *Coordinator) lead(ctx context.Context) {
-	for pause(ctx, c.wake, tickEvery) {
+	for clock.Pause(ctx, c.wake, tickEvery) {
 		now := clock.Steady()
 		c.mu.Lock()
 		t := c.term
@@ -36,7 +36,7 @@
 			continue
 		}
 		c.considerResigning(now, t)
-		pause(ctx, nil, decideGap)
+		clock.Pause(ctx, nil, decideGap)
 	}
 }
 
@@ -99,7 +99,7 @@
 	}
 	if err := c.claim(ctx, reason); err != nil {
 		c.log.Warn().Err(err).Str("reason", reason).Msg("claiming the dispatch failed")
-		pause(ctx, nil, tickEvery)
+		clock.Pause(ctx, nil, tickEvery)
 	}
 }
 
@@ -248,7 +248,7 @@
 			c.log.Info().Uint64("term", before.Term).Str("entry", before.Entry).Str("reason", why).Msg("the earlier dispatcher does not act any more")
 			return
 		}
-		pause(ctx, nil, pingEvery)
+		clock.Pause(ctx, nil, pingEvery)
 	}
 }
 
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -31,7 +31,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				c.log.Error().Err(err).Msg("accepting peers failed")
-				pause(ctx, nil, tickEvery)
+				clock.Pause(ctx, nil, tickEvery)
 				continue
 			}
 			return
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -32,7 +32,7 @@
 
 // tailJobs keeps the book of jobs up to date.
 func (c *Coordinator) tailJobs(ctx context.Context) {
-	for pause(ctx, nil, c.tailPause()) {
+	for clock.Pause(ctx, nil, c.tailPause()) {
 		if err := c.catchUp(ctx); err != nil {
 			c.log.Warn().Err(err).Msg("reading jobs from the store failed")
 		}
@@ -164,7 +164,7 @@
 		}
 		if err != nil {
 			c.log.Warn().Err(err).Msg("reading the configuration failed")
-			pause(ctx, nil, configRetry)
+			clock.Pause(ctx, nil, configRetry)
 			continue
 		}
 		next, known = end, true
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/record"
 
 	"savoryhoist.example/savoryhoist/internal/delay"
@@ -154,7 +154,7 @@
 	}
 }
 
-func (e *Entry) carryOne(w *platform.Writer, what, reason string, m record.Message) {
+func (e *Entry) carryOne(w *services.Writer, what, reason string, m record.Message) {
 	if err := w.Enqueue(m); err != nil {
 		e.log.Warn().Err(err).Str("what", what).Msg("carrying forward failed")
 		return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,7 +16,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"savoryhoist.example/savoryhoist/internal/link"
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/record"
 
@@ -65,9 +65,9 @@
 	door     *http.Server
 	doorLn   net.Listener
 	peers    *link.Server
-	writer   *platform.Writer
-	bundles  *platform.Writer
-	members  *platform.Writer
+	writer   *services.Writer
+	bundles  *services.Writer
+	members  *services.Writer
 	name     string
 	leaving  atomic.Bool
 	// requestTimer times callers' requests.
@@ -97,7 +97,7 @@
 
 // New returns an entry that is bound to its addresses but does not run yet.
 func New(now time.Time, s Settings, id *link.Identity, logger *log.Logger) (*Entry, error) {
-	port := platform.NewLog(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: logConnections}}, s.LogURL)
+	port := services.NewLog(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: logConnections}}, s.LogURL)
 	name := incarnationName(s.Name, now)
 	e := &Entry{
 		settings: s,
@@ -107,9 +107,9 @@
 		log:      logger,
 		logPort:  port,
 		registry: gometrics.NewRegistry(),
-		writer:   platform.NewWriter(port, JobsStream(s.DataCentre), name, StreamGap),
-		bundles:  platform.NewWriter(port, StreamBundles, name, StreamGap),
-		members:  platform.NewWriter(port, StreamMembers, name, StreamGap),
+		writer:   services.NewWriter(port, JobsStream(s.DataCentre), name, StreamGap),
+		bundles:  services.NewWriter(port, StreamBundles, name, StreamGap),
+		members:  services.NewWriter(port, StreamMembers, name, StreamGap),
 		name:     name,
 		bundle:   bundles{chain: bundle.NewChain(s.Roots)},
 		known:    make(map[string]member),
@@ -156,7 +156,7 @@
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	e.foreign.start(live)
-	for _, w := range []*platform.Writer{e.writer, e.bundles, e.members} {
+	for _, w := range []*services.Writer{e.writer, e.bundles, e.members} {
 		group.Go(func() { w.Run(live, flushTime) })
 	}
 	for _, t := range e.tails() {
--- a/internal/entry/failover.go
+++ b/internal/entry/failover.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/job"
 	"savoryhoist.example/savoryhoist/pkg/record"
 
@@ -115,7 +115,7 @@
 	return pending
 }
 
-func (e *Entry) queueAll(w *platform.Writer, messages []record.Message) {
+func (e *Entry) queueAll(w *services.Writer, messages []record.Message) {
 	if len(messages) == 0 {
 		return
 	}
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
@@ -21,20 +21,20 @@
 // foreign holds the writers to other data centres' streams of jobs.
 type foreign struct {
 	mu      sync.Mutex
-	writers map[string]*platform.Writer
+	writers map[string]*services.Writer
 	group   sync.WaitGroup
-	run     func(w *platform.Writer)
+	run     func(w *services.Writer)
 }
 
 // start makes writers run until ctx ends.
 func (f *foreign) start(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.run = func(w *platform.Writer) { w.Run(ctx, flushTime) }
+	f.run = func(w *services.Writer) { w.Run(ctx, flushTime) }
 }
 
 // jobsWriter returns the writer to a data centre's stream of jobs.
-func (e *Entry) jobsWriter(dataCentre string) *platform.Writer {
+func (e *Entry) jobsWriter(dataCentre string) *services.Writer {
 	if dataCentre == e.settings.DataCentre {
 		return e.writer
 	}
@@ -45,9 +45,9 @@
 		return w
 	}
 	if f.writers == nil {
-		f.writers = make(map[string]*platform.Writer)
+		f.writers = make(map[string]*services.Writer)
 	}
-	w := platform.NewWriter(e.logPort, JobsStream(dataCentre), e.name, StreamGap)
+	w := services.NewWriter(e.logPort, JobsStream(dataCentre), e.name, StreamGap)
 	f.writers[dataCentre] = w
 	run := f.run
 	f.group.Go(func() { run(w) })
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -12,8 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
 	"savoryhoist.example/savoryhoist/internal/problem"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/bundle"
 	"savoryhoist.example/savoryhoist/pkg/job"
 	"savoryhoist.example/savoryhoist/pkg/record"
@@ -150,7 +150,7 @@
 }
 
 // appendTo waits until a caller's record is in the log.
-func appendTo(ctx context.Context, w *platform.Writer, m record.Message) *problem.Problem {
+func appendTo(ctx context.Context, w *services.Writer, m record.Message) *problem.Problem {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	err := w.Append(ctx, m)
@@ -159,7 +159,7 @@
 	}
 	p := problem.New(http.StatusServiceUnavailable, "", "the log is slow; repeat with the same Idempotency-Key")
 	p.RetryAfter = submitTimeout
-	if !errors.Is(err, platform.ErrBackpressure) && !errors.Is(err, record.ErrUnavailable) {
+	if !errors.Is(err, services.ErrBackpressure) && !errors.Is(err, record.ErrUnavailable) {
 		p.Outcome = problem.Unknown
 	}
 	return &p
--- a/internal/entry/recover.go
+++ b/internal/entry/recover.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/job"
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
@@ -11,7 +11,7 @@
 // startOfJobs restores the newest snapshot of a long stream and returns the
 // offset at which reading begins.
 func (e *Entry) startOfJobs(ctx context.Context) (uint64, error) {
-	first, next, err := platform.End(ctx, e.logPort, JobsStream(e.settings.DataCentre))
+	first, next, err := services.End(ctx, e.logPort, JobsStream(e.settings.DataCentre))
 	if err != nil || (first == 0 && next <= snapshotBatches/4) {
 		return 0, err
 	}
@@ -72,7 +72,7 @@
 func (e *Entry) newestSnapshot(ctx context.Context, stream string, from, first uint64) ([]*record.Snapshot, error) {
 	var collector job.Collector
 	var newest []*record.Snapshot
-	err := platform.Scan(ctx, e.logPort, stream, from, func(r record.Record) {
+	err := services.Scan(ctx, e.logPort, stream, from, func(r record.Record) {
 		part, ok := r.Message().(*record.Snapshot)
 		if !ok || part.Covers < first {
 			return
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -7,7 +7,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/record"
 )
 
@@ -15,7 +15,7 @@
 const readWait = 500 * time.Millisecond
 
 // tails returns the readers of the streams that an entry follows.
-func (e *Entry) tails() []*platform.Tail {
+func (e *Entry) tails() []*services.Tail {
 	jobs := e.tail(JobsStream(e.settings.DataCentre), e.deliverJobs)
 	jobs.Observed = e.carried.observer(&e.carried.jobs)
 	jobs.Start = e.startOfJobs
@@ -24,12 +24,12 @@
 	bundles.Expired = e.bundlesLost
 	bundles.Observed = e.carried.observer(&e.carried.bundle)
 	members := e.tail(StreamMembers, e.deliverMembers)
-	return []*platform.Tail{jobs, bundles, members}
+	return []*services.Tail{jobs, bundles, members}
 }
 
-func (e *Entry) tail(stream string, deliver func([]record.Record, uint64, time.Time)) *platform.Tail {
+func (e *Entry) tail(stream string, deliver func([]record.Record, uint64, time.Time)) *services.Tail {
 	skipped := gometrics.GetOrRegisterCounter("records-skipped", e.registry)
-	return &platform.Tail{
+	return &services.Tail{
 		Log: e.logPort, Stream: stream, Wait: readWait, Deliver: deliver,
 		Skipped: func(offset uint64, count int, err error) {
 			skipped.Inc(int64(max(1, count)))
--- a/internal/platform/log.go
+++ b/internal/services/log.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the services that the platform provides: the
+// Package services speaks to the services that the platform provides: the
 // append-only log and the workers.
-package platform
+package services
 
 import (
 	"bytes"
--- a/internal/platform/worker.go
+++ b/internal/services/worker.go
@@ -1,4 +1,4 @@
-package platform
+package services
 
 import (
 	"bytes"
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 )
 
 // maxAppend is the largest batch that the log takes, in bytes.
@@ -118,7 +118,7 @@
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusOK, platform.LogOffset{Offset: offset})
+	writeJSON(w, http.StatusOK, services.LogOffset{Offset: offset})
 }
 
 func (l *Log) append(name string, data []byte) (offset uint64, lost bool) {
@@ -192,7 +192,7 @@
 	}
 }
 
-func (l *Log) page(name string, from uint64) (page platform.LogPage, expired bool, changed chan struct{}) {
+func (l *Log) page(name string, from uint64) (page services.LogPage, expired bool, changed chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -202,7 +202,7 @@
 		return page, true, s.changed
 	}
 	for o := from; o < page.Next && len(page.Batches) < maxPage; o++ {
-		page.Batches = append(page.Batches, platform.LogBatch{Offset: o, Data: s.batches[o-s.first]})
+		page.Batches = append(page.Batches, services.LogBatch{Offset: o, Data: s.batches[o-s.first]})
 	}
 	return page, false, s.changed
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/worker"
 )
 
@@ -50,12 +50,12 @@
 	now := time.UnixMilli(1000)
 	w := NewWorker(worker.Resources{MilliCPU: 1000}, func() time.Time { return now })
 	h := w.Handler()
-	send(t, h, "/tasks", platform.StartOrder{
-		WorkerTask: platform.WorkerTask{Job: "j", Epoch: 1, UntilMS: 100},
+	send(t, h, "/tasks", services.StartOrder{
+		WorkerTask: services.WorkerTask{Job: "j", Epoch: 1, UntilMS: 100},
 		Payload:    []byte(`{"run-ms":250}`),
 	})
 	now = now.Add(300 * time.Millisecond)
-	send(t, h, "/renew", []platform.Renewal{{Key: "j.0@1", UntilMS: 1000}})
+	send(t, h, "/renew", []services.Renewal{{Key: "j.0@1", UntilMS: 1000}})
 	now = now.Add(400 * time.Millisecond)
 	got := w.Runs()
 	if len(got) != 1 || len(got[0].Spans) != 2 {
@@ -66,7 +66,7 @@
 			t.Errorf("span %d: got %v, want %v", i, got[0].Spans[i], want)
 		}
 	}
-	if got, want := got[0].Ended, platform.TaskSucceeded; got != want {
+	if got, want := got[0].Ended, services.TaskSucceeded; got != want {
 		t.Errorf("ended: got %q, want %q", got, want)
 	}
 }
@@ -77,12 +77,12 @@
 	w := NewWorker(worker.Resources{MilliCPU: 1000}, func() time.Time { return now })
 	w.SetFaults(WorkerFaults{UsageLagMS: 500})
 	h := w.Handler()
-	send(t, h, "/tasks", platform.StartOrder{
-		WorkerTask: platform.WorkerTask{Job: "j", Epoch: 1, UntilMS: 10000, Size: worker.Resources{MilliCPU: 300}},
+	send(t, h, "/tasks", services.StartOrder{
+		WorkerTask: services.WorkerTask{Job: "j", Epoch: 1, UntilMS: 10000, Size: worker.Resources{MilliCPU: 300}},
 		Payload:    []byte(`{"run-ms":9000}`),
 	})
 	for _, want := range []int64{0, 0, 300} {
-		var usage platform.Usage
+		var usage services.Usage
 		rec := httptest.NewRecorder()
 		h.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/usage", nil))
 		if err := json.NewDecoder(rec.Body).Decode(&usage); err != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"savoryhoist.example/savoryhoist/internal/platform"
+	"savoryhoist.example/savoryhoist/internal/services"
 	"savoryhoist.example/savoryhoist/pkg/worker"
 )
 
@@ -36,7 +36,7 @@
 type Run struct {
 	Key   string             `json:"key"`
 	Epoch uint64             `json:"epoch"`
-	Ended platform.TaskState `json:"ended,omitempty"`
+	Ended services.TaskState `json:"ended,omitempty"`
 	// Worker is filled in by Site.Counts.
 	Worker string `json:"worker,omitempty"`
 	// Spans are when the task made progress.
@@ -68,13 +68,13 @@
 // timedUsage is what the worker used at a moment.
 type timedUsage struct {
 	at    time.Time
-	usage platform.Usage
+	usage services.Usage
 }
 
 type task struct {
 	run     int
-	order   platform.StartOrder
-	state   platform.TaskState
+	order   services.StartOrder
+	state   services.TaskState
 	need    time.Duration
 	done    time.Duration
 	saved   time.Duration
@@ -172,7 +172,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.progress()
-	out := platform.Listing{
+	out := services.Listing{
 		Incarnation: fmt.Sprintf("%d", w.restarts),
 		UptimeMS:    w.uptime().Milliseconds(),
 		Total:       w.total,
@@ -183,14 +183,14 @@
 	writeJSON(rw, http.StatusOK, out)
 }
 
-func (t *task) view() platform.WorkerTask {
+func (t *task) view() services.WorkerTask {
 	v := t.order.WorkerTask
 	v.State = t.state
 	return v
 }
 
 func (w *Worker) serveStart(rw http.ResponseWriter, r *http.Request) {
-	var order platform.StartOrder
+	var order services.StartOrder
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
@@ -198,7 +198,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.progress()
-	key := platform.TaskKey(order.Hold())
+	key := services.TaskKey(order.Hold())
 	if _, ok := w.tasks[key]; ok {
 		return
 	}
@@ -211,13 +211,13 @@
 	w.checkSize()
 }
 
-func (w *Worker) newTask(order platform.StartOrder) *task {
+func (w *Worker) newTask(order services.StartOrder) *task {
 	p := TaskPayload{RunMS: defaultRun.Milliseconds()}
 	if len(order.Payload) > 0 {
 		_ = json.Unmarshal(order.Payload, &p)
 	}
 	t := &task{
-		run: len(w.runs), order: order, state: platform.TaskRunning, seen: w.now(), percent: 100,
+		run: len(w.runs), order: order, state: services.TaskRunning, seen: w.now(), percent: 100,
 		need: time.Duration(p.RunMS) * time.Millisecond, fail: p.Fail || w.faults.FailAll,
 	}
 	var ms int64
@@ -253,10 +253,10 @@
 		}
 		until := w.born.Add(time.Duration(t.order.UntilMS) * time.Millisecond)
 		end := now
-		t.state = platform.TaskRunning
+		t.state = services.TaskRunning
 		if until.Before(now) {
 			end = until
-			t.state = platform.TaskHeld
+			t.state = services.TaskHeld
 		}
 		w.run(t, end)
 		t.seen = now
@@ -275,9 +275,9 @@
 	if t.done < t.need {
 		return
 	}
-	t.state = platform.TaskSucceeded
+	t.state = services.TaskSucceeded
 	if t.fail {
-		t.state = platform.TaskFailed
+		t.state = services.TaskFailed
 		t.order.Detail = "the task failed"
 	}
 	w.runs[t.run].Ended = t.state
@@ -293,7 +293,7 @@
 }
 
 func (w *Worker) serveRenew(rw http.ResponseWriter, r *http.Request) {
-	var renewals []platform.Renewal
+	var renewals []services.Renewal
 	if err := json.NewDecoder(r.Body).Decode(&renewals); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
@@ -341,7 +341,7 @@
 func (w *Worker) serveStop(rw http.ResponseWriter, r *http.Request) {
 	w.withTask(rw, r, func(_ string, t *task) {
 		if !t.state.Ended() {
-			t.state = platform.TaskStopped
+			t.state = services.TaskStopped
 			w.runs[t.run].Ended = t.state
 		}
 	})
@@ -372,9 +372,9 @@
 }
 
 // laggingUsage returns the newest report that is as old as the lag.
-func (w *Worker) laggingUsage() platform.Usage {
+func (w *Worker) laggingUsage() services.Usage {
 	until := w.now().Add(-time.Duration(w.faults.UsageLagMS) * time.Millisecond)
-	out := platform.Usage{Tasks: make(map[string]worker.Resources)}
+	out := services.Usage{Tasks: make(map[string]worker.Resources)}
 	for _, u := range w.usage {
 		if !u.at.After(until) {
 			out = u.usage
@@ -383,10 +383,10 @@
 	return out
 }
 
-func (w *Worker) used() platform.Usage {
-	out := platform.Usage{Tasks: make(map[string]worker.Resources)}
+func (w *Worker) used() services.Usage {
+	out := services.Usage{Tasks: make(map[string]worker.Resources)}
 	for k, t := range w.tasks {
-		if t.state == platform.TaskRunning {
+		if t.state == services.TaskRunning {
 			out.Tasks[k] = t.order.Size
 			out.Used = out.Used.Plus(t.order.Size)
 		}
