--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -78,8 +78,9 @@
 	change := t.board.TakeChange()
 	t.flushed = now
 	forget := t.board.Expired(clock.WallMS() - c.settings.StatusFor.Milliseconds())
+	learned := c.learnedRecord(now, t)
 	c.mu.Unlock()
-	records := c.encode(change)
+	records := append(c.encode(change), learned...)
 	if c.storeRecords(ctx, t, records, idle) {
 		c.applied(t, change, records)
 	}
@@ -163,6 +164,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range records {
+		if r.Key == learnedKey {
+			continue
+		}
 		if _, err := c.book.Apply(r); err != nil {
 			c.log.Error().Err(err).Msg("own record cannot be applied")
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -70,6 +70,8 @@
 	config    *Config
 	rawConfig []byte
 	book      workflow.Book
+	// learned is the newest record of what dispatchers learned about images.
+	learned []byte
 	// tails say how far bookTopics have been read.
 	tails     [len(bookTopics)]tail
 	storeSeen time.Time
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -16,6 +16,8 @@
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/tenure"
 	"savoryhoist.example/savoryhoist/pkg/worker"
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
@@ -236,3 +238,26 @@
 		t.Error("the board: got no job, want it")
 	}
 }
+
+// What a dispatcher learned about images is known to the next one.
+func TestLearnedOutlivesDispatcher(t *testing.T) {
+	s := &standin.Store{}
+	a, b := newTest(t, "entry-a", s), newTest(t, "entry-b", s)
+	ctx := context.Background()
+	if err := a.claim(ctx, "test"); err != nil {
+		t.Fatal(err)
+	}
+	want := dispatch.Learned{Serving: "serve", Filling: "press", Share: 0.07}
+	a.term.board.Teach([]dispatch.Learned{want})
+	a.term.holder = tenure.Holder{} // a proof is due
+	a.flush(ctx, a.term)
+	for range 2 { // the first attempt learns of the other claim
+		if err := b.claim(ctx, "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := b.term.board.Learned()
+	if len(got) != 1 || got[0] != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -139,6 +139,10 @@
 	news := false
 	for i := range records {
 		r := &records[i]
+		if r.Key == learnedKey {
+			c.learned = r.Value
+			continue
+		}
 		id, err := c.book.Apply(r.Record)
 		if err != nil {
 			c.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("a record of a job is skipped")
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -24,6 +24,8 @@
 	seq    uint64
 	// flushed is when changes were stored last.
 	flushed time.Time
+	// taught is when what was learned was stored last.
+	taught time.Time
 	// settled is set once nothing of an earlier term can run.
 	settled bool
 }
@@ -66,6 +68,11 @@
 	for _, w := range workers {
 		t.known[w] = true
 	}
+	if learned, err := decodeLearned(c.learned); err == nil {
+		t.board.Teach(learned)
+	} else if len(c.learned) > 0 {
+		c.log.Warn().Err(err).Msg("what earlier dispatchers learned is skipped")
+	}
 	wall := clock.WallMS()
 	c.book.Each(func(id string, e *workflow.Entry) {
 		if e.Submission() == nil {
