Tell a runner what to forget only in the life that listed it

The number is sent only within 250 ms of a listing and not after a call that failed. Test: TestNotedIsOnlyForTheSameLife.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -28,6 +28,9 @@
 	holdWait = time.Second
 	// callTimeout bounds a call to the runner, which is on the same machine.
 	callTimeout = time.Second
+	// sureFor is how long after a listing the runner is taken to be in the same
+	// life: one that ends breaks its calls off and takes longer to begin again.
+	sureFor = 250 * time.Millisecond
 	// lookGap is the least time between two looks; ends are passed on as late as this.
 	lookGap = 25 * time.Millisecond
 	// retryAfter is the delay after a call to the runner that failed.
@@ -89,8 +92,10 @@
 	rows   []dispatch.Row
 	ends   []dispatch.End
 	// told is the last end that the dispatcher was told, noted the last that it has stored.
-	told    uint64
-	noted   uint64
+	told  uint64
+	noted uint64
+	// sure is until when the runner is taken to be in the life that it listed last.
+	sure    time.Time
 	orders  map[runKey]*order
 	entries map[string]bool
 	pings   map[uint64]time.Time
@@ -231,7 +236,10 @@
 	defer cancel()
 	a.mu.Lock()
 	now := clock.Steady()
-	h := Hold{Call: a.call(), Noted: a.noted, UntilMS: a.until(now), Wait: wait}
+	h := Hold{Call: a.call(), UntilMS: a.until(now), Wait: wait}
+	if now.Before(a.sure) {
+		h.Noted = a.noted // another life numbers its ends anew: it would forget what was never told
+	}
 	if h.UntilMS > 0 {
 		a.held = now.Add(a.grant.Left(now))
 	}
@@ -249,6 +257,7 @@
 func (a *Attendant) unanswered(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.sure = time.Time{}
 	if a.vacant || a.conn == nil || !a.ended(err) {
 		return
 	}
@@ -307,6 +316,7 @@
 // takeListing replaces what is known of the runner. The caller holds mu.
 func (a *Attendant) takeListing(now time.Time, l *Listing) {
 	a.clockMS, a.clockAt = l.ClockMS, now
+	a.sure = now.Add(sureFor)
 	a.rows = l.Rows
 	a.ends = a.ends[:0]
 	for _, e := range l.Ends {
--- a/internal/attendant/attendant_test.go
+++ b/internal/attendant/attendant_test.go
@@ -367,6 +367,45 @@
 	}
 }
 
+// A runner that may have begun another life is not told what to forget: its ends
+// are numbered anew.
+func TestNotedIsOnlyForTheSameLife(t *testing.T) {
+	s := newSite(t)
+	s.agent.note(&peer.Noted{Life: 7, End: 57})
+	last := func() uint64 {
+		s.runner.mu.Lock()
+		defer s.runner.mu.Unlock()
+		return s.runner.holds[len(s.runner.holds)-1].Noted
+	}
+	look := func(gone bool) {
+		s.runner.mu.Lock()
+		s.runner.gone = gone
+		s.runner.mu.Unlock()
+		if err := s.agent.lookOnce(context.Background(), 0); (err != nil) != gone {
+			t.Fatalf("look: got %v, want an error: %v", err, gone)
+		}
+	}
+	for _, tc := range []struct {
+		name string
+		gone bool
+		want uint64
+	}{
+		{"right after a listing", false, 57}, {"a call that fails", true, 57}, {"after a failure", false, 0}, {"after another listing", false, 57},
+	} {
+		look(tc.gone)
+		if got := last(); got != tc.want {
+			t.Errorf("%s: got %d, want %d", tc.name, got, tc.want)
+		}
+	}
+	s.agent.mu.Lock()
+	s.agent.sure = clock.Steady().Add(-time.Millisecond)
+	s.agent.mu.Unlock()
+	look(false)
+	if got := last(); got != 0 {
+		t.Errorf("long after a listing: got %d, want 0", got)
+	}
+}
+
 // A filling run that is harmful is paced, also the first time it is seen.
 func TestGuardPacesNewRuns(t *testing.T) {
 	var g guard
