--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -75,12 +75,13 @@
 	storeAt := serve(t, "127.0.0.1:0", &s.store)
 	s.store.Put("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"r","host":"soak","path-prefix":"/q/","service":"bench","timeout-ms":3000,
 	 "target-latency-ms":300,"max-attempts":4,"stretch":2}],"services":[{"name":"bench"}],"limits":{"max-body-bytes":262144}}`))
-	base := int(seed % 100)
+	// Two soaks may run on one machine: the process and the seed make the addresses.
+	network := fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, seed%200)
 	for i := range entryCount {
-		s.add(t, "entry", fmt.Sprintf("entry-%d", i), fmt.Sprintf("127.1.%d.%d", base, i+1), storeAt)
+		s.add(t, "entry", fmt.Sprintf("entry-%d", i), fmt.Sprintf("%s.%d", network, 1+i), storeAt)
 	}
 	for i := range runnerCount {
-		ip := fmt.Sprintf("127.2.%d.%d", base, i+1)
+		ip := fmt.Sprintf("%s.%d", network, 101+i)
 		r := &standin.Runner{Name: fmt.Sprintf("worker-%d", i), Work: 150 * time.Millisecond, History: &s.history}
 		r.Begin(clock.Steady())
 		s.runners = append(s.runners, r)
@@ -110,7 +111,7 @@
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	var seeds []string
 	for i := range entryCount {
-		seeds = append(seeds, fmt.Sprintf("127.1.%s.%d:%d", strings.Split(ip, ".")[2], i+1, portControl))
+		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", ip[:strings.LastIndexByte(ip, '.')], 1+i, portControl))
 	}
 	data, err := json.Marshal(map[string]any{
 		"node-name": name, "ip": ip, "zone": "a", "port-range": []int{portPeers, portPeers + 1}, "seeds": seeds, "app": at(portApp),
