Ask which workers may run a step where the queue has a policy

Cause: a queue may name a policy that only a service outside knows; starts without its ticket are refused.

--- /dev/null
+++ b/internal/attendant/ask.go
@@ -0,0 +1,36 @@
+package attendant
+
+import (
+	"context"
+
+	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+)
+
+// ask puts a question of the dispatcher's to the policy service and sends the answer back.
+func (a *Attendant) ask(ctx context.Context, q *dispatch.Question) {
+	answer := &peer.Advised{Seq: q.Seq}
+	advice, err := a.advise(ctx, q)
+	if err != nil {
+		a.count("questions-failed")
+		a.log.Warn().Err(err).Str("step", q.Step.String()).Uint64("question", q.Seq).Msg("asking for advice failed")
+		answer.Failed = true
+	} else {
+		a.count("questions")
+		answer.Tickets, answer.ValidMS = advice.Tickets, advice.Valid.Milliseconds()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.conn.Send(&peer.Message{Advised: answer})
+	}
+}
+
+func (a *Attendant) advise(ctx context.Context, q *dispatch.Question) (*Advice, error) {
+	if a.settings.Advise == nil {
+		return nil, errNoAdviser
+	}
+	ctx, cancel := context.WithTimeout(ctx, q.Timeout)
+	defer cancel()
+	return a.settings.Advise(ctx, q.Step, q.Instances)
+}
--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -49,6 +49,8 @@
 	Incarnation uint64
 	// Entries are peer addresses of entries that may be up.
 	Entries []string
+	// Advise asks which runners may run a step; nil if there is nobody to ask.
+	Advise func(ctx context.Context, step workflow.StepID, instances []string) (*Advice, error)
 }
 
 // runKey names one run of a task.
@@ -370,9 +372,13 @@
 func (a *Attendant) worker() dispatch.Worker {
 	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, Pace: a.guard.pacer.Percent()}
 	if b := &a.announced; b.Born == a.life {
-		w.Service, w.Capacity, w.Labels, w.Draining = b.Service, b.Capacity, b.Labels, b.Draining
+		w.Service, w.Capacity, w.Labels, w.Draining, w.Instance = b.Service, b.Capacity, b.Labels, b.Draining, b.Instance
 	}
 	return w
 }
 
-var errNoGrant = errors.New("too little time is granted")
+var (
+	errNoGrant   = errors.New("too little time is granted")
+	errOtherLife = errors.New("another life of the runner")
+	errNoAdviser = errors.New("the settings name no policy service")
+)
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -25,22 +25,25 @@
 		s := o.Starts[i]
 		k := runKey{s.Task, s.Run}
 		if s.Life != a.life {
-			a.refuse(s.Life, k, "another life of the runner")
+			a.refuse(s.Life, k, errOtherLife)
 			continue
 		}
 		until := a.until(now)
 		if until == 0 || a.grant.Left(now) < shortestGrant {
-			a.refuse(s.Life, k, errNoGrant.Error())
+			a.refuse(s.Life, k, errNoGrant)
 			continue
 		}
 		a.orders[k] = &order{start: s, open: true}
 		c := a.call()
 		a.group.Go(func() { a.start(ctx, c, &s, until) })
 	}
+	for _, q := range o.Questions {
+		a.group.Go(func() { a.ask(ctx, &q) })
+	}
 	for i := range o.Stops {
 		s := o.Stops[i]
 		if s.Life != a.life {
-			a.refuse(s.Life, runKey{s.Task, s.Run}, "another life of the runner")
+			a.refuse(s.Life, runKey{s.Task, s.Run}, errOtherLife)
 			continue
 		}
 		a.group.Go(func() { a.fence(ctx, s.Life, runKey{s.Task, s.Run}, s.Reason) })
@@ -48,12 +51,12 @@
 }
 
 // refuse tells the dispatcher that an order never runs. The caller holds mu.
-func (a *Attendant) refuse(life uint64, k runKey, reason string) {
+func (a *Attendant) refuse(life uint64, k runKey, reason error) {
 	delete(a.orders, k)
 	a.count("orders-refused")
-	a.log.Info().Str("task", k.task.String()).Uint64("run", k.run).Str("reason", reason).Msg("order refused")
+	a.log.Info().Str("task", k.task.String()).Uint64("run", k.run).Str("reason", reason.Error()).Msg("order refused")
 	if a.conn != nil {
-		a.conn.Send(&peer.Message{Refused: &peer.Refused{Life: life, Task: k.task, Run: k.run, Reason: reason}})
+		a.conn.Send(&peer.Message{Refused: &peer.Refused{Life: life, Task: k.task, Run: k.run, Reason: reason.Error(), Ticket: errors.Is(reason, ErrTicket)}})
 	}
 }
 
@@ -73,7 +76,7 @@
 		a.mu.Unlock()
 	case errors.Is(err, ErrNotRun):
 		a.mu.Lock()
-		a.refuse(s.Life, k, err.Error())
+		a.refuse(s.Life, k, err)
 		a.mu.Unlock()
 	default:
 		a.count("starts-unanswered")
@@ -118,7 +121,7 @@
 	if a.life != life || a.lists(k) {
 		return // the end is reported once it is listed
 	}
-	a.refuse(life, k, reason)
+	a.refuse(life, k, errors.New(reason))
 }
 
 // lists reports whether the runner runs k, or has ended it and not forgotten. The caller holds mu.
--- a/internal/attendant/runner.go
+++ b/internal/attendant/runner.go
@@ -15,6 +15,8 @@
 var (
 	// ErrNotRun means that the runner certainly did not take a start.
 	ErrNotRun = errors.New("the runner did not take the order")
+	// ErrTicket means that the runner did not accept the ticket of a start.
+	ErrTicket = errors.New("the runner did not accept the ticket")
 	// ErrGone means that no runner listens: what it ran has ended.
 	ErrGone = errors.New("no runner listens")
 	// ErrNoAnswer means that a call may have taken effect, or still may.
@@ -61,6 +63,14 @@
 	Pace func(ctx context.Context, c Call, task workflow.TaskID, run uint64, percent int) error
 }
 
+// Advice says which runners may run a step.
+type Advice struct {
+	// Tickets are what starts at the runners that are allowed must carry, by instance.
+	Tickets map[string]string
+	// Valid is how long they may be used.
+	Valid time.Duration
+}
+
 // Announcement is a runner's heartbeat.
 type Announcement struct {
 	Instance string
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -59,6 +59,7 @@
 	}
 	c.count("starts-ordered", len(orders.Starts()))
 	c.count("stops-ordered", len(orders.Stops()))
+	c.count("questions-asked", len(orders.Questions()))
 	for _, s := range orders.Starts() {
 		c.log.Info().Str("task", s.Task.String()).Uint64("run", s.Run).Str("worker", s.Worker).Str("reason", s.Reason).Msg("start ordered")
 		o := of(s.Worker)
@@ -69,6 +70,11 @@
 		o := of(s.Worker)
 		o.Stops = append(o.Stops, s)
 	}
+	for _, q := range orders.Questions() {
+		c.log.Info().Str("step", q.Step.String()).Uint64("question", q.Seq).Str("asker", q.Asker).Int("workers", len(q.Instances)).Msg("advice asked for")
+		o := of(q.Asker)
+		o.Questions = append(o.Questions, q)
+	}
 	for w, o := range out {
 		if a := t.agents[w]; a != nil && a.conn != nil {
 			a.conn.Send(&peer.Message{Orders: o})
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -156,11 +156,27 @@
 	case m.Refused != nil:
 		c.count("orders-refused", 1)
 		c.log.Info().Str("task", m.Refused.Task.String()).Uint64("run", m.Refused.Run).Str("worker", h.Name).Str("reason", m.Refused.Reason).Msg("order never runs")
+		if m.Refused.Ticket {
+			t.board.Unticketed(h.Name, m.Refused.Task)
+		}
 		t.board.Refused(now, clock.WallMS(), h.Name, m.Refused.Life, m.Refused.Task, m.Refused.Run)
+	case m.Advised != nil:
+		c.advised(now, t, h.Name, m.Advised)
 	}
 	kick(c.wake)
 }
 
+// advised takes in the answer to a question. The caller holds mu.
+func (c *Coordinator) advised(now time.Time, t *term, asker string, a *peer.Advised) {
+	c.log.Info().Uint64("question", a.Seq).Str("asker", asker).Bool("failed", a.Failed).Int("allowed", len(a.Tickets)).Int64("valid-ms", a.ValidMS).Msg("advice received")
+	if a.Failed {
+		c.count("questions-failed", 1)
+		t.board.NotAdvised(now, a.Seq)
+		return
+	}
+	t.board.Advised(now, a.Seq, a.Tickets, time.Duration(a.ValidMS)*time.Millisecond)
+}
+
 // pingOfAgent grants the agent more time. The caller holds mu.
 func (c *Coordinator) pingOfAgent(now time.Time, t *term, a *agentLink, p *peer.Ping) {
 	pong := &peer.Pong{Seq: p.Seq, Term: t.number, Entries: c.addresses()}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -27,6 +27,7 @@
 	Config   *Config   `cbor:"15,keyasint,omitempty"`
 	Relay    *Relay    `cbor:"16,keyasint,omitempty"`
 	Relayed  *Relayed  `cbor:"17,keyasint,omitempty"`
+	Advised  *Advised  `cbor:"18,keyasint,omitempty"`
 }
 
 // Role says what a process is.
@@ -115,6 +116,8 @@
 	Task   workflow.TaskID `cbor:"2,keyasint"`
 	Run    uint64          `cbor:"3,keyasint"`
 	Reason string          `cbor:"4,keyasint"`
+	// Ticket is set if the runner did not accept the order's ticket.
+	Ticket bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Orders are for one agent.
@@ -124,6 +127,19 @@
 	Stops  []dispatch.Stop  `cbor:"3,keyasint,omitempty"`
 	// Guarded says what the agent's guard needs to know of tasks that run already.
 	Guarded []dispatch.Guarded `cbor:"4,keyasint,omitempty"`
+	// Questions are about steps of queues that need advice.
+	Questions []dispatch.Question `cbor:"5,keyasint,omitempty"`
+}
+
+// Advised answers a question.
+type Advised struct {
+	Seq uint64 `cbor:"1,keyasint"`
+	// Tickets are those of the workers that are allowed, by instance; nil if there was no answer.
+	Tickets map[string]string `cbor:"2,keyasint,omitempty"`
+	// ValidMS is how long the tickets are valid, in milliseconds.
+	ValidMS int64 `cbor:"3,keyasint,omitempty"`
+	// Failed is set if the question was refused or not answered.
+	Failed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Noted says up to which end a worker may forget.
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -24,6 +24,8 @@
 	// its longest chain of work, and Target more.
 	Stretch float64
 	Target  time.Duration
+	// Advice is set if only some workers may run a step, and which ones must be asked.
+	Advice *Advice
 }
 
 // Board holds the jobs and workers of one dispatcher. The zero value is empty.
@@ -46,6 +48,10 @@
 	spread float64
 	// shares are what filling images may use beside serving ones.
 	shares map[pair]float64
+	// advised is set if a queue needs advice; questions are those without an answer.
+	advised   bool
+	questions map[uint64]*question
+	asked     uint64
 }
 
 // noted is up to which end a worker's list has been taken in.
@@ -60,7 +66,7 @@
 // Begin starts a term. Jobs that are admitted as old may run at one of the
 // workers named, until each has reported or lapsed.
 func (b *Board) Begin(term uint64, workers []string) {
-	*b = Board{queues: b.queues, spread: b.spread, shares: make(map[pair]float64)}
+	*b = Board{queues: b.queues, advised: b.advised, spread: b.spread, shares: make(map[pair]float64), questions: make(map[uint64]*question)}
 	b.workers = make(map[string]*host)
 	b.jobs = make(map[string]*jobState)
 	b.unheard = make(map[string]bool)
@@ -76,7 +82,13 @@
 }
 
 // SetQueues replaces the queues.
-func (b *Board) SetQueues(queues map[string]Queue) { b.queues = queues }
+func (b *Board) SetQueues(queues map[string]Queue) {
+	b.queues = queues
+	b.advised = false
+	for _, q := range queues {
+		b.advised = b.advised || q.Advice != nil
+	}
+}
 
 // SetSpread sets how much longer a task takes away from its data.
 func (b *Board) SetSpread(factor float64) { b.spread = factor }
@@ -124,7 +136,8 @@
 	// perWorker counts live runs by worker, for steps that bound them.
 	perWorker map[string]int
 	// tail is the longest chain of work from the start of this step on, in milliseconds.
-	tail int64
+	tail    int64
+	rulings rulings
 }
 
 type taskState struct {
@@ -185,6 +198,10 @@
 	return s, &s.tasks[id.Index]
 }
 
+func (s *stepState) stepID() workflow.StepID {
+	return workflow.StepID{Job: s.occ.job.sub.ID, Occurrence: s.occ.k, Step: s.index}
+}
+
 func (s *stepState) id(index int) workflow.TaskID {
 	return workflow.TaskID{Job: s.occ.job.sub.ID, Occurrence: s.occ.k, Step: s.index, Index: index}
 }
@@ -222,6 +239,11 @@
 	// reserved is the processor time that tasks that last reserve.
 	reserved int64
 	health   health
+	// instance is the runner's name of its present life.
+	instance string
+	// asking counts the open questions of its agent, which asks none before asksAfter.
+	asking    int
+	asksAfter time.Time
 }
 
 func (h *host) free() worker.Resources { return h.capacity.Minus(h.used) }
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -45,10 +45,18 @@
 	Every int64           `json:"every-ms"`
 	Steps json.RawMessage `json:"steps"`
 	// Start and Stop are the orders wanted: "task run worker"; a worker * is any.
+	// A start may name its ticket after that.
 	Start []string `json:"start"`
 	Stop  []string `json:"stop"`
 	// Lost are the runs lost with their workers: "task run worker"; not compared if missing.
 	Lost []string `json:"lost"`
+	// Ask are the questions wanted: "step asker workers", the workers joined by
+	// commas; a worker is named with its life.
+	Ask []string `json:"ask"`
+	// Question is the one that Tickets answers, by worker and life, valid for ValidMS.
+	Question uint64            `json:"question"`
+	Tickets  map[string]string `json:"tickets"`
+	ValidMS  int64             `json:"valid-ms"`
 	// Phase is the phase wanted of the job.
 	Phase string `json:"phase"`
 }
@@ -76,6 +84,10 @@
 	"fits":   {Service: "bench", Priority: 0, Attempts: 2, Stretch: 1.5, Target: 300 * time.Millisecond},
 	"shapes": {Service: "bench", Priority: 2, Attempts: 2, Stretch: 2, Target: time.Second},
 	"lasts":  {Service: "bench", Priority: 0, Attempts: 2, Stretch: 2, Target: time.Second},
+	"advised": {
+		Service: "bench", Priority: 0, Attempts: 2, Stretch: 2, Target: time.Second,
+		Advice: &Advice{Decision: 300 * time.Millisecond, PerWorker: 2 * time.Millisecond},
+	},
 }
 
 func TestBoard(t *testing.T) {
@@ -113,13 +125,19 @@
 		orders := b.Decide(now, wall)
 		var starts, stops []string
 		for _, o := range orders.Starts() {
-			starts = append(starts, fmt.Sprintf("%s %d %s", o.Task, o.Run, o.Worker))
+			starts = append(starts, fmt.Sprintf("%s %d %s %s", o.Task, o.Run, o.Worker, o.Ticket))
 		}
 		for _, o := range orders.Stops() {
 			stops = append(stops, fmt.Sprintf("%s %d %s", o.Task, o.Run, o.Worker))
 		}
 		compare(t, fmt.Sprintf("event %d (%s): starts", i, e.Do), starts, e.Start)
 		compare(t, fmt.Sprintf("event %d (%s): stops", i, e.Do), stops, e.Stop)
+		var asked []string
+		for _, q := range orders.Questions() {
+			slices.Sort(q.Instances)
+			asked = append(asked, fmt.Sprintf("%s %s %s", q.Step, q.Asker, strings.Join(q.Instances, ",")))
+		}
+		compare(t, fmt.Sprintf("event %d (%s): questions", i, e.Do), asked, e.Ask)
 		if e.Lost != nil {
 			var lost []string
 			for _, l := range b.TakeLost() {
@@ -149,7 +167,7 @@
 	}
 	for i := range got {
 		g, w := strings.Fields(got[i]), strings.Fields(want[i])
-		if g[0] != w[0] || g[1] != w[1] || w[2] != "*" && g[2] != w[2] {
+		if g[0] != w[0] || g[1] != w[1] || w[2] != "*" && g[2] != w[2] || len(w) > 3 && (len(g) < 4 || g[3] != w[3]) {
 			t.Errorf("%s: got %q, want %q", what, got, want)
 			return
 		}
@@ -158,7 +176,7 @@
 
 func apply(t *testing.T, b *Board, now time.Time, wall int64, e *event) {
 	t.Helper()
-	w := &Worker{Name: e.Worker, Life: e.Life, Service: "bench", Capacity: worker.Resources{MilliCPU: e.CPU, MemoryMB: e.MemMB}, Labels: e.Labels, Draining: e.Draining, Pace: 100}
+	w := &Worker{Name: e.Worker, Life: e.Life, Service: "bench", Capacity: worker.Resources{MilliCPU: e.CPU, MemoryMB: e.MemMB}, Labels: e.Labels, Draining: e.Draining, Pace: 100, Instance: fmt.Sprintf("%s/%d", e.Worker, e.Life)}
 	if e.CPU == 0 {
 		w.Capacity = worker.Resources{MilliCPU: 16000, MemoryMB: 64000}
 	}
@@ -177,6 +195,15 @@
 		b.Admit(now, wall, jobOf(t, e), nil, e.Old)
 	case "cancel":
 		b.Cancel(now, wall, e.Job)
+	case "advised":
+		b.Advised(now, e.Question, e.Tickets, time.Duration(e.ValidMS)*time.Millisecond)
+	case "not-advised":
+		b.NotAdvised(now, e.Question)
+	case "ticket-refused":
+		for _, r := range rowsOf(t, e.Runs) {
+			b.Unticketed(e.Worker, r.Task)
+			b.Refused(now, wall, e.Worker, e.Life, r.Task, r.Run)
+		}
 	case "silent":
 		b.Silent(e.Worker)
 	case "lapsed":
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -41,6 +41,8 @@
 	// Fills and TargetMS are what the worker's guard needs to know.
 	Fills    bool
 	TargetMS float64
+	// Ticket shows that the queue's policy lets the worker run the step.
+	Ticket string
 	// Harm is how much a filling task is expected to harm the serving ones there, from 0 to 1.
 	Harm   float64
 	Reason string
@@ -57,8 +59,9 @@
 
 // Orders are what Decide returns.
 type Orders struct {
-	starts []Start
-	stops  []Stop
+	starts    []Start
+	stops     []Stop
+	questions []Question
 }
 
 // Starts returns the tasks to start.
@@ -67,6 +70,9 @@
 // Stops returns the runs to stop.
 func (o *Orders) Stops() []Stop { return o.stops }
 
+// Questions returns the questions about steps to ask.
+func (o *Orders) Questions() []Question { return o.questions }
+
 // stop orders the end of a run.
 func (b *Board) stop(now time.Time, r *run, reason string) {
 	if r.phase == runStopping {
@@ -84,6 +90,7 @@
 		}
 	}
 	o := &Orders{}
+	b.consult(now, o)
 	for _, s := range b.line(now) {
 		b.placeStep(now, s, o)
 	}
@@ -118,13 +125,20 @@
 // It answers surges of wide jobs: what can still meet its objective goes before
 // what no longer can, the least slack first.
 func (b *Board) line(now time.Time) []*stepState {
-	all := make([]standing, 0, len(b.ready))
+	steps := make([]*stepState, 0, len(b.ready))
 	for s := range b.ready {
-		j := s.occ.job
-		if j.old && len(b.unheard) > 0 {
-			continue
+		if !s.occ.job.old || len(b.unheard) == 0 {
+			steps = append(steps, s)
 		}
-		q := b.queues[j.sub.Queue]
+	}
+	return b.inOrder(now, steps)
+}
+
+// inOrder sorts steps by urgency.
+func (b *Board) inOrder(now time.Time, steps []*stepState) []*stepState {
+	all := make([]standing, 0, len(steps))
+	for _, s := range steps {
+		q := b.queues[s.occ.job.sub.Queue]
 		slack := b.deadline(s.occ, q).Sub(now) - time.Duration(s.tail)*time.Millisecond
 		all = append(all, standing{step: s, lasts: s.spec.Lasts, priority: q.Priority, late: slack < 0, slack: slack})
 	}
@@ -133,11 +147,10 @@
 			cmp.Compare(x.slack, y.slack), strings.Compare(x.step.occ.job.sub.ID, y.step.occ.job.sub.ID),
 			cmp.Compare(x.step.occ.k, y.step.occ.k), cmp.Compare(x.step.index, y.step.index))
 	})
-	out := make([]*stepState, len(all))
 	for i := range all {
-		out[i] = all[i].step
+		steps[i] = all[i].step
 	}
-	return out
+	return steps
 }
 
 func compareBool(x, y bool) int {
@@ -194,12 +207,17 @@
 	b.begin(s.occ.job)
 	o.starts = append(o.starts, Start{
 		Worker: h.name, Life: h.life, Task: id, Run: number, Text: s.occ.job.sub.Spec.Text,
-		Saved: t.saved, Fills: s.spec.Fills, TargetMS: s.spec.TargetMS, Harm: b.blameOf(h, s.spec.Image), Reason: why,
+		Saved: t.saved, Fills: s.spec.Fills, TargetMS: s.spec.TargetMS, Ticket: s.ticket(h), Harm: b.blameOf(h, s.spec.Image), Reason: why,
 	})
 }
 
 // allowed reports whether a worker may run a step at all.
 func (b *Board) allowed(now time.Time, s *stepState, q Queue, h *host) bool {
+	return b.usable(now, s, &q, h) && s.ruled(now, &q, h)
+}
+
+// usable reports whether a worker may run a step as far as its queue's policy lets it.
+func (b *Board) usable(now time.Time, s *stepState, q *Queue, h *host) bool {
 	return h.life != 0 && !h.silent && !h.lapsed && !h.draining && h.service == q.Service &&
 		(s.spec.Label == "" || h.labels[s.spec.Label]) && h.health.usable(now)
 }
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -117,7 +117,7 @@
 		}
 		o.steps = append(o.steps, s)
 	}
-	measureTails(o)
+	measureTails(o, b.queues[j.sub.Queue].Advice)
 	b.restore(o)
 	for _, s := range o.steps {
 		if s.done == len(s.tasks) {
@@ -129,11 +129,16 @@
 	b.checkOccurrence(now, wallMS, o)
 }
 
-// measureTails works out the longest chain of work from each step to the end.
-func measureTails(o *occurrence) {
+// measureTails works out the longest chain of work from each step to the end,
+// with a question for advice a step where one is needed.
+func measureTails(o *occurrence, advice *Advice) {
+	question := int64(0)
+	if advice != nil {
+		question = advice.takes(mostNamed).Milliseconds()
+	}
 	for i := len(o.steps) - 1; i >= 0; i-- {
 		s := o.steps[i]
-		s.tail += s.spec.EstimateMS
+		s.tail += s.spec.EstimateMS + question
 		for _, a := range s.spec.After {
 			o.steps[a].tail = max(o.steps[a].tail, s.tail)
 		}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -76,6 +76,8 @@
 	Draining bool             `cbor:"6,keyasint,omitempty"`
 	// Pace is the percentage at which filling tasks work there.
 	Pace int `cbor:"7,keyasint,omitempty"`
+	// Instance is the runner's name of its present life.
+	Instance string `cbor:"8,keyasint,omitempty"`
 }
 
 // Report takes in a worker's whole state: what it runs, and the ends that it
@@ -128,7 +130,7 @@
 
 func (b *Board) describe(now time.Time, h *host, w *Worker) {
 	h.heard, h.silent, h.lapsed = now, false, false
-	h.service, h.capacity, h.draining, h.pace = w.Service, w.Capacity, w.Draining, w.Pace
+	h.service, h.capacity, h.draining, h.pace, h.instance = w.Service, w.Capacity, w.Draining, w.Pace, w.Instance
 	if h.pace < fullPace {
 		h.paced = now
 	}
--- a/pkg/workflow/spec.go
+++ b/pkg/workflow/spec.go
@@ -164,3 +164,14 @@
 func (t TaskID) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
+
+// StepID names one step of one occurrence of a job.
+type StepID struct {
+	_          struct{} `cbor:",toarray"`
+	Job        string
+	Occurrence int
+	Step       int
+}
+
+// String returns the step's name outside.
+func (s StepID) String() string { return fmt.Sprintf("%s.%d.%d", s.Job, s.Occurrence, s.Step) }
