Start speculative tasks a second time when the first run is far behind

Change: once all that waits is placed, a task whose run takes over twice its estimate and 0.2 s gets a second run elsewhere; the other is stopped when one is done.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -147,15 +147,6 @@
 	return true
 }
 
-// left estimates how long a run still takes.
-func (r *run) left(now time.Time) time.Duration {
-	ran := now.Sub(r.since)
-	if r.percent > 0 {
-		return ran * time.Duration(100-r.percent) / time.Duration(r.percent)
-	}
-	return max(0, time.Duration(r.step.spec.EstimateMS)*time.Millisecond-ran)
-}
-
 // losesSoon reports whether tasks at a worker that is not heard any more are
 // about to be started elsewhere.
 func (s *stepState) losesSoon(now time.Time) bool {
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -94,6 +94,7 @@
 	for _, s := range b.line(now) {
 		b.placeStep(now, s, o)
 	}
+	b.copyStragglers(now, o)
 	b.stopStalled(now)
 	b.repeatStops(now)
 	o.stops, b.stops = b.stops, nil
