--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -31,6 +31,8 @@
 	newest  map[string]store.Stored
 	term    uint64
 	seq     uint64
+	// ends are the ends after the last appends of the term, by sequence number.
+	ends map[uint64]uint64
 }
 
 // Port returns the calls to the store.
@@ -74,21 +76,14 @@
 		return 0, s.fault
 	}
 	t := s.topic(a.Topic)
-	switch {
-	case a.AtSet && a.At != t.end:
-		return t.end, store.ErrMoved
-	case a.Term > 0 && a.Term < t.term:
-		return 0, store.ErrFenced
-	case a.Term > 0 && a.Term == t.term && a.Seq <= t.seq && len(a.Records) > 0:
-		return t.end, s.fault // a repeated call has its first answer
+	if a.AtSet && a.At != t.end {
+		return t.end, s.outcome(store.ErrMoved)
 	}
 	if a.Term > 0 {
-		t.term = a.Term
-		if len(a.Records) > 0 {
-			t.seq = a.Seq
-		} else if a.Seq == 0 {
-			t.seq = 0
+		if end, again, err := t.follow(&a); again || err != nil {
+			return end, s.outcome(err)
 		}
+		defer func() { t.ends[a.Seq] = t.end }()
 	}
 	for _, r := range a.Records {
 		stored := store.Stored{Record: r, Offset: t.end}
@@ -102,6 +97,40 @@
 	return t.end, s.fault
 }
 
+// outcome returns what a caller learns of a call that was carried out.
+func (s *Store) outcome(err error) error {
+	if s.fault != nil {
+		return s.fault
+	}
+	return err
+}
+
+// repeats is how many of the last appends of a term are answered again.
+const repeats = 5
+
+// follow takes in the term and the sequence number of an append. Again is set
+// if it was carried out before.
+func (t *keyedTopic) follow(a *store.Append) (end uint64, again bool, err error) {
+	switch {
+	case a.Term < t.term:
+		return 0, false, store.ErrFenced
+	case a.Term > t.term:
+		t.term, t.seq, t.ends = a.Term, 0, make(map[uint64]uint64)
+		if len(a.Records) > 0 {
+			t.seq = a.Seq
+		}
+	case len(a.Records) == 0:
+	case t.seq == 0 || a.Seq == t.seq+1:
+		t.seq = a.Seq
+	default:
+		if end, ok := t.ends[a.Seq]; ok && a.Seq <= t.seq && a.Seq+repeats > t.seq {
+			return end, true, nil
+		}
+		return 0, false, &store.SequenceError{Want: t.seq + 1}
+	}
+	return 0, false, nil
+}
+
 func (s *Store) read(_ context.Context, topic store.Topic, from uint64, _ time.Duration) (*store.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
