Share the stand-in of a runner between the soak and explorations

The runner's leases, fences and lists move from the platform's HTTP stand-in to internal/standin, so that the exploration of the dispatch can use them.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
+	product "savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/platform/standin"
 )
 
@@ -45,7 +46,7 @@
 	program  string
 	dir      string
 	store    standin.Store
-	history  standin.History
+	history  product.History
 	runners  []*standin.Runner
 	machines []*machine
 	entries  []string
@@ -82,7 +83,7 @@
 	}
 	for i := range runnerCount {
 		ip := fmt.Sprintf("%s.%d", network, 101+i)
-		r := &standin.Runner{Name: fmt.Sprintf("worker-%d", i), Work: 150 * time.Millisecond, History: &s.history}
+		r := newRunner(fmt.Sprintf("worker-%d", i), &s.history)
 		r.Begin(clock.Steady())
 		s.runners = append(s.runners, r)
 		serve(t, fmt.Sprintf("%s:%d", ip, portApp), r)
@@ -304,3 +305,8 @@
 	}
 	t.Logf("logs are in %s", dir)
 }
+
+// newRunner returns a runner whose tasks take a moment.
+func newRunner(name string, history *product.History) *standin.Runner {
+	return &standin.Runner{TaskRunner: product.TaskRunner{Name: name, Work: 150 * time.Millisecond, History: history}}
+}
