Take nothing for certain of a runner whose life is not known

Cause: a runner may begin another life under the same name, so that its name protects nothing. An agent that did not know extended leases by the earlier life's clock, up to six seconds too long, and reported the new life while starts sent to the earlier one could still take effect in it.

Change: a look extends leases and notes ends only within 250 ms of a listing. Starts that no listing has shown, and those without an answer for 13 s, are fenced in a new life before it is reported.

Each case has a test.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -35,6 +35,9 @@
 	lookGap = 25 * time.Millisecond
 	// retryAfter is the delay after a call to the runner that failed.
 	retryAfter = 200 * time.Millisecond
+	// latestEffect is how long a start without an answer may still take effect:
+	// 12 seconds by the platform's pages, and a second for its way.
+	latestEffect = 13 * time.Second
 	// shortestGrant is what must be left of a grant for a start.
 	shortestGrant = 500 * time.Millisecond
 	// driftShare bounds the relative error of the runner's clock: one part in 50.
@@ -59,13 +62,6 @@
 	run  uint64
 }
 
-// order is a start that the runner has not listed yet.
-type order struct {
-	start dispatch.Start
-	// open is set while the start may still take effect unseen.
-	open bool
-}
-
 // Attendant is one running agent.
 type Attendant struct {
 	settings Settings
@@ -97,8 +93,11 @@
 	told  uint64
 	noted uint64
 	// sure is until when the runner is taken to be in the life that it listed last.
-	sure    time.Time
-	orders  map[runKey]*order
+	sure time.Time
+	// orders are starts that the runner has not listed yet.
+	orders map[runKey]*dispatch.Start
+	// late are starts without an answer that may still take effect, with the time until which they may.
+	late    map[runKey]time.Time
 	entries map[string]bool
 	pings   map[uint64]time.Time
 	guard   guard
@@ -111,7 +110,7 @@
 	a := &Attendant{
 		settings: s, runner: runner, store: port, log: logger, registry: registry, looked: make(chan struct{}, 1),
 		held:   clock.Steady().Add(tenure.GrantFor), // an agent before this one may have extended leases
-		orders: make(map[runKey]*order), entries: make(map[string]bool), pings: make(map[uint64]time.Time),
+		orders: make(map[runKey]*dispatch.Start), late: make(map[runKey]time.Time), entries: make(map[string]bool), pings: make(map[uint64]time.Time),
 	}
 	for _, e := range s.Entries {
 		a.entries[e] = true
@@ -238,12 +237,14 @@
 	defer cancel()
 	a.mu.Lock()
 	now := clock.Steady()
-	h := Hold{Call: a.call(), UntilMS: a.until(now), Wait: wait}
+	h := Hold{Call: a.call()}
 	if now.Before(a.sure) {
-		h.Noted = a.noted // another life numbers its ends anew: it would forget what was never told
+		// Another life numbers its ends and counts its time anew, perhaps under the same
+		// name: it would forget what was never told, and lease longer than was granted.
+		h.Noted, h.UntilMS, h.Wait = a.noted, a.until(now), wait
 	}
 	if h.UntilMS > 0 {
-		a.held = now.Add(a.grant.Left(now))
+		a.asked(now)
 	}
 	a.mu.Unlock()
 	l, err := a.runner.Hold(callCtx, h)
@@ -255,6 +256,13 @@
 	return nil
 }
 
+// asked notes that a call asks for leases up to the end of the grant. The caller holds mu.
+func (a *Attendant) asked(now time.Time) {
+	if until := now.Add(a.grant.Left(now)); until.After(a.held) {
+		a.held = until
+	}
+}
+
 // unanswered tells the dispatcher that nothing runs any more once that is certain.
 func (a *Attendant) unanswered(err error) {
 	a.mu.Lock()
@@ -293,12 +301,13 @@
 			return
 		}
 		a.beginLife(l.Born)
-		a.fenceAll(ctx)
+		strays := a.strays(now)
 		a.takeListing(now, l)
-		a.told = a.lastEnd()
-		if a.conn != nil {
-			a.conn.Send(&peer.Message{Report: a.report()})
+		if len(strays) > 0 {
+			a.group.Go(func() { a.settle(ctx, l.Born, strays) })
+			return
 		}
+		a.tellAll()
 		return
 	}
 	if l.ClockMS < a.clockMS {
@@ -307,8 +316,7 @@
 	a.takeListing(now, l)
 	if a.vacant && a.conn != nil {
 		a.vacant = false
-		a.told = a.lastEnd()
-		a.conn.Send(&peer.Message{Report: a.report()})
+		a.tellAll()
 		return
 	}
 	a.tellEnds()
@@ -329,7 +337,7 @@
 	}
 	for _, r := range l.Rows {
 		if o := a.orders[runKey{r.Task, r.Run}]; o != nil {
-			a.guard.learn([]dispatch.Guarded{{Task: r.Task, TargetMS: o.start.TargetMS, Fills: o.start.Fills, Harm: o.start.Harm}})
+			a.guard.learn([]dispatch.Guarded{{Task: r.Task, TargetMS: o.TargetMS, Fills: o.Fills, Harm: o.Harm}})
 			delete(a.orders, runKey{r.Task, r.Run})
 		}
 	}
@@ -343,6 +351,14 @@
 	return last
 }
 
+// tellAll reports the worker's whole state. The caller holds mu.
+func (a *Attendant) tellAll() {
+	a.told = a.lastEnd()
+	if a.conn != nil {
+		a.conn.Send(&peer.Message{Report: a.report()})
+	}
+}
+
 // tellEnds sends the ends that the dispatcher has not been told. The caller holds mu.
 func (a *Attendant) tellEnds() {
 	if a.conn == nil {
--- a/internal/attendant/attendant_test.go
+++ b/internal/attendant/attendant_test.go
@@ -208,7 +208,7 @@
 func TestNewLifeFencesStrayStarts(t *testing.T) {
 	s := newSite(t)
 	s.agent.mu.Lock()
-	s.agent.orders[runKey{task, 2}] = &order{open: true}
+	s.agent.orders[runKey{task, 2}] = &dispatch.Start{Task: task, Run: 2}
 	s.agent.mu.Unlock()
 	s.runner.mu.Lock()
 	s.runner.listing = Listing{ClockMS: 1, Born: 8}
@@ -429,3 +429,64 @@
 		t.Errorf("changes: got %v, want run 2 paced to 0", changes)
 	}
 }
+
+// Starts extend leases too: nothing may be reported as ended before theirs are over.
+func TestStartExtendsTheLease(t *testing.T) {
+	s := newSite(t)
+	s.agent.mu.Lock()
+	s.agent.held = clock.Steady().Add(-time.Minute)
+	s.agent.mu.Unlock()
+	s.agent.take(context.Background(), &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: 7, Task: workflow.TaskID{Job: "a"}, Run: 1}}})
+	s.agent.mu.Lock()
+	defer s.agent.mu.Unlock()
+	if got := s.agent.ended(ErrNoAnswer); got {
+		t.Error("runs have ended while the lease of a start lasts: got true, want false")
+	}
+}
+
+// A look that may reach another life of the runner, perhaps under the same name,
+// extends no lease and notes no end.
+func TestUnsureLookExtendsNothing(t *testing.T) {
+	s := newSite(t)
+	s.agent.mu.Lock()
+	s.agent.sure, s.agent.noted = time.Time{}, 4
+	s.agent.mu.Unlock()
+	for i, want := range []bool{false, true} {
+		if err := s.agent.lookOnce(context.Background(), 0); err != nil {
+			t.Fatal(err)
+		}
+		s.runner.mu.Lock()
+		h := s.runner.holds[len(s.runner.holds)-1]
+		s.runner.mu.Unlock()
+		if got := h.UntilMS > 0; got != want {
+			t.Errorf("look %d extends a lease: got %v, want %v", i, got, want)
+		}
+		if got := h.Noted > 0; got != want {
+			t.Errorf("look %d notes ends: got %v, want %v", i, got, want)
+		}
+	}
+}
+
+// A start without an answer may take effect in another life of the runner that
+// has the same name; that life is reported only once it is fenced there.
+func TestLateStartIsFencedInTheNextLife(t *testing.T) {
+	s := newSite(t)
+	k := runKey{workflow.TaskID{Job: "a"}, 1}
+	s.agent.mu.Lock()
+	s.agent.late[k] = clock.Steady().Add(time.Minute)
+	answered := runKey{workflow.TaskID{Job: "b"}, 1} // by either life
+	s.agent.orders[answered] = &dispatch.Start{Task: answered.task, Run: 1}
+	s.agent.mu.Unlock()
+	s.runner.mu.Lock()
+	s.runner.listing = Listing{ClockMS: 5, Born: 8}
+	s.runner.mu.Unlock()
+	if err := s.agent.lookOnce(context.Background(), 0); err != nil {
+		t.Fatal(err)
+	}
+	m := <-s.got
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	if m.Report == nil || m.Report.Worker.Life != 8 || !slices.Contains(s.runner.fenced, k) || !slices.Contains(s.runner.fenced, answered) {
+		t.Errorf("got %+v with %v fenced, want a report of life 8 after %v and %v were fenced", m, s.runner.fenced, k, answered)
+	}
+}
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
-	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
 // take carries the dispatcher's orders out.
@@ -33,7 +33,8 @@
 			a.refuse(s.Life, k, errNoGrant)
 			continue
 		}
-		a.orders[k] = &order{start: s, open: true}
+		a.asked(now)
+		a.orders[k] = &s
 		c := a.call()
 		a.group.Go(func() { a.start(ctx, c, &s, until) })
 	}
@@ -69,11 +70,6 @@
 	switch {
 	case err == nil:
 		a.count("starts")
-		a.mu.Lock()
-		if o := a.orders[k]; o != nil {
-			o.open = false
-		}
-		a.mu.Unlock()
 	case errors.Is(err, ErrNotRun):
 		a.mu.Lock()
 		a.refuse(s.Life, k, err)
@@ -81,6 +77,9 @@
 	default:
 		a.count("starts-unanswered")
 		a.log.Warn().Err(err).Str("task", k.task.String()).Uint64("run", k.run).Msg("start not answered")
+		a.mu.Lock()
+		a.late[k] = clock.Steady().Add(latestEffect)
+		a.mu.Unlock()
 		if a.awaitListed(ctx, k) {
 			return
 		}
@@ -106,7 +105,7 @@
 		c, current := a.call(), a.life == life
 		a.mu.Unlock()
 		if !current {
-			return // fenceAll and the new life's report settle it
+			return // the new life's report settles it
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := a.runner.Stop(callCtx, c, k.task, k.run)
@@ -139,28 +138,62 @@
 	return false
 }
 
-// fenceAll makes sure that no start sent to an earlier life takes effect in the
-// present one. The caller holds mu.
-func (a *Attendant) fenceAll(ctx context.Context) {
-	for k, o := range a.orders {
+// strays returns the starts that no listing has shown and that may take effect
+// in the present life, which may have the same name as the one they were sent
+// to. Those that were answered count: either life may have answered. The caller
+// holds mu.
+func (a *Attendant) strays(now time.Time) []runKey {
+	var out []runKey
+	for k := range a.orders {
 		delete(a.orders, k)
-		if !o.open {
-			continue
+		out = append(out, k)
+	}
+	for k, until := range a.late {
+		if now.Before(until) {
+			out = append(out, k)
+		} else {
+			delete(a.late, k)
 		}
-		a.group.Go(func() { a.stopStray(ctx, k.task, k.run) })
 	}
+	return out
 }
 
-func (a *Attendant) stopStray(ctx context.Context, task workflow.TaskID, run uint64) {
-	for range 5 {
+// settle makes sure that strays never run in a life, and reports it only then.
+func (a *Attendant) settle(ctx context.Context, life uint64, strays []runKey) {
+	for _, k := range strays {
+		if !a.stopStray(ctx, life, k) {
+			return // another life has begun
+		}
+	}
+	for a.lookOnce(ctx, 0) != nil {
+		if !clock.Pause(ctx, nil, retryAfter) {
+			return
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.life == life {
+		a.log.Info().Uint64("life", life).Int("starts", len(strays)).Msg("starts sent to the runner's earlier life are fenced")
+		a.tellAll()
+	}
+}
+
+// stopStray makes sure that a run never starts in a life; false if that life is over.
+func (a *Attendant) stopStray(ctx context.Context, life uint64, k runKey) bool {
+	for ctx.Err() == nil {
 		a.mu.Lock()
-		c := a.call()
+		c, current := a.call(), a.life == life
 		a.mu.Unlock()
+		if !current {
+			return false
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := a.runner.Stop(callCtx, c, task, run)
+		err := a.runner.Stop(callCtx, c, k.task, k.run)
 		cancel()
-		if err == nil || !clock.Pause(ctx, nil, retryAfter) {
-			return
+		if err == nil {
+			return true
 		}
+		clock.Pause(ctx, nil, retryAfter)
 	}
+	return false
 }
