Explore terms of the dispatch, and mend the holes found

The exploration plays entries, agents and runners with the deciding code (tenure, dispatch, workflow) under freezes, cuts, restarts, lost and late answers, in 8 ms a schedule. It found, each with a test or a broken rule that it must find again:

- A superseded dispatcher that woke up took workers for lost that a later one had granted time, and started their tasks again.
Nothing counts as ended now until a write sent after that moment was accepted under the term.
- Two dispatchers read a job that was handed in after the later term had begun, and both started it.
Jobs carry the newest term that their entry knew: the later dispatcher waits, the earlier one gives up.
- A worker was named without a fenced write, so that a later dispatcher might not wait for it.
- An end of a job that was not read yet was noted and forgotten; the job's task ran again.
What workers list of unknown jobs is kept until the jobs are read.
- A worker taken for lost while its agent stayed connected was never granted time again.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -47,7 +47,7 @@
 	return c.config
 }
 
-// Submit stores a job. The error is ErrRefused only if the job never runs.
+// Submit stores a job and notes in it which term this entry knows. The error is ErrRefused only if the job never runs.
 func (c *Coordinator) Submit(ctx context.Context, sub *workflow.Submission) error {
 	began := clock.Steady()
 	err := c.submit(ctx, sub)
@@ -67,6 +67,7 @@
 	c.mu.Lock()
 	e, ok := c.book.Entry(sub.ID)
 	known := ok && e.Submission() != nil
+	sub.Term = c.candidate.Claim().Term
 	c.mu.Unlock()
 	if known {
 		return nil
--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -52,6 +52,9 @@
 		c.log.Warn().Err(err).Int("workers", len(records)).Msg("naming workers in the store failed")
 		return
 	}
+	if !c.storeRecords(ctx, t, nil, true) {
+		return // a later dispatcher may have read the names before
+	}
 	c.mu.Lock()
 	now := clock.Steady()
 	for _, r := range records {
@@ -69,14 +72,14 @@
 func (c *Coordinator) flush(ctx context.Context, t *term) {
 	c.mu.Lock()
 	now := clock.Steady()
-	idle := now.Sub(t.holder.Proven()) >= proveEvery
+	idle := now.Sub(t.holder.Proven()) >= proveEvery || t.unproven
 	due := t.board.Changed() && (t.board.Urgent() || now.Sub(t.flushed) >= flushEvery)
 	if c.term != t || !due && !idle {
 		c.mu.Unlock()
 		return
 	}
 	change := t.board.TakeChange()
-	t.flushed = now
+	t.flushed, t.unproven = now, false
 	forget := t.board.Expired(clock.WallMS() - c.settings.StatusFor.Milliseconds())
 	learned := c.learnedRecord(now, t)
 	c.mu.Unlock()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -261,3 +261,30 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// A worker that was taken for lost while its agent stayed connected, as in an
+// outage of the store that outlasts the dispatcher's proof, has to report anew;
+// without a report it would never be granted time again.
+func TestLostWorkerReportsAnew(t *testing.T) {
+	c := newTest(t, "entry-a", &standin.Store{})
+	here, there := net.Pipe()
+	conn, agent := peer.NewConn(here), peer.NewConn(there)
+	defer agent.Close()
+	var group sync.WaitGroup
+	group.Go(func() { _ = conn.Run(&group, func(*peer.Message) {}) })
+	defer group.Wait()
+	now := clock.Steady()
+	held := &term{number: 1, agents: make(map[string]*agentLink)}
+	held.board.Begin(1, nil)
+	held.holder.Prove(now)
+	link := &agentLink{name: "w1", conn: conn, heard: now, lapsed: true}
+	held.agents["w1"] = link
+	c.mu.Lock()
+	c.pingOfAgent(now, held, link, &peer.Ping{Seq: 1})
+	c.mu.Unlock()
+	select {
+	case <-conn.Done():
+	default:
+		t.Error("connection of a lost worker that pings: got open, want closed")
+	}
+}
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -179,8 +179,14 @@
 
 // pingOfAgent grants the agent more time. The caller holds mu.
 func (c *Coordinator) pingOfAgent(now time.Time, t *term, a *agentLink, p *peer.Ping) {
+	if a.lapsed {
+		// what the board knows of the worker is out of date: the agent reports anew when it has connected again
+		c.log.Info().Str("worker", a.name).Msg("a lost worker is heard again and has to report")
+		a.conn.Close()
+		return
+	}
 	pong := &peer.Pong{Seq: p.Seq, Term: t.number, Entries: c.addresses()}
-	if t.holder.Valid(now) && !a.lapsed {
+	if t.holder.Valid(now) {
 		a.heard, pong.Granted = now, true
 	}
 	if p.Worker != nil {
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -60,6 +60,11 @@
 			return err
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term != nil {
+		c.term.board.CaughtUp(clock.Steady(), c.bookRead())
+	}
 	return nil
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -26,6 +26,8 @@
 	flushed time.Time
 	// taught is when what was learned was stored last.
 	taught time.Time
+	// unproven is set while a conclusion waits for a write under the term.
+	unproven bool
 	// settled is set once nothing of an earlier term can run.
 	settled bool
 }
@@ -45,9 +47,14 @@
 	if !ok || e.Submission() == nil {
 		return false
 	}
+	if known := e.Submission().Term; known > t.number {
+		c.yield(known, "the record of job "+id)
+		return false
+	}
 	news := !t.board.Known(id)
 	if news {
-		t.board.Admit(now, clock.WallMS(), e.Submission(), e.Progress(), false)
+		// an earlier dispatcher may have read a job whose entry did not know of this term
+		t.board.Admit(now, clock.WallMS(), e.Submission(), e.Progress(), e.Submission().Term < t.number)
 	}
 	if e.Cancelled() {
 		if phase, _ := t.board.Phase(id); !phase.Ended() {
@@ -110,7 +117,7 @@
 		if silence > silentAfter {
 			t.board.Silent(a.name)
 		}
-		if tenure.Lapsed(now, a.heard) {
+		if t.ended(now, c, tenure.LapsesAt(a.heard)) {
 			a.lapsed = true
 			c.count("workers-lost", 1)
 			n := t.board.Lapsed(now, a.name)
@@ -120,9 +127,20 @@
 	if !t.settled && t.board.Unheard() == 0 {
 		t.settled = true
 	}
-	if !t.settled && t.predecessor.Over(now) {
+	if !t.settled && t.ended(now, c, t.predecessor.EndsAt()) {
 		t.settled = true
 		c.log.Warn().Int("workers", t.board.Unheard()).Msg("workers did not report to this term; what they ran has ended")
 		t.board.Settle()
 	}
 }
+
+// ended reports whether what must have ended by a time has ended, and has the
+// term proven if that is missing. The caller holds mu.
+func (t *term) ended(now time.Time, c *Coordinator, by time.Time) bool {
+	ended, ask := t.holder.Ended(now, by)
+	if ask && !t.unproven {
+		t.unproven = true
+		kick(c.persist)
+	}
+	return ended
+}
--- /dev/null
+++ b/internal/explore/term/entry.go
@@ -0,0 +1,407 @@
+package term
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/tenure"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
+)
+
+// Times of the modelled entries, as those of the real ones.
+const (
+	followEvery = 300 * time.Millisecond
+	readEvery   = 500 * time.Millisecond
+	proveEvery  = 2 * time.Second
+)
+
+// entry models an entry that may dispatch.
+type entry struct {
+	process
+	index     int
+	name      string
+	candidate tenure.Candidate
+	followed  time.Time
+	term      *dispatching
+	// apartUntil is until when it reaches neither the store nor other entries.
+	apartUntil time.Duration
+}
+
+// dispatching is what an entry holds while it dispatches.
+type dispatching struct {
+	number      uint64
+	board       dispatch.Board
+	holder      tenure.Holder
+	predecessor tenure.Predecessor
+	before      tenure.Claim
+	agents      map[string]*link
+	known       map[string]bool
+	settled     bool
+	unproven    bool
+	seq         uint64
+	read        time.Time
+	// change is being stored under the next sequence number.
+	change  *dispatch.Change
+	records []store.Record
+}
+
+// link is what a dispatcher knows of one agent.
+type link struct {
+	conn   *conn
+	heard  time.Time
+	lapsed bool
+}
+
+func newEntry(w *world, i int) *entry {
+	return &entry{process: newProcess(w), index: i, name: fmt.Sprintf("e%d", i)}
+}
+
+func (e *entry) restart(down time.Duration) {
+	e.generation++
+	e.downUntil = e.w.now + down
+	e.candidate, e.term, e.followed = tenure.Candidate{}, nil, time.Time{}
+}
+
+func (e *entry) tick() {
+	now := e.clock()
+	if e.term != nil {
+		e.dispatch(now)
+		return
+	}
+	if now.Sub(e.followed) >= followEvery {
+		e.followed = now
+		e.follow(now)
+	}
+	if claim, _ := e.candidate.Decide(now, e.index, 0); claim {
+		e.claim(now)
+	}
+}
+
+// yield ends the term if a peer knows a later one.
+func (e *entry) yield(known uint64) {
+	if e.term != nil && known > e.term.number {
+		e.resign()
+	}
+}
+
+// port returns the store as the entry reaches it.
+func (e *entry) port() *store.Port {
+	if e.w.now < e.apartUntil {
+		return &e.w.away
+	}
+	return &e.w.port
+}
+
+func (e *entry) resign() {
+	e.candidate.Resigned(e.term.number)
+	e.term = nil
+}
+
+// reaches reports whether another entry answers now.
+func (e *entry) reaches(o *entry) bool {
+	if e.w.now < max(e.apartUntil, o.apartUntil) {
+		return false
+	}
+	return !e.cut() && !o.cut() && e.w.now >= o.frozenUntil && e.w.now >= o.downUntil
+}
+
+// follow hears the dispatcher, and learns later claims from all entries.
+func (e *entry) follow(now time.Time) {
+	for _, o := range e.w.entries {
+		if o == e || !e.reaches(o) {
+			continue
+		}
+		o.yield(e.candidate.Claim().Term)
+		e.candidate.Learn(now, o.candidate.Claim())
+		claim := e.candidate.Claim()
+		switch {
+		case o.name != claim.Entry:
+		case o.term != nil && o.term.number == claim.Term:
+			e.candidate.Hear(now, claim.Term)
+		case o.generation != claim.Incarnation:
+			e.candidate.Resigned(claim.Term)
+		}
+	}
+}
+
+// claim takes the dispatch over through the store.
+func (e *entry) claim(now time.Time) {
+	found, end, _, err := e.port().NewestClaim(nil)
+	if err != nil || e.candidate.Learn(now, found) {
+		return
+	}
+	own := tenure.Claim{Entry: e.name, Incarnation: e.generation, Address: e.name}
+	record, err := store.ClaimRecord(&own)
+	if err != nil {
+		return
+	}
+	a := store.Append{Topic: store.TopicDispatch, At: end, AtSet: true, Records: []store.Record{record}}
+	if e.w.random.IntN(10) == 0 { // carried out late, and not answered
+		e.w.after(e.w.upTo(4*time.Second), func() { _, _ = e.w.port.Append(nil, a) })
+		return
+	}
+	if _, err = e.port().Append(nil, a); err != nil {
+		return
+	}
+	own.Term = end + 1
+	e.begin(now, own, found)
+}
+
+// begin reads the state and begins to dispatch.
+func (e *entry) begin(now time.Time, own, before tenure.Claim) {
+	e.candidate.Learn(now, own)
+	t := &dispatching{number: own.Term, before: before, agents: make(map[string]*link), known: make(map[string]bool)}
+	if _, err := e.port().Append(nil, store.Append{Topic: store.TopicProgress, Term: t.number}); err != nil {
+		e.candidate.Resigned(own.Term)
+		return
+	}
+	t.holder.Prove(now)
+	named, _, err := e.port().All(nil, store.TopicWorkers)
+	book, readErr := e.readBook()
+	if err != nil || readErr != nil {
+		e.candidate.Resigned(own.Term)
+		return
+	}
+	if before.Term != 0 {
+		t.predecessor.Follow(now)
+		if before.Entry == e.name {
+			t.predecessor.Dead(now)
+		}
+	}
+	var workers []string
+	for _, r := range named {
+		workers = append(workers, r.Key)
+		t.known[r.Key] = true
+	}
+	t.board.Begin(t.number, workers)
+	t.board.SetQueues(map[string]dispatch.Queue{"q": {Service: "s", Attempts: 3, Stretch: 2, Target: time.Second}})
+	book.Each(func(_ string, j *workflow.Entry) {
+		if j.Submission() != nil {
+			t.board.Admit(now, e.wall(), j.Submission(), j.Progress(), true)
+		}
+	})
+	e.term = t
+}
+
+func (e *entry) wall() int64 { return e.w.true().UnixMilli() }
+
+func (e *entry) readBook() (*workflow.Book, error) {
+	book := new(workflow.Book)
+	for _, topic := range []store.Topic{store.TopicIntake, store.TopicProgress} {
+		records, _, err := e.port().All(nil, topic)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range records {
+			if _, err := book.Apply(r.Record); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return book, nil
+}
+
+// dispatch does what a dispatcher does again and again.
+func (e *entry) dispatch(now time.Time) {
+	t := e.term
+	e.watch(now)
+	if e.w.rules.Valid(&t.holder, now) {
+		e.order(now)
+	}
+	if now.Sub(t.read) >= readEvery {
+		t.read = now
+		if book, err := e.readBook(); err == nil {
+			book.Each(func(_ string, j *workflow.Entry) {
+				if j.Submission() != nil {
+					e.admit(now, t, j)
+				}
+			})
+			t.board.CaughtUp(now, now)
+		}
+	}
+	if e.term == t {
+		e.flush(now)
+	}
+}
+
+// admit takes in a job that was accepted while this entry dispatches.
+func (e *entry) admit(now time.Time, t *dispatching, j *workflow.Entry) {
+	known := j.Submission().Term
+	if e.w.rules.AllNew {
+		known = t.number
+	}
+	if known > t.number {
+		e.yield(known)
+		return
+	}
+	t.board.Admit(now, e.wall(), j.Submission(), j.Progress(), known < t.number)
+}
+
+// over reports whether what must have ended by a time has ended.
+func (e *entry) over(now, by time.Time) bool {
+	ended := e.w.rules.Ended(&e.term.holder, now, by)
+	e.term.unproven = e.term.unproven || !ended && !now.Before(by)
+	return ended
+}
+
+// watch looks at which workers are silent or have lapsed, and whether the
+// earlier dispatcher's runs have ended.
+func (e *entry) watch(now time.Time) {
+	t := e.term
+	for name, l := range t.agents {
+		if now.Sub(l.heard) > silentAfter {
+			t.board.Silent(name)
+		}
+		if !l.lapsed && e.over(now, e.w.rules.LapsesAt(l.heard)) {
+			l.lapsed = true
+			t.board.Lapsed(now, name)
+		}
+	}
+	for _, o := range e.w.entries {
+		if o.name == t.before.Entry && e.reaches(o) && (o.generation != t.before.Incarnation || o.term == nil) {
+			t.predecessor.Dead(now)
+		}
+	}
+	if !t.settled && (t.board.Unheard() == 0 || e.over(now, e.w.rules.EndsAt(&t.predecessor))) {
+		t.settled = true
+		t.board.Settle()
+	}
+}
+
+// order sends the orders that are due.
+func (e *entry) order(now time.Time) {
+	t := e.term
+	orders := t.board.Decide(now, e.wall())
+	starts, stops := make(map[string][]dispatch.Start), make(map[string][]dispatch.Stop)
+	for _, s := range orders.Starts() {
+		starts[s.Worker] = append(starts[s.Worker], s)
+	}
+	for _, s := range orders.Stops() {
+		stops[s.Worker] = append(stops[s.Worker], s)
+	}
+	for _, a := range e.w.agents {
+		l := t.agents[a.name]
+		if l == nil || l.conn == nil || len(starts[a.name])+len(stops[a.name]) == 0 {
+			continue
+		}
+		c, number, some, others := l.conn, t.number, starts[a.name], stops[a.name]
+		c.send(&a.process, func() { a.ordered(c, number, some, others) })
+	}
+}
+
+// flush stores the board's changes; only then runners forget ends.
+func (e *entry) flush(now time.Time) {
+	t := e.term
+	if t.change == nil && t.board.Changed() {
+		t.change = t.board.TakeChange()
+		for id, p := range t.change.Jobs() {
+			if r, err := workflow.ProgressRecord(id, p); err == nil {
+				t.records = append(t.records, r)
+			}
+		}
+		if e.w.rules.NoteFirst {
+			e.noted(t.change)
+		}
+	}
+	if t.change == nil && !t.unproven && now.Sub(t.holder.Proven()) < proveEvery {
+		return
+	}
+	t.unproven = false
+	_, err := e.port().Append(nil, store.Append{Topic: store.TopicProgress, Records: t.records, Term: t.number, Seq: t.seq + 1})
+	switch {
+	case err == nil:
+		t.holder.Prove(now)
+		if len(t.records) > 0 {
+			t.seq++
+		}
+		if t.change != nil {
+			e.noted(t.change)
+		}
+		t.change, t.records = nil, nil
+	case errors.Is(err, store.ErrFenced):
+		e.resign()
+	}
+}
+
+func (e *entry) noted(change *dispatch.Change) {
+	type note struct{ life, end uint64 }
+	notes := make(map[string]note)
+	change.EachNote(func(worker string, life, end uint64) { notes[worker] = note{life, end} })
+	for _, a := range e.w.agents {
+		n, ok := notes[a.name]
+		if l := e.term.agents[a.name]; ok && l != nil && l.conn != nil {
+			c := l.conn
+			c.send(&a.process, func() { a.note(c, n.life, n.end) })
+		}
+	}
+}
+
+// reported takes in a worker's whole state, once the store names the worker.
+func (e *entry) reported(c *conn, w *dispatch.Worker, rows []dispatch.Row, ends []dispatch.End) {
+	t := e.term
+	if t == nil {
+		c.broken = true
+		return
+	}
+	now := e.clock()
+	if !t.known[w.Name] && !e.w.rules.NoWorkers {
+		record := store.Record{Key: w.Name, Value: []byte{1}}
+		_, err := e.port().Append(nil, store.Append{Topic: store.TopicWorkers, Records: []store.Record{record}})
+		if err == nil && !e.w.rules.UnprovenWorkers {
+			_, err = e.port().Append(nil, store.Append{Topic: store.TopicProgress, Term: t.number, Seq: t.seq + 1})
+		}
+		if err != nil {
+			e.w.after(followEvery, func() { c.deliver(&e.process, 0, func() { e.reported(c, w, rows, ends) }) })
+			return
+		}
+		t.known[w.Name] = true
+	}
+	t.agents[w.Name] = &link{conn: c, heard: now}
+	t.board.Report(now, e.wall(), w, rows, ends)
+}
+
+// from returns the link of a connection that has reported to the present term.
+func (e *entry) from(c *conn) *link {
+	if e.term == nil {
+		c.broken = true
+		return nil
+	}
+	if l := e.term.agents[c.a.name]; l != nil && l.conn == c {
+		return l
+	}
+	return nil
+}
+
+func (e *entry) pinged(c *conn, w *dispatch.Worker, rows []dispatch.Row, seq uint64) {
+	l := e.from(c)
+	if l == nil {
+		return
+	}
+	if l.lapsed {
+		c.broken = true // the agent has to report anew
+		return
+	}
+	now := e.clock()
+	granted := e.w.rules.Valid(&e.term.holder, now)
+	if granted {
+		l.heard = now
+	}
+	e.term.board.Describe(now, w, rows)
+	number := e.term.number
+	c.send(&c.a.process, func() { c.a.pong(c, number, seq, granted) })
+}
+
+func (e *entry) ended(c *conn, life uint64, ends []dispatch.End) {
+	if e.from(c) != nil {
+		e.term.board.Ended(e.clock(), e.wall(), c.a.name, life, ends)
+	}
+}
+
+func (e *entry) refused(c *conn, life uint64, k runKey) {
+	if e.from(c) != nil {
+		e.term.board.Refused(e.clock(), e.wall(), c.a.name, life, k.task, k.run)
+	}
+}
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -52,6 +52,8 @@
 	advised   bool
 	questions map[uint64]*question
 	asked     uint64
+	// unknowns are the workers that list something of jobs that are not known.
+	unknowns map[*host]struct{}
 }
 
 // noted is up to which end a worker's list has been taken in.
@@ -73,6 +75,7 @@
 	b.ready = make(map[*stepState]struct{})
 	b.dirty = make(map[*jobState]struct{})
 	b.notes = make(map[string]noted)
+	b.unknowns = make(map[*host]struct{})
 	if term > 1 {
 		b.runBase = (term - 1) * runsPerTerm
 	}
@@ -244,6 +247,9 @@
 	// asking counts the open questions of its agent, which asks none before asksAfter.
 	asking    int
 	asksAfter time.Time
+	// lastEnd is the number of the last end taken in.
+	lastEnd uint64
+	unknown unknown
 }
 
 func (h *host) free() worker.Resources { return h.capacity.Minus(h.used) }
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -57,6 +57,8 @@
 	Question uint64            `json:"question"`
 	Tickets  map[string]string `json:"tickets"`
 	ValidMS  int64             `json:"valid-ms"`
+	// Noted are the ends wanted up to which workers may forget: "worker number"; not compared if missing.
+	Noted []string `json:"noted"`
 	// Phase is the phase wanted of the job.
 	Phase string `json:"phase"`
 }
@@ -145,6 +147,11 @@
 			}
 			compare(t, fmt.Sprintf("event %d (%s): lost", i, e.Do), lost, e.Lost)
 		}
+		if e.Noted != nil {
+			var noted []string
+			b.TakeChange().EachNote(func(worker string, _, end uint64) { noted = append(noted, fmt.Sprintf("%s %d ", worker, end)) })
+			compare(t, fmt.Sprintf("event %d (%s): noted", i, e.Do), noted, e.Noted)
+		}
 		if e.Phase != "" {
 			got := "unknown"
 			if p, ok := b.Phase(e.Job); ok {
@@ -167,6 +174,9 @@
 	}
 	for i := range got {
 		g, w := strings.Fields(got[i]), strings.Fields(want[i])
+		if len(w) < 3 {
+			g, w = append(g, ""), append(w, "")
+		}
 		if g[0] != w[0] || g[1] != w[1] || w[2] != "*" && g[2] != w[2] || len(w) > 3 && (len(g) < 4 || g[3] != w[3]) {
 			t.Errorf("%s: got %q, want %q", what, got, want)
 			return
@@ -208,6 +218,8 @@
 		b.Silent(e.Worker)
 	case "lapsed":
 		b.Lapsed(now, e.Worker)
+	case "caught-up":
+		b.CaughtUp(now, now)
 	case "settle":
 		b.Settle()
 	case "wait":
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -25,6 +25,7 @@
 	if !j.phase.Ended() {
 		b.advance(now, wallMS, j)
 	}
+	b.recall(now, wallMS, sub.ID)
 }
 
 // Cancel ends a job: its runs are stopped and nothing of it starts again.
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -8,6 +8,8 @@
 
 // vacate ends every run at a worker.
 func (b *Board) vacate(now time.Time, h *host) {
+	h.unknown = unknown{}
+	delete(b.unknowns, h)
 	for _, r := range h.runs {
 		b.lost = append(b.lost, Lost{Task: r.id, Run: r.number, Worker: h.name})
 		b.finish(now, 0, h, &End{Task: r.id, Run: r.number, How: HowGone})
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -88,12 +88,19 @@
 		b.vacate(now, h)
 		h.life = w.Life
 		h.health = health{}
+		h.lastEnd = 0
 	}
+	h.unknown = unknown{}
+	delete(b.unknowns, h)
 	b.describe(now, h, w)
 	b.Ended(now, wallMS, w.Name, w.Life, ends)
 	listed := make(map[workflow.TaskID]uint64, len(rows))
 	for i := range rows {
 		listed[rows[i].Task] = rows[i].Run
+		if b.jobs[rows[i].Task.Job] == nil {
+			b.keepRow(now, h, &rows[i])
+			continue
+		}
 		b.adopt(now, h, &rows[i])
 	}
 	for id, r := range h.runs {
@@ -210,10 +217,15 @@
 	}
 	for i := range ends {
 		e := &ends[i]
-		b.finish(now, wallMS, h, e)
-		if n := b.notes[name]; n.life != life || n.end < e.Number {
-			b.notes[name] = noted{life: life, end: e.Number}
+		h.lastEnd = max(h.lastEnd, e.Number)
+		if b.jobs[e.Task.Job] == nil {
+			b.keepEnd(now, h, e)
+			continue
 		}
+		b.finish(now, wallMS, h, e)
+	}
+	if len(ends) > 0 {
+		b.note(h)
 	}
 }
 
--- a/pkg/tenure/tenure.go
+++ b/pkg/tenure/tenure.go
@@ -32,9 +32,9 @@
 // withDrift returns how long to wait for d to have passed on any other clock.
 func withDrift(d time.Duration) time.Duration { return d + d/driftShare + slack }
 
-// Lapsed reports whether everything on a worker has ended by now, if the last
-// ping that was answered arrived at heard.
-func Lapsed(now, heard time.Time) bool { return now.Sub(heard) >= withDrift(GrantFor) }
+// LapsesAt returns when everything on a worker has ended, if the last ping that
+// was answered arrived at heard and no later dispatcher has answered one since.
+func LapsesAt(heard time.Time) time.Time { return heard.Add(withDrift(GrantFor)) }
 
 // Claim is what the store says about the dispatcher.
 type Claim struct {
@@ -124,6 +124,17 @@
 // Proven returns when the newest accepted write was sent.
 func (h *Holder) Proven() time.Time { return h.proven }
 
+// Ended reports whether what must have ended by a time, unless a later dispatcher
+// granted more, has ended: a write sent after it was accepted under the term. Ask
+// is set if only such a write is missing.
+func (h *Holder) Ended(now, by time.Time) (ended, ask bool) {
+	if now.Before(by) {
+		return false, false
+	}
+	ended = !h.proven.Before(by)
+	return ended, !ended
+}
+
 // Valid reports whether workers may still be granted time.
 func (h *Holder) Valid(now time.Time) bool { return now.Sub(h.proven) < ProofFor }
 
@@ -144,15 +155,17 @@
 	}
 }
 
-// Over reports whether silent workers have ended whatever they ran.
-func (p *Predecessor) Over(now time.Time) bool {
+// EndsAt returns when silent workers have ended whatever they ran for an earlier
+// dispatcher; zero if there was none.
+func (p *Predecessor) EndsAt() time.Time {
 	if p.claimed.IsZero() {
-		return true
+		return time.Time{}
 	}
-	if !p.dead.IsZero() && now.Sub(p.dead) >= withDrift(GrantFor) {
-		return true
+	at := p.claimed.Add(withDrift(ProofFor + GrantFor))
+	if dead := p.dead.Add(withDrift(GrantFor)); !p.dead.IsZero() && dead.Before(at) {
+		return dead
 	}
-	return now.Sub(p.claimed) >= withDrift(ProofFor+GrantFor)
+	return at
 }
 
 // Grant holds at a worker how long it may go on. The zero value grants nothing.
--- a/pkg/tenure/tenure_test.go
+++ b/pkg/tenure/tenure_test.go
@@ -81,34 +81,52 @@
 		t.Errorf("left after the grant: got %v, want 0", got)
 	}
 	end := at(5000).Add(50 * time.Millisecond) // the runner's clock is slow by a hundredth
-	if Lapsed(end, at(0)) {
+	var h Holder
+	h.Prove(at(9000))
+	if got, _ := h.Ended(end, LapsesAt(at(0))); got {
 		t.Error("lapsed while a slow clock may still count: got true, want false")
 	}
-	if !Lapsed(at(5300), at(0)) {
+	if got, _ := h.Ended(at(5300), LapsesAt(at(0))); !got {
 		t.Error("lapsed 5.3 s after the last ping: got false, want true")
 	}
 }
 
+// A later dispatcher may have granted more to a worker that this one does not
+// hear, until a write under its own term shows that there was none.
+func TestLapseNeedsProof(t *testing.T) {
+	var h Holder
+	for _, tc := range []struct {
+		now, proven int64
+		ended, ask  bool
+	}{{5000, 4900, false, false}, {5400, 5200, false, true}, {5400, 5350, true, false}, {9000, 5350, true, false}} {
+		h.Prove(at(tc.proven))
+		if ended, ask := h.Ended(at(tc.now), LapsesAt(at(0))); ended != tc.ended || ask != tc.ask {
+			t.Errorf("at %d ms, proven at %d ms: got ended %v and ask %v, want %v and %v", tc.now, tc.proven, ended, ask, tc.ended, tc.ask)
+		}
+	}
+}
+
 func TestPredecessor(t *testing.T) {
+	over := func(p *Predecessor, ms int64) bool { return !at(ms).Before(p.EndsAt()) }
 	var none Predecessor
-	if !none.Over(at(0)) {
+	if !over(&none, 0) {
 		t.Error("without a predecessor: got not over, want over")
 	}
 	var silent Predecessor
 	silent.Follow(at(0))
-	if silent.Over(at(15000)) {
+	if over(&silent, 15000) {
 		t.Error("a silent predecessor may have proven itself just before: got over, want not")
 	}
-	if !silent.Over(at(15500)) {
+	if !over(&silent, 15500) {
 		t.Error("after proof and grant: got not over, want over")
 	}
 	var dead Predecessor
 	dead.Follow(at(0))
 	dead.Dead(at(100))
-	if dead.Over(at(5000)) {
+	if over(&dead, 5000) {
 		t.Error("a dead predecessor's grants still run: got over, want not")
 	}
-	if !dead.Over(at(5500)) {
+	if !over(&dead, 5500) {
 		t.Error("after a dead predecessor's grants: got not over, want over")
 	}
 }
--- a/pkg/workflow/progress.go
+++ b/pkg/workflow/progress.go
@@ -28,6 +28,9 @@
 	Spec  Spec   `cbor:"3,keyasint"`
 	// AcceptedMS is when an entry accepted it, in Unix milliseconds on that entry's clock.
 	AcceptedMS int64 `cbor:"4,keyasint"`
+	// Term is the newest term of the dispatch that the entry knew. A dispatcher of a
+	// later one takes the job for one that an earlier dispatcher may have started.
+	Term uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Progress is what lasts of a job besides its submission.
