--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -168,13 +168,15 @@
 
 // advised takes in the answer to a question. The caller holds mu.
 func (c *Coordinator) advised(now time.Time, t *term, asker string, a *peer.Advised) {
-	c.log.Info().Uint64("question", a.Seq).Str("asker", asker).Bool("failed", a.Failed).Int("allowed", len(a.Tickets)).Int64("valid-ms", a.ValidMS).Msg("advice received")
 	if a.Failed {
 		c.count("questions-failed", 1)
-		t.board.NotAdvised(now, a.Seq)
+		step, open := t.board.NotAdvised(now, a.Seq)
+		c.log.Warn().Str("step", step.String()).Bool("open", open).Uint64("question", a.Seq).Str("asker", asker).Msg("advice not received")
 		return
 	}
-	t.board.Advised(now, a.Seq, a.Tickets, time.Duration(a.ValidMS)*time.Millisecond)
+	step, open := t.board.Advised(now, a.Seq, a.Tickets, time.Duration(a.ValidMS)*time.Millisecond)
+	c.log.Info().Str("step", step.String()).Bool("open", open).Uint64("question", a.Seq).Str("asker", asker).Int("allowed", len(a.Tickets)).
+		Int64("valid-ms", a.ValidMS).Msg("advice received")
 }
 
 // pingOfAgent grants the agent more time. The caller holds mu.
--- a/internal/explore/term/entry.go
+++ b/internal/explore/term/entry.go
@@ -1,6 +1,7 @@
 package term
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -129,7 +130,7 @@
 
 // claim takes the dispatch over through the store.
 func (e *entry) claim(now time.Time) {
-	found, end, _, err := e.port().NewestClaim(nil)
+	found, end, _, err := e.port().NewestClaim(context.Background())
 	if err != nil || e.candidate.Learn(now, found) {
 		return
 	}
@@ -140,10 +141,10 @@
 	}
 	a := store.Append{Topic: store.TopicDispatch, At: end, AtSet: true, Records: []store.Record{record}}
 	if e.w.random.IntN(10) == 0 { // carried out late, and not answered
-		e.w.after(e.w.upTo(4*time.Second), func() { _, _ = e.w.port.Append(nil, a) })
+		e.w.after(e.w.upTo(4*time.Second), func() { _, _ = e.w.port.Append(context.Background(), a) })
 		return
 	}
-	if _, err = e.port().Append(nil, a); err != nil {
+	if _, err = e.port().Append(context.Background(), a); err != nil {
 		return
 	}
 	own.Term = end + 1
@@ -154,12 +155,12 @@
 func (e *entry) begin(now time.Time, own, before tenure.Claim) {
 	e.candidate.Learn(now, own)
 	t := &dispatching{number: own.Term, before: before, agents: make(map[string]*link), known: make(map[string]bool)}
-	if _, err := e.port().Append(nil, store.Append{Topic: store.TopicProgress, Term: t.number}); err != nil {
+	if _, err := e.port().Append(context.Background(), store.Append{Topic: store.TopicProgress, Term: t.number}); err != nil {
 		e.candidate.Resigned(own.Term)
 		return
 	}
 	t.holder.Prove(now)
-	named, _, err := e.port().All(nil, store.TopicWorkers)
+	named, _, err := e.port().All(context.Background(), store.TopicWorkers)
 	book, readErr := e.readBook()
 	if err != nil || readErr != nil {
 		e.candidate.Resigned(own.Term)
@@ -191,7 +192,7 @@
 func (e *entry) readBook() (*workflow.Book, error) {
 	book := new(workflow.Book)
 	for _, topic := range []store.Topic{store.TopicIntake, store.TopicProgress} {
-		records, _, err := e.port().All(nil, topic)
+		records, _, err := e.port().All(context.Background(), topic)
 		if err != nil {
 			return nil, err
 		}
@@ -310,7 +311,7 @@
 		return
 	}
 	t.unproven = false
-	_, err := e.port().Append(nil, store.Append{Topic: store.TopicProgress, Records: t.records, Term: t.number, Seq: t.seq + 1})
+	_, err := e.port().Append(context.Background(), store.Append{Topic: store.TopicProgress, Records: t.records, Term: t.number, Seq: t.seq + 1})
 	switch {
 	case err == nil:
 		t.holder.Prove(now)
@@ -349,9 +350,9 @@
 	now := e.clock()
 	if !t.known[w.Name] && !e.w.rules.NoWorkers {
 		record := store.Record{Key: w.Name, Value: []byte{1}}
-		_, err := e.port().Append(nil, store.Append{Topic: store.TopicWorkers, Records: []store.Record{record}})
+		_, err := e.port().Append(context.Background(), store.Append{Topic: store.TopicWorkers, Records: []store.Record{record}})
 		if err == nil && !e.w.rules.UnprovenWorkers {
-			_, err = e.port().Append(nil, store.Append{Topic: store.TopicProgress, Term: t.number, Seq: t.seq + 1})
+			_, err = e.port().Append(context.Background(), store.Append{Topic: store.TopicProgress, Term: t.number, Seq: t.seq + 1})
 		}
 		if err != nil {
 			e.w.after(followEvery, func() { c.deliver(&e.process, 0, func() { e.reported(c, w, rows, ends) }) })
--- a/internal/explore/term/term.go
+++ b/internal/explore/term/term.go
@@ -5,6 +5,7 @@
 package term
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -180,7 +181,7 @@
 	}}}
 	record, err := workflow.SubmissionRecord(sub)
 	if err == nil {
-		_, err = w.port.Append(nil, store.Append{Topic: store.TopicIntake, Records: []store.Record{record}})
+		_, err = w.port.Append(context.Background(), store.Append{Topic: store.TopicIntake, Records: []store.Record{record}})
 	}
 	if err != nil {
 		w.after(tick, func() { w.submit(i) }) // the caller hands it in again
@@ -192,7 +193,7 @@
 
 // checkJobs reports a job that is not completed, or completed without its work.
 func (w *world) checkJobs() error {
-	records, _, err := w.port.All(nil, store.TopicProgress)
+	records, _, err := w.port.All(context.Background(), store.TopicProgress)
 	if err != nil {
 		return err
 	}
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -42,6 +42,7 @@
 	Message string    `json:"message"`
 	Job     string    `json:"job"`
 	Task    string    `json:"task"`
+	Step    string    `json:"step"`
 	Run     uint64    `json:"run"`
 }
 
@@ -69,7 +70,7 @@
 			continue
 		}
 		var f fields
-		if json.Unmarshal(raw[start:], &f) != nil || f.Job != job && !strings.HasPrefix(f.Task, job+".") {
+		if json.Unmarshal(raw[start:], &f) != nil || !f.concern(job) {
 			continue
 		}
 		out = append(out, Line{at: f.Time, process: f.Process, message: f.Message, task: f.Task, run: f.Run, text: string(raw[start:])})
@@ -77,6 +78,11 @@
 	return out, errors.Wrap(scanner.Err(), "read log lines")
 }
 
+// concern reports whether a line is about a job, one of its steps or tasks.
+func (f *fields) concern(job string) bool {
+	return f.Job == job || strings.HasPrefix(f.Task, job+".") || strings.HasPrefix(f.Step, job+".")
+}
+
 // Order sorts lines by cause first and time second: the clocks of processes
 // disagree, but a run is ordered before its agent speaks of it, and ends after.
 func Order(lines []Line) []Line {
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -21,7 +21,7 @@
 		got = append(got, l.Process()+": "+l.message)
 	}
 	want := []string{
-		"front-a: job handed in", "front-b: start ordered", "w1: order refused", "front-b: start ordered",
+		"front-a: job handed in", "front-b: advice received", "front-b: start ordered", "w1: order refused", "front-b: start ordered",
 		"w2: filling task paced", "front-b: run ended", "front-b: job ended",
 	}
 	if strings.Join(got, "\n") != strings.Join(want, "\n") {
--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -266,11 +266,12 @@
 }
 
 // Advised takes in the answer to a question: the tickets of the workers that
-// are allowed, by instance, and how long they are valid.
-func (b *Board) Advised(now time.Time, seq uint64, tickets map[string]string, valid time.Duration) {
+// are allowed, by instance, and how long they are valid. It returns the step, or
+// false if the question was given up.
+func (b *Board) Advised(now time.Time, seq uint64, tickets map[string]string, valid time.Duration) (workflow.StepID, bool) {
 	open := b.questions[seq]
 	if open == nil {
-		return
+		return workflow.StepID{}, false
 	}
 	b.closeQuestion(now, seq, 0)
 	s := open.step
@@ -284,13 +285,18 @@
 		ticket, allowed := tickets[h.instance]
 		s.rulings.of[h] = ruling{life: life, allowed: allowed, ticket: ticket, until: now.Add(valid - ticketSlack)}
 	}
+	return s.stepID(), true
 }
 
-// NotAdvised notes that a question was refused or not answered.
-func (b *Board) NotAdvised(now time.Time, seq uint64) {
-	if b.questions[seq] != nil {
-		b.closeQuestion(now, seq, askAgainAfter)
+// NotAdvised notes that a question was refused or not answered. It returns the
+// step, or false if the question was given up.
+func (b *Board) NotAdvised(now time.Time, seq uint64) (workflow.StepID, bool) {
+	open := b.questions[seq]
+	if open == nil {
+		return workflow.StepID{}, false
 	}
+	b.closeQuestion(now, seq, askAgainAfter)
+	return open.step.stepID(), true
 }
 
 // Unticketed notes that a runner did not accept a task's ticket.
