Hand the dispatch over sooner when the store fails the dispatcher alone

Ends are shown once they are stored, so that each job that ended in the two seconds before the handover was late.

Change: handed over after 0.7 s, if the store has answered another entry 0.3 s or more after this one's first failure; in an outage for all nobody resigns.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -165,7 +165,7 @@
 	}
 	name := c.chooseHeir(clock.Steady())
 	for _, l := range c.links {
-		if l.name == name && l.storeAge < resignAfter {
+		if l.name == name && l.storeAge < heirAge {
 			return l.calls
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -77,7 +77,9 @@
 	storeSeen time.Time
 	// storeFails counts calls to the store in a row that it did not carry out or answer.
 	storeFails int
-	candidate  tenure.Candidate
+	// storeFailed is when the first of these calls began.
+	storeFailed time.Time
+	candidate   tenure.Candidate
 	// entries are the peer addresses of entries, with their names where known.
 	entries map[string]string
 	// links are the connections of other entries to this one, by their address.
@@ -165,16 +167,19 @@
 	began := clock.Steady()
 	v, err := fn(ctx)
 	c.countCall(began, extra, err)
-	c.noteCall(err)
+	c.noteCall(began, err)
 	return v, err
 }
 
-// noteCall updates what is believed of the store.
-func (c *Coordinator) noteCall(err error) {
+// noteCall updates what is believed of the store from a call that began at a time.
+func (c *Coordinator) noteCall(began time.Time, err error) {
 	c.mu.Lock()
 	now := clock.Steady()
 	if errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrUnknown) {
 		before := c.storeAway(now)
+		if c.storeFails == 0 {
+			c.storeFailed = began
+		}
 		c.storeFails++
 		lost := !before && c.storeAway(now)
 		c.mu.Unlock()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
@@ -288,3 +289,34 @@
 		t.Error("connection of a lost worker that pings: got open, want closed")
 	}
 }
+
+// The dispatch is handed over when the store fails the dispatcher alone, and
+// not in an outage for all, when nobody could take it.
+func TestFailedAlone(t *testing.T) {
+	now := clock.Steady()
+	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	for _, tc := range []struct {
+		name          string
+		fails         int
+		failed, heard int64
+		// age is how old the other entry's last answer was when it was heard.
+		age  int64
+		want bool
+	}{
+		{"the other entry was served after the first failure", 5, 1000, 100, 200, true},
+		{"an outage for all", 5, 1000, 100, 950, false},
+		{"the other entry was served just before", 5, 1000, 100, 700, false},
+		{"too early", 5, 600, 50, 0, false},
+		{"single lost answers", 2, 1000, 100, 100, false},
+		{"the other entry is silent", 5, 2000, 1000, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newTest(t, "entry-a", &standin.Store{})
+			c.storeFails, c.storeFailed, c.storeSeen = tc.fails, ago(tc.failed), ago(tc.failed+50)
+			c.links["b"] = &entryLink{name: "entry-b", heard: ago(tc.heard), storeAge: time.Duration(tc.age) * time.Millisecond}
+			if got := c.failedAlone(now); got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -13,9 +13,18 @@
 	"savoryhoist.example/savoryhoist/pkg/tenure"
 )
 
-// resignAfter is how long the store does not answer the dispatcher before
-// another entry that reaches it takes over; the store is read every second.
-const resignAfter = 2 * time.Second
+// resignAfter is how long the store fails the dispatcher before another entry
+// that reaches it takes over: ends that are not stored are not shown to callers,
+// and a single lost answer is repeated within 0.2 s.
+const resignAfter = 700 * time.Millisecond
+
+// servedAfter is how much later than the dispatcher's first failure the store
+// must have answered another entry, to tell a refusal of one from an outage for all.
+const servedAfter = 300 * time.Millisecond
+
+// heirAge is how old an entry's last answer from the store may be for it to
+// store records of another one; it reads the store every second.
+const heirAge = 2 * time.Second
 
 // decideGap bounds how often the board decides, to batch what arrives together.
 const decideGap = 4 * time.Millisecond
@@ -300,16 +309,24 @@
 	return best.name
 }
 
-// considerResigning gives the term up if this entry cannot reach the store and another can.
-func (c *Coordinator) considerResigning(now time.Time, t *term) {
-	c.mu.Lock()
-	lost := now.Sub(c.storeSeen) > resignAfter
-	another := false
+// failedAlone reports whether the store fails this entry while it serves
+// another one. The caller holds mu.
+func (c *Coordinator) failedAlone(now time.Time) bool {
+	if !c.storeAway(now) || now.Sub(c.storeFailed) < resignAfter {
+		return false
+	}
 	for _, l := range c.links {
-		if now.Sub(l.heard) < silentAfter && l.storeAge < resignAfter/2 {
-			another = true
+		if now.Sub(l.heard) < silentAfter && l.heard.Add(-l.storeAge).Sub(c.storeFailed) > servedAfter {
+			return true
 		}
 	}
+	return false
+}
+
+// considerResigning gives the term up if this entry cannot reach the store and another can.
+func (c *Coordinator) considerResigning(now time.Time, t *term) {
+	c.mu.Lock()
+	alone := c.failedAlone(now)
 	newer := c.candidate.Claim().Term > t.number
 	leaving := c.leaving && c.chooseHeir(now) != ""
 	c.mu.Unlock()
@@ -318,7 +335,7 @@
 		c.resign(t, "a later term has begun")
 	case leaving:
 		c.resign(t, "the entry is leaving")
-	case lost && another:
+	case alone:
 		c.resign(t, "another entry reaches the store, this one does not")
 	}
 }
