--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -35,8 +35,8 @@
 	lookGap = 25 * time.Millisecond
 	// retryAfter is the delay after a call to the runner that failed.
 	retryAfter = 200 * time.Millisecond
-	// latestEffect is how long a start without an answer may still take effect:
-	// 12 seconds by the platform's pages, and a second for its way.
+	// latestEffect is how long a start without an answer may still take effect: a
+	// runner may carry it out up to 12 seconds late.
 	latestEffect = 13 * time.Second
 	// shortestGrant is what must be left of a grant for a start.
 	shortestGrant = 500 * time.Millisecond
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,7 +79,7 @@
 		a.count("starts-unanswered")
 		a.log.Warn().Err(err).Str("task", k.task.String()).Uint64("run", k.run).Msg("start not answered")
 		a.mu.Lock()
-		a.late[k] = clock.Steady().Add(latestEffect)
+		a.noteLate(clock.Steady(), k)
 		a.mu.Unlock()
 		if a.awaitListed(ctx, k) {
 			return
@@ -151,13 +152,18 @@
 	for k, until := range a.late {
 		if now.Before(until) {
 			out = append(out, k)
-		} else {
-			delete(a.late, k)
 		}
 	}
 	return out
 }
 
+// noteLate notes a start without an answer and forgets those that are too old
+// to take effect. The caller holds mu.
+func (a *Attendant) noteLate(now time.Time, k runKey) {
+	maps.DeleteFunc(a.late, func(_ runKey, until time.Time) bool { return !now.Before(until) })
+	a.late[k] = now.Add(latestEffect)
+}
+
 // settle makes sure that strays never run in a life, and reports it only then.
 func (a *Attendant) settle(ctx context.Context, life uint64, strays []runKey) {
 	for _, k := range strays {
--- a/internal/explore/term/agent.go
+++ b/internal/explore/term/agent.go
@@ -201,6 +201,7 @@
 	return true
 }
 
+// take replaces what is known of the runner.
 func (a *agent) take(now time.Time, runs []standin.Listed, ends []standin.Finished) {
 	a.clockMS, a.clockAt, a.sure = a.runner.Clock(a.w.true()), now, now.Add(sureFor)
 	a.rows, a.ends = nil, nil
@@ -236,7 +237,7 @@
 	}
 }
 
-// take carries orders out.
+// ordered carries orders out.
 func (a *agent) ordered(c *conn, term uint64, starts []dispatch.Start, stops []dispatch.Stop) {
 	if a.conn != c || term != a.term {
 		return
