Say why long-running tasks wait, and log the health of workers

Neither logs nor metrics told why a long-running task got no worker, so that the three hypotheses could not be told apart.

The dispatcher now logs, once a second, the long-running steps that have waited for two seconds and counts the workers by what excludes them, and each change of a worker's health with the jobs that failed there and the outcome of a probe.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -68,6 +68,8 @@
 	orders := t.scheduler.Decide(now, clock.WallMS())
 	c.noteDecision(now, t)
 	c.logTargets(now, t)
+	c.logHealth(now, t)
+	c.logWaiting(now, t)
 	out := make(map[string]*peer.Orders)
 	ordersTo := func(worker string) *peer.Orders {
 		if out[worker] == nil {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -38,6 +38,8 @@
 	strongerSoughtAt time.Time
 	// targetsLoggedAt is when the readings of serving tasks were last logged.
 	targetsLoggedAt time.Time
+	// waitingLoggedAt is when waiting long-running tasks were last logged.
+	waitingLoggedAt time.Time
 	// renewalDue is set if the store has to accept a write under the term before leases can be
 	// regarded as expired; see leasesExpired.
 	renewalDue bool
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -31,6 +31,7 @@
 // recordOutcome updates the health of a run's worker after the run has ended.
 func (sc *Scheduler) recordOutcome(now time.Time, r *run, how Outcome) {
 	h := &r.worker.health
+	suspect, probed := h.outcomes.Suspect(), h.probe == r
 	switch how {
 	case OutcomeDone:
 		h.outcomes.RecordSuccess()
@@ -46,6 +47,7 @@
 	}
 	h.probe = nil
 	sc.noteHealth(r.worker)
+	sc.addHealthChange(r.worker, suspect, probed, how)
 }
 
 // noteHealth updates the set of suspect workers after a change of a worker's health.
@@ -68,6 +70,7 @@
 	h.probe = nil
 	sc.noteHealth(r.worker)
 	sc.noteChange(r.worker)
+	sc.addHealthChange(r.worker, true, true, OutcomeDone)
 }
 
 // usable reports whether a worker's health allows it to get a task.
@@ -77,3 +80,39 @@
 	}
 	return h.outcomes.MayProbe(now) && h.probe == nil
 }
+
+// HealthChange is a change of what the scheduler holds of a worker's health.
+type HealthChange struct {
+	Worker string
+	// Suspect is set if the worker is suspect after the change.
+	Suspect bool
+	// Probed is set if the change follows from the end of a probe, which ended with Outcome.
+	Probed  bool
+	Outcome Outcome
+	// FailedJobs are the jobs that have failed on the worker since its last success, and NextProbe
+	// is the earliest time of the next probe of a suspect worker.
+	FailedJobs []string
+	NextProbe  time.Time
+}
+
+// addHealthChange records a change of a worker's health if the worker became suspect, was probed, or is
+// no longer suspect.
+func (sc *Scheduler) addHealthChange(w *workerState, wasSuspect, probed bool, how Outcome) {
+	h := &w.health.outcomes
+	if h.Suspect() == wasSuspect && !probed {
+		return
+	}
+	sc.healthChanges = append(sc.healthChanges, HealthChange{
+		Worker: w.name, Suspect: h.Suspect(), Probed: probed, Outcome: how, FailedJobs: h.FailedJobs(), NextProbe: h.ProbeAt(),
+	})
+}
+
+// TakeHealthChanges returns the changes of workers' health since the last call.
+func (sc *Scheduler) TakeHealthChanges() []HealthChange {
+	out := sc.healthChanges
+	sc.healthChanges = nil
+	return out
+}
+
+// SuspectWorkers returns the number of suspect workers.
+func (sc *Scheduler) SuspectWorkers() int { return len(sc.suspects) }
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -77,6 +77,8 @@
 	pendingStops []Stop
 	// lostRuns are the lost runs that the next call of TakeLostRuns returns.
 	lostRuns []LostRun
+	// healthChanges are the changes that the next call of TakeHealthChanges returns.
+	healthChanges []HealthChange
 	// remoteRackSlowdown is the factor by which a task takes longer on another rack than that of
 	// its data.
 	remoteRackSlowdown float64
--- a/pkg/worker/health.go
+++ b/pkg/worker/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -47,6 +48,13 @@
 // with no success in between. Such a worker gets no tasks other than probes.
 func (h *Health) Suspect() bool { return h.failedJobCount >= suspectAfterJobs }
 
+// FailedJobs returns the distinct jobs that have failed on the worker since its last success, at most as
+// many as make it suspect.
+func (h *Health) FailedJobs() []string { return slices.Clone(h.failedJobs[:h.failedJobCount]) }
+
+// ProbeAt returns the earliest time of a suspect worker's next probe.
+func (h *Health) ProbeAt() time.Time { return h.probeAt }
+
 // MayProbe reports whether a suspect worker is due to be probed with one task.
 func (h *Health) MayProbe(now time.Time) bool { return !now.Before(h.probeAt) }
 
