Count only probes that were due as failed probes of a worker

Cause: three jobs that fail on a worker make it suspect. Each further failure of a run that had been started before doubled the delay to its next probe as if it were a failed probe, from 5 s up to 5 min: of 40 tasks that fail side by side, three make the worker suspect and the others keep it out for minutes after it is sound again. Class: a sanction that outlasts its cause, by evidence that is none.

Change: a failure on a suspect worker counts as a failed probe only if a probe was due.

--- a/pkg/worker/health.go
+++ b/pkg/worker/health.go
@@ -65,12 +65,15 @@
 	h.failedProbes = 0
 }
 
-// RecordFailure records a failed run whose cause may be the worker.
+// RecordFailure records a failed run whose cause may be the worker. The failure of a run on a suspect
+// worker that is not due to be probed is none of a probe and does not delay the next one.
 func (h *Health) RecordFailure(now time.Time, job string) {
 	h.failureRate += (1 - h.failureRate) * newestOutcomeWeight
 	if h.Suspect() {
-		h.failedProbes++
-		h.probeAt = now.Add(backoff(firstProbeDelay, h.failedProbes, maxProbeDelay))
+		if h.MayProbe(now) {
+			h.failedProbes++
+			h.probeAt = now.Add(backoff(firstProbeDelay, h.failedProbes, maxProbeDelay))
+		}
 		return
 	}
 	for _, known := range h.failedJobs[:h.failedJobCount] {
