Let long-running tasks probe suspect workers that alone have room

Cause: a suspect worker takes no task before its next probe is due, 5 s after it became suspect and then 10, 20, 40 s after each failed one. A long-running task has to run again six seconds after its last run. The delay protects tasks whose failures are counted; those of long-running tasks are not.

Change: a long-running task that no sound worker has room for probes a suspect worker three seconds after its last failure, one at a time, the worker that has not failed for longest first. With the two seconds after which the run proves the worker, other waiting tasks follow within six. The reference of TestDecideEqualsFullScan learns the same rule by a scan of all workers.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -232,6 +232,9 @@
 			c = sc.candidates(now, s, q)
 		}
 		if !c.start(now, i, o) {
+			if s.spec.LongRunning && sc.probeLongRunning(now, s, &q, i, o) {
+				continue
+			}
 			if s.spec.LongRunning && now.Sub(t.waitingSince) >= preemptionWait {
 				sc.preemptFor(now, s, q)
 			}
@@ -264,8 +267,14 @@
 // suitable reports whether a worker may run a step, apart from the placement policy and whether it
 // has room.
 func (sc *Scheduler) suitable(now time.Time, s *stepState, q *Queue, w *workerState) bool {
+	return sc.eligible(s, q, w) && w.health.usable(now)
+}
+
+// eligible reports whether a worker may run a step, apart from its health, the placement policy and whether
+// it has room.
+func (sc *Scheduler) eligible(s *stepState, q *Queue, w *workerState) bool {
 	return w.life != 0 && !w.silent && !w.leaseExpired && !w.draining && w.service == q.Service &&
-		(s.spec.Label == "" || w.labels[s.spec.Label]) && w.health.usable(now)
+		(s.spec.Label == "" || w.labels[s.spec.Label])
 }
 
 // chooseWorker returns the worker that one task of a gang, or one more run of a task, should run on, or
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -16,6 +16,10 @@
 	// provenAfter is how long a long-running task that tests a suspect worker has to stay at work for the
 	// worker to count as sound: it has no end that could show it.
 	provenAfter = 2 * time.Second
+	// longRunningProbeInterval is how long after a failed run a suspect worker may be probed with a
+	// long-running task, ahead of its next probe. With provenAfter it stays below the six seconds in which
+	// a long-running task has to run again.
+	longRunningProbeInterval = 3 * time.Second
 )
 
 // workerHealth is what the outcomes of runs say about a worker.
@@ -73,6 +77,40 @@
 	sc.addHealthChange(r.worker, true, true, OutcomeDone)
 }
 
+// mayProbeLongRunning reports whether a suspect worker may be probed with a long-running task: its failures
+// do not count, so it is probed more often than with other tasks.
+func (h *workerHealth) mayProbeLongRunning(now time.Time) bool {
+	return h.outcomes.Suspect() && h.probe == nil && now.Sub(h.outcomes.LastFailure()) >= longRunningProbeInterval
+}
+
+// probeLongRunning starts a task of a long-running step that no sound worker has room for on a suspect
+// worker, as its probe: on the one that has not failed for longest. It reports whether there is one.
+func (sc *Scheduler) probeLongRunning(now time.Time, s *stepState, q *Queue, index int, o *Orders) bool {
+	var best *workerState
+	for w := range sc.suspects {
+		if !w.health.mayProbeLongRunning(now) || !sc.eligible(s, q, w) || !s.permitted(now, q, w) || !sc.hasRoom(w, s, 0) {
+			continue
+		}
+		if best == nil || longerSound(w, best) {
+			best = w
+		}
+	}
+	if best == nil {
+		return false
+	}
+	sc.orderStart(now, s, index, best, s.tasks[index].lastRunNumber+1, "probe of a suspect worker: no sound worker has room", o)
+	return true
+}
+
+// longerSound reports whether the last failure on worker x is older than on y; ties are broken by name.
+func longerSound(x, y *workerState) bool {
+	xFailed, yFailed := x.health.outcomes.LastFailure(), y.health.outcomes.LastFailure()
+	if !xFailed.Equal(yFailed) {
+		return xFailed.Before(yFailed)
+	}
+	return x.name < y.name
+}
+
 // usable reports whether a worker's health allows it to get a task.
 func (h *workerHealth) usable(now time.Time) bool {
 	if !h.outcomes.Suspect() {
--- a/pkg/dispatch/placement_test.go
+++ b/pkg/dispatch/placement_test.go
@@ -54,6 +54,9 @@
 			continue
 		}
 		w := sc.chooseWorker(now, s, t, q, nil)
+		if w == nil && s.spec.LongRunning {
+			w = sc.probeWorkerByFullScan(now, s, q)
+		}
 		if w == nil {
 			if s.spec.LongRunning && now.Sub(t.waitingSince) >= preemptionWait {
 				sc.preemptFor(now, s, q)
@@ -64,6 +67,22 @@
 	}
 }
 
+// probeWorkerByFullScan returns the suspect worker that a long-running task probes, or nil.
+func (sc *Scheduler) probeWorkerByFullScan(now time.Time, s *stepState, q Queue) *workerState {
+	var due []*workerState
+	for _, w := range sc.fleet {
+		if w.health.mayProbeLongRunning(now) && sc.eligible(s, &q, w) && s.permitted(now, &q, w) && sc.hasRoom(w, s, 0) {
+			due = append(due, w)
+		}
+	}
+	if len(due) == 0 {
+		return nil
+	}
+	return slices.MinFunc(due, func(x, y *workerState) int {
+		return cmp.Or(x.health.outcomes.LastFailure().Compare(y.health.outcomes.LastFailure()), strings.Compare(x.name, y.name))
+	})
+}
+
 // stream plays the same random events to two schedulers.
 type stream struct {
 	random  *rand.Rand
--- a/pkg/worker/health.go
+++ b/pkg/worker/health.go
@@ -38,6 +38,8 @@
 	failedProbes int
 	// probeAt is the earliest time of a suspect worker's next probe.
 	probeAt time.Time
+	// lastFailure is when a run last failed on the worker.
+	lastFailure time.Time
 }
 
 // FailureRate returns the failure rate of the latest runs, from 0 to 1, as an
@@ -55,6 +57,9 @@
 // ProbeAt returns the earliest time of a suspect worker's next probe.
 func (h *Health) ProbeAt() time.Time { return h.probeAt }
 
+// LastFailure returns when a run last failed on the worker, or the zero time.
+func (h *Health) LastFailure() time.Time { return h.lastFailure }
+
 // MayProbe reports whether a suspect worker is due to be probed with one task.
 func (h *Health) MayProbe(now time.Time) bool { return !now.Before(h.probeAt) }
 
@@ -69,6 +74,7 @@
 // worker that is not due to be probed is none of a probe and does not delay the next one.
 func (h *Health) RecordFailure(now time.Time, job string) {
 	h.failureRate += (1 - h.failureRate) * newestOutcomeWeight
+	h.lastFailure = now
 	if h.Suspect() {
 		if h.MayProbe(now) {
 			h.failedProbes++
