Avoid a worker for a second after it refused a task

Cause: a start that a worker refuses (no room by the runner's own count, an unhealthy runner, another life, a lease too short) leaves no trace. The task goes back to the same worker every 100 ms, since long-running tasks are packed together. Class: an attempt that failed and is repeated unchanged.

Change: a task avoids a worker for one second after a refusal, the latest one most. It is a penalty, so that the worker is still taken if no other one has room.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -253,7 +253,7 @@
 	var all []rated
 	for _, w := range sc.fleet {
 		if sc.suitable(now, s, q, w) && !s.denied(w) && w.instance != "" {
-			all = append(all, rated{w, !s.spec.Reserved().Fits(w.free()), sc.score(s, w) + s.tasks[0].penalty(w)})
+			all = append(all, rated{w, !s.spec.Reserved().Fits(w.free()), sc.score(s, w) + s.tasks[0].penalty(now, w)})
 		}
 	}
 	slices.SortFunc(all, func(x, y rated) int {
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -291,7 +291,7 @@
 		if runsOn(t, w) || avoidInterference && sc.interferenceLoadWith(w, s.spec.Image, s.spec.Size.MilliCPU) >= overload {
 			continue
 		}
-		if score := sc.score(s, w) + t.penalty(w); best == nil || score < lowestScore {
+		if score := sc.score(s, w) + t.penalty(now, w); best == nil || score < lowestScore {
 			best, lowestScore = w, score
 		}
 	}
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -81,7 +81,7 @@
 		if !r.room || avoidInterference && r.overloaded {
 			continue
 		}
-		if score := r.score + t.penalty(r.worker); best < 0 || score < lowestScore || score == lowestScore && r.worker.name < c.all[best].worker.name {
+		if score := r.score + t.penalty(now, r.worker); best < 0 || score < lowestScore || score == lowestScore && r.worker.name < c.all[best].worker.name {
 			best, lowestScore = i, score
 		}
 	}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -303,6 +303,7 @@
 		sc.recordFailure(now, wallMS, s, t, w, e.Run)
 	case OutcomeRefused:
 		t.notBefore = now.Add(refusedRetryDelay)
+		t.avoid(w, now.Add(refusalMemory))
 	}
 	if !t.done && len(t.runs) == 0 && !j.phase.Ended() {
 		t.waitingSince = now
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -221,6 +221,8 @@
 	waitingSince time.Time
 	// failedWorker is the worker where the last run failed.
 	failedWorker string
+	// avoided are the workers that refused a run of the task, the latest one last.
+	avoided []avoidedWorker
 	// stalls counts runs that were stopped because they made no progress.
 	stalls int
 }
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -9,7 +9,7 @@
 // Weights of the terms of a placement score. A score of 1 stands for the processor time of a
 // whole worker.
 const (
-	// weightFailedWorker penalises the worker where the task's last run failed.
+	// weightFailedWorker penalises workers where runs of the task have failed or were refused.
 	weightFailedWorker = 4.0
 	// weightRemoteRack penalises workers on another rack than that of the step's data, per unit
 	// of the remote-rack slowdown above 1.
@@ -88,14 +88,6 @@
 	return 1/min(1, max(minSpeed, w.leftMilliCPU()/requested)) - 1
 }
 
-// penalty returns the part of a worker's score that differs between the tasks of a step.
-func (t *taskState) penalty(w *workerState) float64 {
-	if t.failedWorker == w.name {
-		return weightFailedWorker
-	}
-	return 0
-}
-
 // score rates a worker for the tasks of a step, without their penalties; the worker with the lowest sum
 // is chosen.
 func (sc *Scheduler) score(s *stepState, w *workerState) float64 {
