Remember all workers where a task failed, not just the last

Cause: only the worker of the last failed run was avoided. Two workers that fail everything are each preferred again once the other one has failed, if packing draws the task there. Fewer than three jobs have failed on them, so that they are not suspect.

Evidence: TestLastingTaskTriesThirdWorker failed before: runs at the sound worker after 6s: got 0, want 1. It passes now.

--- a/pkg/dispatch/lasting_test.go
+++ b/pkg/dispatch/lasting_test.go
@@ -67,8 +67,14 @@
 	return p
 }
 
-// admit hands in a job with one step; the tasks of a long-running step are watched.
-func (p *play) admit(id, queue string, step workflow.Step) {
+// admit hands in a job with one long-running step, whose tasks are watched.
+func (p *play) admit(id string, step workflow.Step) {
+	p.t.Helper()
+	p.admitTo("lasts", id, step)
+}
+
+// admitTo hands in a job with one step; the tasks of a long-running step are watched.
+func (p *play) admitTo(queue, id string, step workflow.Step) {
 	p.t.Helper()
 	sub := &workflow.Submission{ID: id, Queue: queue, AcceptedMS: p.wallMS, Spec: workflow.Spec{Steps: []workflow.Step{step}}}
 	if err := sub.Spec.Validate(); err != nil {
@@ -186,17 +192,36 @@
 }
 
 // lasting returns a long-running step.
-func lasting(count int, milliCPU int64) workflow.Step {
-	return workflow.Step{Count: count, Size: worker.Resources{MilliCPU: milliCPU, MemoryMB: 100}, LongRunning: true}
+func lasting(milliCPU int64) workflow.Step {
+	return workflow.Step{Count: 1, Size: worker.Resources{MilliCPU: milliCPU, MemoryMB: 100}, LongRunning: true}
 }
 
 // A task that a worker refuses to start is started at another one that has room.
 func TestLastingTaskLeavesWorkerThatRefuses(t *testing.T) {
 	p := newPlay(t, "w1", "w2")
-	p.admit("a", "lasts", lasting(1, 1000))
+	p.admit("a", lasting(1000))
 	p.run(time.Second)
 	p.worker("w1").refuses = true
-	p.admit("b", "lasts", lasting(1, 1000))
+	p.admit("b", lasting(1000))
 	p.run(20 * time.Second)
 	p.expectAtWork()
 }
+
+// A task that has failed at two workers is started at a third one in time.
+func TestLastingTaskTriesThirdWorker(t *testing.T) {
+	p := newPlay(t, "w1", "w2", "w3")
+	p.admit("a", lasting(1000))
+	p.admit("b", lasting(15500))
+	p.run(time.Second)
+	for _, name := range []string{"w1", "w2"} {
+		if got := len(p.worker(name).runs); got != 1 {
+			t.Fatalf("runs at %s: got %d, want 1", name, got)
+		}
+		p.worker(name).lasts = func(*Start) (time.Duration, Outcome) { return 100 * time.Millisecond, OutcomeFailed }
+	}
+	p.admit("s", lasting(300))
+	p.run(maxAway)
+	if got := len(p.worker("w3").runs); got != 1 {
+		t.Errorf("runs at the sound worker after %s: got %d, want 1", maxAway, got)
+	}
+}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -303,7 +303,7 @@
 		sc.recordFailure(now, wallMS, s, t, w, e.Run)
 	case OutcomeRefused:
 		t.notBefore = now.Add(refusedRetryDelay)
-		t.avoid(w, now.Add(refusalMemory))
+		t.avoidFor(now, w, refusalMemory)
 	}
 	if !t.done && len(t.runs) == 0 && !j.phase.Ended() {
 		t.waitingSince = now
@@ -386,7 +386,7 @@
 	}
 	sc.markStarted(j)
 	t.failedRuns = append(t.failedRuns, runNumber)
-	t.failedWorker = w.name
+	t.avoid(w)
 	sc.changedJobs[j] = struct{}{}
 	if q := sc.queues[j.submission.Queue]; !s.spec.LongRunning && q.FailedRunLimit > 0 && len(t.failedRuns) >= q.FailedRunLimit {
 		sc.endJob(now, wallMS, j, workflow.PhaseFailed)
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -219,9 +219,7 @@
 	notBefore time.Time
 	// waitingSince is the time since which the task has had no run.
 	waitingSince time.Time
-	// failedWorker is the worker where the last run failed.
-	failedWorker string
-	// avoided are the workers that refused a run of the task, the latest one last.
+	// avoided are the workers where runs of the task have failed or were refused, the latest one last.
 	avoided []avoidedWorker
 	// stalls counts runs that were stopped because they made no progress.
 	stalls int
--- a/pkg/dispatch/stall.go
+++ b/pkg/dispatch/stall.go
@@ -28,7 +28,7 @@
 				continue
 			}
 			t.stalls++
-			t.failedWorker = w.name
+			t.avoid(w)
 			sc.orderStop(now, r, "the run makes no progress and another worker has room")
 		}
 	}
