Probe with a long-running task beside a batch probe

Cause: a suspect worker takes one probe at a time, and a batch task ends its test only when it ends.

Change: a long-running task that no sound worker has room for may also probe a suspect worker that a batch task probes. It takes the place of that task as the probe, so that it proves the worker after two seconds at work and the others follow. A second long-running task still waits for the first one.

Evidence: TestLastingTaskDoesNotWaitForLongProbe failed before: longest time without a run, that of s.0.0.0: got 15.5s, want at most 6s. It passes now.

--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -78,9 +78,11 @@
 }
 
 // mayProbeLongRunning reports whether a suspect worker may be probed with a long-running task: its failures
-// do not count, so it is probed more often than with other tasks.
+// do not count, so it is probed more often than with other tasks, and beside one of them, which may
+// take long to end.
 func (h *workerHealth) mayProbeLongRunning(now time.Time) bool {
-	return h.outcomes.Suspect() && h.probe == nil && now.Sub(h.outcomes.LastFailure()) >= longRunningProbeInterval
+	probed := h.probe != nil && h.probe.step.spec.LongRunning
+	return h.outcomes.Suspect() && !probed && now.Sub(h.outcomes.LastFailure()) >= longRunningProbeInterval
 }
 
 // probeLongRunning starts a task of a long-running step that no sound worker has room for on a suspect
--- a/pkg/dispatch/lasting_test.go
+++ b/pkg/dispatch/lasting_test.go
@@ -225,3 +225,33 @@
 		t.Errorf("runs at the sound worker after %s: got %d, want 1", maxAway, got)
 	}
 }
+
+// A long batch task that tests a suspect worker does not keep a long-running task away until it ends.
+func TestLastingTaskDoesNotWaitForLongProbe(t *testing.T) {
+	p := newPlay(t, "w1")
+	p.worker("w1").lasts = func(s *Start) (time.Duration, Outcome) {
+		if s.Task.Job == "long" {
+			return 30 * time.Second, OutcomeDone
+		}
+		return 500 * time.Millisecond, OutcomeFailed
+	}
+	step := workflow.Step{Count: 1, Size: worker.Resources{MilliCPU: 1000, MemoryMB: 100}, EstimateMS: 1000}
+	for _, job := range []string{"a", "b", "c"} {
+		p.admitTo("fits", job, step)
+	}
+	p.run(2 * time.Second)
+	for _, job := range []string{"a", "b", "c"} {
+		p.sc.Cancel(p.now, p.wallMS, job)
+	}
+	p.admitTo("fits", "long", step)
+	p.worker("w1").lasts = func(s *Start) (time.Duration, Outcome) {
+		if s.Task.Job == "long" {
+			return 30 * time.Second, OutcomeDone
+		}
+		return 0, 0
+	}
+	p.run(18 * time.Second)
+	p.admit("s", lasting(1000))
+	p.run(20 * time.Second)
+	p.expectAtWork()
+}
