Forget the run of an unknown job once it has ended

Cause: a run that a worker lists of a job not read from the store yet is held and adopted once the job is read, although it has ended or was refused in between. No later ping takes it back. Class: a statement that is used after a newer one came.

Change: the end or refusal of a run drops the held status of the same run.

Evidence: two scenarios of unknown.json failed before: event 3 (describe): starts: got [], want ["s.0.0.0 1001 w1"], and event 2 (admit) likewise. They pass now.

--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -272,6 +272,7 @@
 func (sc *Scheduler) OrderRefused(now time.Time, wallMS int64, name string, life uint64, id workflow.TaskID, runNumber uint64) {
 	w := sc.workerState(name)
 	if w.life == life {
+		w.unknownJobs.dropRun(id, runNumber)
 		sc.endRun(now, wallMS, w, &RunEnd{Task: id, Run: runNumber, How: OutcomeRefused})
 	}
 }
--- a/pkg/dispatch/unknown.go
+++ b/pkg/dispatch/unknown.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
 // unknownJobReport holds the runs and run ends that a worker has listed of jobs that this dispatcher
@@ -27,6 +30,11 @@
 	return first
 }
 
+// dropRun forgets a run that has ended or is known never to start.
+func (u *unknownJobReport) dropRun(id workflow.TaskID, number uint64) {
+	u.runs = slices.DeleteFunc(u.runs, func(r RunStatus) bool { return r.Task == id && r.Run == number })
+}
+
 // holdRun holds the status of a run of an unknown job until the job is read from the store.
 func (sc *Scheduler) holdRun(now time.Time, w *workerState, status *RunStatus) {
 	w.unknownJobs.runs = append(w.unknownJobs.runs, *status)
@@ -36,6 +44,7 @@
 
 // holdEnd holds the end of a run of an unknown job until the job is read from the store.
 func (sc *Scheduler) holdEnd(now time.Time, w *workerState, e *RunEnd) {
+	w.unknownJobs.dropRun(e.Task, e.Run)
 	for i := range w.unknownJobs.ends {
 		if w.unknownJobs.ends[i].Number == e.Number {
 			return
