Let only a probe fail as a probe, and only its end end it

Cause: a failure counted as that of a probe if one was due by then, so that an earlier run, or a long-running task that had probed ahead of time, still doubled the delay; and the end of any run ended the probe, so that a second task was put at risk beside it.

Change: a failed run counts as a failed probe only if it is the probe and one was due when it was ordered; only its end, or the worker's recovery, ends it. pkg/queue, whose suspect workers get nothing but probes, goes on by whether one is due.

Evidence: three scenarios of suspect.json failed before, on: event 9 (ended): starts: got [], want ["d.0.0.0 2 w1"]; event 12 (admit): starts: got ["y.0.0.0 1 w1 "], want []; event 12 (admit): starts: got [], want ["x.0.0.0 1 w1"].

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -250,7 +250,7 @@
 	id := s.taskID(index)
 	r := sc.addRun(now, s, t, id, w, runNumber)
 	if w.health.outcomes.Suspect() {
-		w.health.probe = r
+		w.health.probe, w.health.probeWasDue = r, w.health.outcomes.MayProbe(now)
 	}
 	sc.markStarted(s.occurrence.job)
 	o.starts = append(o.starts, Start{
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -28,8 +28,10 @@
 	// slowdown is the moving average of measured divided by estimated run time; 0 before the
 	// first measurement.
 	slowdown float64
-	// probe is the run that tests a suspect worker; nil if there is none.
-	probe *run
+	// probe is the run that tests a suspect worker; nil if there is none. probeWasDue is set if a probe was
+	// due when it was ordered.
+	probe       *run
+	probeWasDue bool
 }
 
 // recordOutcome updates the health of a run's worker after the run has ended.
@@ -47,9 +49,15 @@
 			h.slowdown += (ratio - h.slowdown) * newestRunWeight
 		}
 	case OutcomeFailed:
-		h.outcomes.RecordFailure(now, r.id.Job)
+		if probed && h.probeWasDue {
+			h.outcomes.RecordFailedProbe(now)
+		} else {
+			h.outcomes.RecordFailure(now, r.id.Job)
+		}
+	}
+	if probed || !h.outcomes.Suspect() {
+		h.probe = nil
 	}
-	h.probe = nil
 	sc.noteHealth(r.worker)
 	sc.addHealthChange(r.worker, suspect, probed, how)
 }
@@ -77,9 +85,9 @@
 	sc.addHealthChange(r.worker, true, true, OutcomeDone)
 }
 
-// mayProbeLongRunning reports whether a suspect worker may be probed with a long-running task: its failures
-// do not count, so it is probed more often than with other tasks, and beside one of them, which may
-// take long to end.
+// mayProbeLongRunning reports whether a suspect worker may be probed with a long-running task. Failures of such a
+// task do not count against its job, so the worker is probed more often than with other tasks, and beside
+// one of them, which may take long to end.
 func (h *workerHealth) mayProbeLongRunning(now time.Time) bool {
 	probed := h.probe != nil && h.probe.step.spec.LongRunning
 	return h.outcomes.Suspect() && !probed && now.Sub(h.outcomes.LastFailure()) >= longRunningProbeInterval
@@ -93,7 +101,7 @@
 		if !w.health.mayProbeLongRunning(now) || !sc.eligible(s, q, w) || !s.permitted(now, q, w) || !sc.hasRoom(w, s, 0) {
 			continue
 		}
-		if best == nil || longerSound(w, best) {
+		if best == nil || failedEarlier(w, best) {
 			best = w
 		}
 	}
@@ -104,8 +112,8 @@
 	return true
 }
 
-// longerSound reports whether the last failure on worker x is older than on y; ties are broken by name.
-func longerSound(x, y *workerState) bool {
+// failedEarlier reports whether the last failure on worker x is older than on y; ties are broken by name.
+func failedEarlier(x, y *workerState) bool {
 	xFailed, yFailed := x.health.outcomes.LastFailure(), y.health.outcomes.LastFailure()
 	if !xFailed.Equal(yFailed) {
 		return xFailed.Before(yFailed)
--- a/pkg/queue/change.go
+++ b/pkg/queue/change.go
@@ -78,8 +78,13 @@
 		f = new(worker.JobFailures)
 		s.jobFailures[id.Job] = f
 	}
-	if f.RecordFailure(t.Worker()) {
-		s.fleet.Health(t.Worker()).RecordFailure(now, id.Job)
+	if !f.RecordFailure(t.Worker()) {
+		return
+	}
+	if h := s.fleet.Health(t.Worker()); h.Suspect() && h.MayProbe(now) {
+		h.RecordFailedProbe(now)
+	} else {
+		h.RecordFailure(now, id.Job)
 	}
 }
 
--- a/pkg/worker/health.go
+++ b/pkg/worker/health.go
@@ -70,16 +70,11 @@
 	h.failedProbes = 0
 }
 
-// RecordFailure records a failed run whose cause may be the worker. The failure of a run on a suspect
-// worker that is not due to be probed is none of a probe and does not delay the next one.
+// RecordFailure records a failed run, other than a probe, whose cause may be the worker. It does not delay
+// the next probe of a suspect worker.
 func (h *Health) RecordFailure(now time.Time, job string) {
-	h.failureRate += (1 - h.failureRate) * newestOutcomeWeight
-	h.lastFailure = now
+	h.noteFailure(now)
 	if h.Suspect() {
-		if h.MayProbe(now) {
-			h.failedProbes++
-			h.probeAt = now.Add(backoff(firstProbeDelay, h.failedProbes, maxProbeDelay))
-		}
 		return
 	}
 	for _, known := range h.failedJobs[:h.failedJobCount] {
@@ -94,6 +89,20 @@
 	}
 }
 
+// RecordFailedProbe records that a probe of a suspect worker has failed, which doubles the delay before the
+// next one.
+func (h *Health) RecordFailedProbe(now time.Time) {
+	h.noteFailure(now)
+	h.failedProbes++
+	h.probeAt = now.Add(backoff(firstProbeDelay, h.failedProbes, maxProbeDelay))
+}
+
+// noteFailure records that a run has failed.
+func (h *Health) noteFailure(now time.Time) {
+	h.failureRate += (1 - h.failureRate) * newestOutcomeWeight
+	h.lastFailure = now
+}
+
 // JobFailures records on which workers a job has failed, to tell a faulty job
 // from a faulty worker. The zero value has no failures.
 type JobFailures struct {
