Keep the room that is being freed for a long-running task

Cause: the runs that are stopped for a task end one after the other. Each part of the room goes to a waiting batch task at once, which is stopped for the long-running task in turn. The task gets its room only if all parts come free between two decisions. Class: what is freed for one goes to another.

Change: the worker that is chosen for a long-running task gets no other tasks for 200 ms after each search for room, and the search is repeated while the task waits. The room that no worker has (fullFleet) is looked at again at each decision for these workers, like for suspect ones.

Evidence: TestLastingTaskGetsTheRoomFreedForIt failed before: longest time without a run, that of s.0.0.0: got 20s, want at most 6s. It passes now, as does TestDecideEqualsFullScan, unchanged.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -30,6 +30,9 @@
 	// priority are stopped for it.
 	preemptionWait     = 300 * time.Millisecond
 	preemptionInterval = 50 * time.Millisecond
+	// keptRoomTime is how long after a search a worker is kept for the long-running task that runs
+	// are stopped for there.
+	keptRoomTime = 4 * preemptionInterval
 )
 
 // restartDelay returns the delay before a long-running task is restarted after its given number of
@@ -106,6 +109,7 @@
 	}
 	o := &Orders{}
 	sc.releaseRoom()
+	sc.releaseKept(now)
 	sc.askQuestions(now, o)
 	for _, s := range sc.placementOrder(now) {
 		sc.placeStep(now, s, o)
@@ -267,7 +271,8 @@
 // suitable reports whether a worker may run a step, apart from the placement policy and whether it
 // has room.
 func (sc *Scheduler) suitable(now time.Time, s *stepState, q *Queue, w *workerState) bool {
-	return sc.eligible(s, q, w) && w.health.usable(now)
+	kept := !s.spec.LongRunning && now.Before(w.keptUntil)
+	return !kept && sc.eligible(s, q, w) && w.health.usable(now)
 }
 
 // eligible reports whether a worker may run a step, apart from its health, the placement policy and whether
--- a/pkg/dispatch/lasting_test.go
+++ b/pkg/dispatch/lasting_test.go
@@ -255,3 +255,18 @@
 	p.run(20 * time.Second)
 	p.expectAtWork()
 }
+
+// Room that is freed in parts for a long-running task does not go to batch tasks of lower priority.
+func TestLastingTaskGetsTheRoomFreedForIt(t *testing.T) {
+	p := newPlay(t, "w1")
+	stops := 0
+	p.worker("w1").stopTime = func(*playedRun) time.Duration {
+		stops++
+		return time.Duration(200+stops%4*200) * time.Millisecond
+	}
+	p.admitTo("shapes", "batch", workflow.Step{Count: 400, Size: worker.Resources{MilliCPU: 1000, MemoryMB: 100}, EstimateMS: 60000})
+	p.run(time.Second)
+	p.admit("s", lasting(4000))
+	p.run(20 * time.Second)
+	p.expectAtWork()
+}
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -152,6 +152,9 @@
 	for w := range sc.suspects {
 		sc.full.release(w)
 	}
+	for w := range sc.keptWorkers {
+		sc.full.release(w)
+	}
 }
 
 // knownFull reports whether a step is known to find no worker with room.
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -56,6 +56,8 @@
 	// usable as time passes.
 	changedWorkers []*workerState
 	suspects       map[*workerState]struct{}
+	// keptWorkers are kept for long-running tasks, see workerState.keptUntil, or were at the last decision.
+	keptWorkers map[*workerState]struct{}
 	// stepCandidates are the candidates of the step that is being placed.
 	stepCandidates candidates
 	// largestMilliCPU is the largest processor capacity that a worker has reported.
@@ -119,6 +121,7 @@
 	sc.repeatingJobs = make(map[*jobState]struct{})
 	sc.full = make(fullFleet)
 	sc.suspects = make(map[*workerState]struct{})
+	sc.keptWorkers = make(map[*workerState]struct{})
 	sc.unreported = make(map[string]bool)
 	sc.readySteps = make(map[*stepState]struct{})
 	sc.changedJobs = make(map[*jobState]struct{})
@@ -324,6 +327,9 @@
 	// longRunningMilliCPU is the processor time that long-running tasks reserve.
 	longRunningMilliCPU int64
 	health              workerHealth
+	// keptUntil is until when the worker gets no tasks but long-running ones, since runs were stopped for
+	// one of them.
+	keptUntil time.Time
 	// instance is the instance ID of the runner.
 	instance string
 	// openQuestionCount counts the open questions that the worker's agent has to ask; the agent
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -141,11 +141,30 @@
 			best, victims = w, v
 		}
 	}
+	if best != nil {
+		sc.keepRoom(now, best)
+	}
 	for _, r := range victims {
 		sc.orderStop(now, r, "preempted by a long-running task")
 	}
 }
 
+// keepRoom keeps a worker for long-running tasks until the runs that are stopped there have ended. It is
+// called again at each search, so that the room is free again soon after the task has started.
+func (sc *Scheduler) keepRoom(now time.Time, w *workerState) {
+	w.keptUntil = now.Add(keptRoomTime)
+	sc.keptWorkers[w] = struct{}{}
+}
+
+// releaseKept forgets the workers that are no longer kept for long-running tasks.
+func (sc *Scheduler) releaseKept(now time.Time) {
+	for w := range sc.keptWorkers {
+		if !now.Before(w.keptUntil) {
+			delete(sc.keptWorkers, w)
+		}
+	}
+}
+
 // preemptionVictims returns the runs at a worker, of lower priority than the given one and the
 // youngest first, that have to end so that need fits. It reports whether need fits once they have
 // ended. Runs that are being stopped count as ended.
