Number runs above the stored failures of earlier terms

Cause: run numbers of a term begin at a thousand times the number of terms before, and a runner refuses a run whose number is not above that of a run that ended there. The numbers of the failed runs are stored, but not looked at.

Change: a task whose progress is restored goes on above the highest stored number of a failed run. Runs above it that were refused or stopped are not stored, so that the fault remains for tasks of which these are the latest.

--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -181,6 +181,9 @@
 		}
 		t := &o.steps[tp.Step].tasks[tp.Index]
 		t.failedRuns, t.checkpoint = tp.Failed, tp.Saved
+		for _, number := range tp.Failed {
+			t.lastRunNumber = max(t.lastRunNumber, number)
+		}
 	}
 }
 
