Bound the index of workers by free room

A runner that reported a huge capacity would have ended each entry that became the dispatcher: the index keeps a class for each half processor up to the largest free room, and grew for it until the memory was used up.

What is free from 128 processors on now shares the last class. A class only says which workers may have room; each of them is compared with the need as before.

Test: the script "a worker may report any capacity", from the largest to the smallest integer and back. Before: "runtime: out of memory" in roomIndex.update at a limit of 8 GB.

--- a/pkg/dispatch/room_index.go
+++ b/pkg/dispatch/room_index.go
@@ -4,6 +4,9 @@
 // the sites reserve 200 to 10,000.
 const roomStepMilliCPU = 500
 
+// lastRoomClass is the class of all that is free from 128 processors on, since a worker may report any capacity.
+const lastRoomClass = 255
+
 // roomIndex holds the workers by their free processor time, so that a step that reserves some looks only at
 // workers that may have as much. The zero value is empty.
 type roomIndex struct {
@@ -18,7 +21,9 @@
 
 // roomClassOf returns the class of an amount of free processor time. Less than nothing, as after a worker has
 // shrunk, counts as nothing.
-func roomClassOf(milliCPU int64) int { return int(max(0, milliCPU) / roomStepMilliCPU) }
+func roomClassOf(milliCPU int64) int {
+	return int(min(max(0, milliCPU)/roomStepMilliCPU, lastRoomClass))
+}
 
 // update puts a worker where its free processor time belongs.
 func (x *roomIndex) update(w *workerState) {
