Count best-effort runs by the capacity that their worker has now

A best-effort task waited for another worker, up to 2 s, although the worker at hand ran nothing that harms: the worker had grown while an earlier best-effort task ran there, and still counted half of that one after its end.

The share of the processors was added with the capacity at the start of a run and taken off with that at its end. By reading, the rest stayed for the term, and a worker that shrank counted too little of what ran on. The shares of a worker are now worked out again from its runs when its processor capacity changes, so that both go by the same capacity.

Test: the script "a best-effort run counts by the capacity that its worker has now". Before: "event 6 (admit): starts: got [], want [b.0.0.0 1 w1]".

--- a/pkg/dispatch/interference.go
+++ b/pkg/dispatch/interference.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// recountShares works out the shares of best-effort images at a worker whose processor capacity has changed.
+func (sc *Scheduler) recountShares(w *workerState) {
+	w.bestEffortShares = w.bestEffortShares[:0]
+	for _, r := range sc.runsInOrder(w) {
+		if r.step.spec.BestEffort {
+			w.bestEffortShares.add(r.step.spec.Image, w.shareOf(r.step))
+		}
+	}
+}
+
 // runsInOrder returns the runs at a worker in the order of their tasks, since adjustments of limits depend on
 // their order. It reuses the memory of the last call.
 func (sc *Scheduler) runsInOrder(w *workerState) []*run {
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -164,9 +164,13 @@
 		sc.noteChange(w)
 		sc.largestMilliCPU = max(sc.largestMilliCPU, info.Capacity.MilliCPU)
 	}
+	resized := w.capacity.MilliCPU != info.Capacity.MilliCPU
 	w.lastContact, w.silent, w.leaseExpired = now, false, false
 	w.service, w.capacity, w.draining, w.pacePercent, w.instance = info.Service, info.Capacity, info.Draining, info.PacePercent, info.Instance
 	sc.rooms.update(w)
+	if resized {
+		sc.recountShares(w)
+	}
 	if w.pacePercent < fullPacePercent {
 		w.lastSlowedAt = now
 	}
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -356,9 +356,13 @@
 // countBestEffort adds the processor time of a best-effort run to the worker's sums if delta is 1, and
 // removes it from them if delta is -1.
 func (w *workerState) countBestEffort(r *run, delta int) {
-	image := r.step.spec.Image
 	w.bestEffortMilliCPU += int64(delta) * r.step.spec.Size.MilliCPU
-	w.bestEffortShares.add(image, float64(delta)*float64(r.step.spec.Size.MilliCPU)/float64(max(1, w.capacity.MilliCPU)))
+	w.bestEffortShares.add(r.step.spec.Image, float64(delta)*w.shareOf(r.step))
+}
+
+// shareOf returns the fraction of the worker's processors that a task of a step requests.
+func (w *workerState) shareOf(s *stepState) float64 {
+	return float64(s.spec.Size.MilliCPU) / float64(max(1, w.capacity.MilliCPU))
 }
 
 // count adds a run to the worker's counts if delta is 1, and removes it from them if delta is -1.
