Send another capacity of a runner to the dispatcher at once

A heartbeat with another capacity reached the dispatcher with the next ping, up to 0.4 s later. In that time a worker that had shrunk could still get starts, and one that had grown got none. The allowance, contact-ms and one beat, covers the delay of the start; a runner that guards its capacity rejects it, at a price.

Such a heartbeat is now sent on like one that begins to drain.

Tests: TestAnotherCapacityIsSentAtOnce ("got no such message, want one" before); an outdated heartbeat changes nothing. TestListedLifeHasNoEarlierCapacity passed before: a life that is listed before its first heartbeat is reported as draining and without room.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -169,11 +169,12 @@
 		a.log.Info().Str("instance", h.Instance).Uint64("seq", h.Seq).Msg("skipped an outdated heartbeat")
 		return
 	}
-	changed := h.Draining != a.heartbeat.Draining || h.StartedAtMS != a.heartbeat.StartedAtMS
+	changed := h.Draining != a.heartbeat.Draining || h.StartedAtMS != a.heartbeat.StartedAtMS || h.Capacity != a.heartbeat.Capacity
 	first := a.heartbeat.Instance == ""
 	a.heartbeat = *h
 	if changed {
-		a.log.Info().Str("instance", h.Instance).Uint64("born", h.StartedAtMS).Bool("draining", h.Draining).Msg("runner started or changed its draining state")
+		a.log.Info().Str("instance", h.Instance).Uint64("born", h.StartedAtMS).Bool("draining", h.Draining).Int64("cpu", h.Capacity.MilliCPU).
+			Int64("memory-mb", h.Capacity.MemoryMB).Msg("runner started or changed its draining state or capacity")
 	}
 	if changed && !first && a.conn != nil {
 		a.ping(clock.Steady())
--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -18,6 +18,7 @@
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 	"savoryhoist.example/savoryhoist/pkg/leadership"
+	"savoryhoist.example/savoryhoist/pkg/worker"
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
@@ -343,6 +344,46 @@
 	}
 }
 
+// The dispatcher learns at once of another capacity that the runner reports, and keeps it when an older
+// heartbeat arrives late.
+func TestAnotherCapacityIsSentAtOnce(t *testing.T) {
+	s := newFixture(t)
+	for i, cpu := range []int64{16000, 4000, 8000} {
+		want := worker.Resources{MilliCPU: cpu, MemoryMB: 64000}
+		s.agent.HandleHeartbeat(&Heartbeat{Instance: "i-1", StartedAtMS: 7, Seq: uint64(i + 2), Service: "bench", Capacity: want})
+		m := s.next(t, func(m *peer.Message) bool { return m.Ping != nil })
+		if got := m.Ping.Worker.Capacity; got != want {
+			t.Errorf("ping %d: got capacity %+v, want %+v", i, got, want)
+		}
+	}
+	s.agent.HandleHeartbeat(&Heartbeat{Instance: "i-1", StartedAtMS: 7, Seq: 3, Service: "bench", Capacity: worker.Resources{MilliCPU: 16000}})
+	if got, want := s.agent.describeWorker().Capacity.MilliCPU, int64(8000); got != want {
+		t.Errorf("after an outdated heartbeat: got %d, want %d", got, want)
+	}
+}
+
+// A life that the runner lists before its first heartbeat of it has no capacity of the earlier life.
+func TestListedLifeHasNoEarlierCapacity(t *testing.T) {
+	s := newFixture(t)
+	s.agent.HandleHeartbeat(&Heartbeat{Instance: "i-1", StartedAtMS: 7, Seq: 2, Service: "bench", Capacity: worker.Resources{MilliCPU: 16000}})
+	s.runner.mu.Lock()
+	s.runner.listing = Listing{ClockMS: 1, StartedAtMS: 8}
+	s.runner.mu.Unlock()
+	if err := s.agent.poll(context.Background(), 0); err != nil {
+		t.Fatal(err)
+	}
+	m := s.next(t, func(m *peer.Message) bool { return m.Report != nil })
+	if w := m.Report.Worker; w.Life != 8 || !w.Draining || w.Capacity != (worker.Resources{}) {
+		t.Errorf("got %+v, want life 8, draining, without capacity", w)
+	}
+	want := worker.Resources{MilliCPU: 4000}
+	s.agent.HandleHeartbeat(&Heartbeat{Instance: "i-1", StartedAtMS: 8, Seq: 1, Service: "bench", Capacity: want})
+	m = s.next(t, func(m *peer.Message) bool { return m.Ping != nil && m.Ping.Worker.Life == 8 })
+	if w := m.Ping.Worker; w.Draining || w.Capacity != want {
+		t.Errorf("after its heartbeat: got %+v, want it ready with %+v", w, want)
+	}
+}
+
 // Run ends are sent once, and acknowledged to the runner once the dispatcher has stored them.
 func TestRunEndsAreReportedOnce(t *testing.T) {
 	s := newFixture(t)
