Let a held report of a worker follow its pings

The report of a new worker is held until the worker's name is stored, which takes as long as the store is away. Pings in the meantime were ignored, since the scheduler did not know the life yet. A worker that had shrunk or begun to drain meanwhile got starts by the old report until its next ping, up to 0.4 s.

A ping of the same life now replaces the description in the held report.

Test: TestHeldReportFollowsPings; the cases of a smaller capacity and of draining got a start before.

--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -230,6 +230,7 @@
 	}
 	if p.Worker != nil {
 		p.Worker.Name = a.name
+		t.updateHeldReport(p.Worker)
 		t.scheduler.ApplyPing(now, p.Worker, p.Runs)
 	}
 	a.conn.Send(&peer.Message{Pong: pong})
--- a/internal/coordinator/superseded_test.go
+++ b/internal/coordinator/superseded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -109,6 +110,39 @@
 	}
 }
 
+// A report that waits for the worker's name to be stored counts with what the worker has said of itself since.
+func TestHeldReportFollowsPings(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		ping   dispatch.Worker
+		starts int
+	}{
+		{"the same", dispatch.Worker{Life: 1, Service: "bench", Capacity: worker.Resources{MilliCPU: 1000}}, 1},
+		{"a smaller capacity", dispatch.Worker{Life: 1, Service: "bench", Capacity: worker.Resources{MilliCPU: 100}}, 0},
+		{"draining", dispatch.Worker{Life: 1, Service: "bench", Capacity: worker.Resources{MilliCPU: 1000}, Draining: true}, 0},
+		{"a smaller capacity in another life", dispatch.Worker{Life: 2, Service: "bench", Capacity: worker.Resources{MilliCPU: 100}}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, current := newDispatcher(t, &standin.Store{})
+			here, there := net.Pipe()
+			t.Cleanup(func() { _ = here.Close(); _ = there.Close() })
+			conn, hello := peer.NewConn(here), &peer.Hello{Role: peer.RoleAgent, Name: "w1"}
+			c.handleAgentMessage(conn, hello, &peer.Message{Report: reportOf("w1")})
+			c.handleAgentMessage(conn, hello, &peer.Message{Ping: &peer.Ping{Seq: 1, Worker: &tc.ping}})
+			c.registerWorkers(context.Background(), current)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			now := clock.Steady()
+			sub := submission("a")
+			sub.Spec.Steps[0].Size.MilliCPU = 500
+			current.scheduler.Admit(now, clock.WallMS(), sub, nil, false)
+			if got := len(current.scheduler.Decide(now, clock.WallMS()).Starts()); got != tc.starts {
+				t.Errorf("starts: got %d, want %d", got, tc.starts)
+			}
+		})
+	}
+}
+
 // The end of a run of an unknown job is acknowledged once every job that was stored
 // before the report has been read.
 func TestRunEndsOfUnknownJobsAreAcknowledgedOnceCaughtUp(t *testing.T) {
