Count runs that are no longer wanted until they have ended

A worker that reports a run of a cancelled job, or of a task that runs elsewhere by now, could get the next task on top of it: after a takeover, or when a lost worker is back with its runner alive.

Such a run was ordered to stop without being recorded. Its worker now reserves what the run needs until the run is listed as ended, its stop is refused, the next report leaves it out, or the life of the runner is over. A run of a task that nothing is known of is still not counted, since nothing tells its size.

Tests: pkg/dispatch/testdata/unwanted.json; the first four scripts got a start too early before, the fifth guards against room that is never freed.

--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -10,6 +10,7 @@
 func (sc *Scheduler) endAllRuns(now time.Time, w *workerState) {
 	w.unknownJobs = unknownJobReport{}
 	delete(sc.workersWithUnknownJobs, w)
+	sc.forgetAllUnwanted(w)
 	for _, r := range w.runs {
 		sc.lostRuns = append(sc.lostRuns, LostRun{Task: r.id, Run: r.number, Worker: w.name})
 		sc.endRun(now, 0, w, &RunEnd{Task: r.id, Run: r.number, How: OutcomeGone})
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -115,6 +115,7 @@
 	w.unknownJobs = unknownJobReport{}
 	delete(sc.workersWithUnknownJobs, w)
 	sc.setWorkerInfo(now, w, info)
+	sc.forgetAllUnwanted(w)
 	sc.ApplyEnds(now, wallMS, info.Name, info.Life, ends)
 	listed := make(map[workflow.TaskID]uint64, len(runs))
 	for i := range runs {
@@ -152,7 +153,7 @@
 func (sc *Scheduler) workerState(name string) *workerState {
 	w := sc.workers[name]
 	if w == nil {
-		w = &workerState{name: name, runs: make(map[workflow.TaskID]*run), servingTasksByImage: make(map[string]int)}
+		w = &workerState{name: name, runs: make(map[workflow.TaskID]*run), servingTasksByImage: make(map[string]int), unwanted: make(map[unwantedRun]worker.Resources)}
 		sc.addWorker(w)
 	}
 	return w
@@ -216,7 +217,7 @@
 	}
 	s, t := sc.task(status.Task)
 	if t == nil || t.done || s.occurrence.job.phase.Ended() || (len(t.runs) > 0 && !s.spec.Speculative) {
-		sc.pendingStops = append(sc.pendingStops, Stop{Worker: w.name, Life: w.life, Task: status.Task, Run: status.Run, Reason: "the run is unknown or no longer needed"})
+		sc.stopUnwanted(w, s, status)
 		return
 	}
 	r := sc.addRun(now, s, t, status.Task, w, status.Run)
@@ -261,6 +262,7 @@
 	for i := range ends {
 		e := &ends[i]
 		w.lastEndNumber = max(w.lastEndNumber, e.Number)
+		sc.forgetUnwanted(w, unwantedRun{e.Task, e.Run})
 		if sc.jobs[e.Task.Job] == nil {
 			sc.holdEnd(now, w, e)
 			continue
@@ -276,6 +278,7 @@
 func (sc *Scheduler) OrderRefused(now time.Time, wallMS int64, name string, life uint64, id workflow.TaskID, runNumber uint64) {
 	w := sc.workerState(name)
 	if w.life == life {
+		sc.forgetUnwanted(w, unwantedRun{id, runNumber})
 		sc.endRun(now, wallMS, w, &RunEnd{Task: id, Run: runNumber, How: OutcomeRefused})
 	}
 }
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -313,7 +313,10 @@
 	// on the worker.
 	leaseExpired bool
 	runs         map[workflow.TaskID]*run
-	allocated    worker.Resources
+	// unwanted holds what the unwanted runs at the worker reserve.
+	unwanted map[unwantedRun]worker.Resources
+	// allocated is what runs and unwanted runs reserve.
+	allocated worker.Resources
 	// bestEffortMilliCPU is the processor time that best-effort tasks request.
 	bestEffortMilliCPU int64
 	// servingTasks counts tasks with a latency target.
