Say whether a lost run had started and its runner crashed

The line "run lost with its worker" did not tell a runner that crashed from one that does not answer, nor a run that had started from an order that never arrived.

The agent reports which starts the runner had answered in the life that ended, and whether nothing listens there any more. The dispatcher adds "crashed" and "started" to the line.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -117,6 +117,10 @@
 	sameLifeUntil time.Time
 	// unlistedStarts are start orders that have not appeared in a listing yet.
 	unlistedStarts map[runKey]*dispatch.Start
+	// acceptedStarts are the unlisted starts that the runner has answered.
+	acceptedStarts map[runKey]bool
+	// earlierStarts are the acceptedStarts of the life before the present one.
+	earlierStarts []dispatch.RunStarted
 	// unansweredStarts are starts that the runner did not answer, with the time on the agent's
 	// clock until which they may take effect.
 	unansweredStarts map[runKey]time.Time
@@ -137,7 +141,7 @@
 	a := &Agent{
 		settings: s, runner: runner, store: storeClient, log: logger, registry: registry, wakePoll: make(chan struct{}, 1),
 		lastRunLeaseEnd: clock.Steady().Add(leadership.WorkerLeaseDuration), // an earlier agent process may have renewed run leases up to then
-		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
+		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), acceptedStarts: make(map[runKey]bool), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
 	}
 	for _, e := range s.Entries {
 		a.entries[e] = true
@@ -202,6 +206,8 @@
 	if a.life != 0 {
 		a.log.Warn().Uint64("from", a.life).Uint64("to", startedAtMS).Int("runs", len(a.runs)).Msg("runner restarted")
 	}
+	a.earlierStarts = a.startedUnlisted()
+	clear(a.acceptedStarts)
 	a.life = startedAtMS
 	a.reportedEmpty = false
 	a.runnerClockMS, a.runnerClockReadAt = 0, time.Time{}
@@ -311,7 +317,9 @@
 	a.reportedEmpty = true
 	a.count("runners-lost")
 	a.log.Warn().Err(err).Uint64("life", a.life).Msg("runner lost; its runs have ended")
-	a.conn.Send(&peer.Message{Report: a.emptyReport()})
+	report := a.emptyReport()
+	report.RunnerEnded = errors.Is(err, ErrNotListening)
+	a.conn.Send(&peer.Message{Report: report})
 }
 
 // allRunsEnded reports whether it is certain, after a poll that failed with err, that nothing
@@ -322,7 +330,16 @@
 
 // emptyReport returns a report of a worker without a runner.
 func (a *Agent) emptyReport() *peer.Report {
-	return &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}}
+	return &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}, Started: a.startedUnlisted()}
+}
+
+// startedUnlisted returns the starts that the runner has answered and not listed. The caller holds mu.
+func (a *Agent) startedUnlisted() []dispatch.RunStarted {
+	var out []dispatch.RunStarted
+	for key := range a.acceptedStarts {
+		out = append(out, dispatch.RunStarted{Task: key.task, Run: key.run})
+	}
+	return out
 }
 
 // leaseSlack is added to the end of the last run lease before the lease counts as expired. It
@@ -369,7 +386,7 @@
 	a.runs = l.Runs
 	a.runEnds = a.runEnds[:0]
 	for _, e := range l.RunEnds {
-		delete(a.unlistedStarts, runKey{e.Task, e.Run})
+		a.noteListed(runKey{e.Task, e.Run})
 		if e.Number > a.lastAckedEnd {
 			a.runEnds = append(a.runEnds, e)
 		}
@@ -377,11 +394,17 @@
 	for _, r := range l.Runs {
 		if o := a.unlistedStarts[runKey{r.Task, r.Run}]; o != nil {
 			a.guard.addTasks([]dispatch.GuardedTask{{Task: r.Task, TargetMS: o.TargetMS, Fills: o.Fills, Harm: o.Harm}})
-			delete(a.unlistedStarts, runKey{r.Task, r.Run})
+			a.noteListed(runKey{r.Task, r.Run})
 		}
 	}
 }
 
+// noteListed records that the runner has listed a run, as running or ended. The caller holds mu.
+func (a *Agent) noteListed(key runKey) {
+	delete(a.unlistedStarts, key)
+	delete(a.acceptedStarts, key)
+}
+
 // lastEndNumber returns the number of the last run end that the runner has listed in its
 // present life. The caller holds mu.
 func (a *Agent) lastEndNumber() uint64 {
@@ -419,7 +442,7 @@
 
 // newReport returns a report of the worker's whole state. The caller holds mu.
 func (a *Agent) newReport() *peer.Report {
-	r := &peer.Report{Worker: a.describeWorker(), Runs: append([]dispatch.RunStatus(nil), a.runs...), RunEnds: append([]dispatch.RunEnd(nil), a.runEnds...)}
+	r := &peer.Report{Worker: a.describeWorker(), Runs: append([]dispatch.RunStatus(nil), a.runs...), RunEnds: append([]dispatch.RunEnd(nil), a.runEnds...), Started: a.earlierStarts}
 	for k := range a.unlistedStarts {
 		r.Runs = append(r.Runs, dispatch.RunStatus{Task: k.task, Run: k.run, Pending: true})
 	}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -56,7 +56,7 @@
 // refuse tells the dispatcher that an order for a run is not carried out and never will be.
 // The dispatcher then counts the run as one that never ran. The caller holds mu.
 func (a *Agent) refuse(life uint64, key runKey, reason error) {
-	delete(a.unlistedStarts, key)
+	a.noteListed(key)
 	a.count("orders-refused")
 	a.log.Info().Str("task", key.task.String()).Uint64("run", key.run).Str("reason", reason.Error()).Msg("order refused")
 	if a.conn != nil {
@@ -75,6 +75,7 @@
 	switch {
 	case err == nil:
 		a.count("starts")
+		a.noteAccepted(key)
 	case errors.Is(err, ErrNotRun):
 		a.mu.Lock()
 		a.refuse(s.Life, key, err)
@@ -92,6 +93,15 @@
 	}
 }
 
+// noteAccepted records that the runner has answered a start, unless it has listed the run already.
+func (a *Agent) noteAccepted(key runKey) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.unlistedStarts[key] != nil {
+		a.acceptedStarts[key] = true
+	}
+}
+
 // pollForRun polls the runner once, and reports whether the start of a run no longer waits to
 // be listed: the runner has listed the run as running or ended, or has restarted.
 func (a *Agent) pollForRun(ctx context.Context, key runKey) bool {
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -6,14 +6,15 @@
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
-// endAllRuns ends every run at a worker and records the runs as lost.
-func (sc *Scheduler) endAllRuns(now time.Time, w *workerState) {
+// endAllRuns ends every run at a worker and records the runs as lost. crashed is set if the worker's runner has
+// ended without having announced it.
+func (sc *Scheduler) endAllRuns(now time.Time, wallMS int64, w *workerState, crashed bool) {
 	w.unknownJobs = unknownJobReport{}
 	delete(sc.workersWithUnknownJobs, w)
 	sc.forgetAllUnwanted(w)
 	for _, r := range w.runs {
-		sc.lostRuns = append(sc.lostRuns, LostRun{Task: r.id, Run: r.number, Worker: w.name})
-		sc.endRun(now, 0, w, &RunEnd{Task: r.id, Run: r.number, How: OutcomeGone})
+		sc.lostRuns = append(sc.lostRuns, LostRun{Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Started: r.started})
+		sc.endRun(now, wallMS, w, &RunEnd{Task: r.id, Run: r.number, How: OutcomeGone})
 	}
 }
 
@@ -23,6 +24,10 @@
 	Task   workflow.TaskID
 	Run    uint64
 	Worker string
+	// Crashed is set if the worker's runner has crashed, rather than the lease expired.
+	Crashed bool
+	// Started is set if the runner is known to have started the run.
+	Started bool
 }
 
 // TakeLostRuns returns the runs that were lost since the last call.
@@ -42,24 +47,50 @@
 // WorkerLeaseExpired records that the lease of a worker has expired, so that every run at the worker
 // has ended. It returns the number of runs lost.
 func (sc *Scheduler) WorkerLeaseExpired(now time.Time, name string) int {
+	return sc.loseWorker(now, 0, name, false)
+}
+
+// loseWorker records that every run at a worker has ended, and returns their number.
+func (sc *Scheduler) loseWorker(now time.Time, wallMS int64, name string, crashed bool) int {
 	delete(sc.unreported, name)
 	w := sc.workers[name]
 	if w == nil {
 		return 0
 	}
 	n := len(w.runs)
-	sc.endAllRuns(now, w)
+	sc.endAllRuns(now, wallMS, w, crashed)
 	w.silent = true
 	w.leaseExpired = true
 	return n
 }
 
-// RunnerGone records that a worker has no runner, so that every run at the worker has ended. It
-// returns the number of runs lost.
-func (sc *Scheduler) RunnerGone(now time.Time, name string) int {
-	n := sc.WorkerLeaseExpired(now, name)
-	if w := sc.workers[name]; w != nil {
+// RunnerGone records that a worker has no runner, so that every run at the worker has ended. ended is set if
+// the runner is known to have ended, rather than not to answer. It returns the number of runs lost.
+func (sc *Scheduler) RunnerGone(now time.Time, wallMS int64, name string, ended bool) int {
+	w := sc.workers[name]
+	n := sc.loseWorker(now, wallMS, name, ended && w != nil && !w.draining)
+	if w != nil {
 		w.life = 0
 	}
 	return n
 }
+
+// RunStarted identifies a run that a runner has started.
+type RunStarted struct {
+	_    struct{} `cbor:",toarray"`
+	Task workflow.TaskID
+	Run  uint64
+}
+
+// MarkStarted records that a worker's runner has started runs, although it has not listed them.
+func (sc *Scheduler) MarkStarted(name string, started []RunStarted) {
+	w := sc.workers[name]
+	if w == nil {
+		return
+	}
+	for _, s := range started {
+		if r := w.runs[s.Task]; r != nil && r.number == s.Run {
+			r.started = true
+		}
+	}
+}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -105,7 +105,7 @@
 func (sc *Scheduler) ApplyReport(now time.Time, wallMS int64, info *Worker, runs []RunStatus, ends []RunEnd) {
 	w := sc.workerState(info.Name)
 	if w.life != info.Life {
-		sc.endAllRuns(now, w)
+		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.draining)
 		w.life = info.Life
 		w.health = workerHealth{}
 		sc.noteHealth(w)
@@ -198,6 +198,7 @@
 	if r.phase == runStartOrdered {
 		r.phase = runRunning
 	}
+	r.started = true
 	if status.Percent != r.percent {
 		r.percent, r.progressedAt = status.Percent, now
 	}
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -252,6 +252,8 @@
 	checkpoint    string
 	stopOrderedAt time.Time
 	stopReason    string
+	// started is set once the runner is known to have started the run.
+	started bool
 }
 
 // task returns the states of a task and its step, or nil if the job, occurrence, step or task is
