Abandon tasks that crash the runners which start them

Cause: a run that ends with its runner counted as gone and left no trace, so that its task started again at once, wherever there was room, without limit. Class: a retry without a limit across workers.

Change: a crash (a runner that ended without notice) counts against each task whose run there had not been at work for 250 ms, and in all. The task is abandoned and its job shown as failed after two crashes if the last was such a trial, after three without, after four at the latest. Leases that expire, runners that do not answer and planned ends are no crashes. A long-running task that is at work for 10 s is cleared. The reference of TestDecideEqualsFullScan calls the same trials.

TestNextDispatcherKnowsCrashesOfTask.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -59,8 +59,12 @@
 func (c *Coordinator) sendOrders(now time.Time, t *term) {
 	for _, l := range t.scheduler.TakeLostRuns() {
 		c.count("runs-lost", 1)
-		c.log.Warn().Str("task", l.Task.String()).Uint64("run", l.Run).Str("worker", l.Worker).
-			Bool("crashed", l.Crashed).Bool("started", l.Started).Msg("run lost with its worker")
+		c.log.Warn().Str("task", l.Task.String()).Uint64("run", l.Run).Str("worker", l.Worker).Bool("crashed", l.Crashed).
+			Bool("started", l.Started).Bool("proven", l.Proven).Int("crashes", l.Crashes).Msg("run lost with its worker")
+	}
+	for _, a := range t.scheduler.TakeAbandonedTasks() {
+		c.count("tasks-abandoned", 1)
+		c.log.Warn().Str("task", a.Task.String()).Int("crashes", a.Crashes).Str("worker", a.Worker).Msg("task abandoned: runners crash when they start it")
 	}
 	if !t.leaderLease.Valid(now) {
 		t.backlog.oldest = time.Time{} // no decision is due before the store answers again
--- a/internal/coordinator/waiting.go
+++ b/internal/coordinator/waiting.go
@@ -33,6 +33,7 @@
 		return
 	}
 	t.waitingLoggedAt = now
+	c.gauge("crash-suspects", int64(t.scheduler.CrashSuspects()))
 	c.gauge("workers-suspect", int64(t.scheduler.SuspectWorkers()))
 	tasks := 0
 	for i, w := range t.scheduler.WaitingSteps(now, minLoggedWait) {
--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -46,6 +46,9 @@
 	// maxStartDelay is how long after its call a start without an answer may still take effect:
 	// a runner may carry out a start up to 12 seconds late.
 	maxStartDelay = 13 * time.Second
+	// trialReportDelay is how long after the start of a trial the agent reports whether the run is at
+	// work; the dispatcher asks for 250 ms.
+	trialReportDelay = 300 * time.Millisecond
 	// minLeaseLeft is how much of the worker lease must be left for a run to be started.
 	minLeaseLeft = 500 * time.Millisecond
 	// clockDriftDivisor bounds the relative error of the runner's clock rate: one part in 50.
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -76,6 +76,9 @@
 	case err == nil:
 		a.count("starts")
 		a.noteAccepted(key)
+		if s.Trial {
+			a.reportTrial(ctx)
+		}
 	case errors.Is(err, ErrNotRun):
 		a.mu.Lock()
 		a.refuse(s.Life, key, err)
@@ -102,6 +105,19 @@
 	}
 }
 
+// reportTrial polls the runner a short time after the start of a trial and pings the dispatcher, which waits
+// to see whether the runner still works.
+func (a *Agent) reportTrial(ctx context.Context) {
+	if !clock.WaitForWake(ctx, nil, trialReportDelay) || a.poll(ctx, 0) != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.ping(clock.Steady())
+	}
+}
+
 // pollForRun polls the runner once, and reports whether the start of a run no longer waits to
 // be listed: the runner has listed the run as running or ended, or has restarted.
 func (a *Agent) pollForRun(ctx context.Context, key runKey) bool {
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -234,6 +234,13 @@
 		sc.MarkSilent(e.Worker)
 	case "lapsed":
 		sc.WorkerLeaseExpired(now, e.Worker)
+	case "crashed", "mute":
+		var started []RunStarted
+		for _, r := range runsOf(t, e.Runs) {
+			started = append(started, RunStarted{Task: r.Task, Run: r.Run})
+		}
+		sc.MarkStarted(e.Worker, started)
+		sc.RunnerGone(now, wallMS, e.Worker, e.Do == "crashed")
 	case "caught-up":
 		sc.AllJobsKnown(now, now)
 	case "settle":
--- /dev/null
+++ b/pkg/dispatch/crash_test.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+func TestNextDispatcherKnowsCrashesOfTask(t *testing.T) {
+	start := time.Unix(1000, 0)
+	admit := event{Do: "admit", Job: "a", Queue: "fits", Steps: json.RawMessage(`[{"count": 1, "cpu": 1000}]`)}
+	var first Scheduler
+	first.SetQueues(testQueues)
+	first.BeginTerm(1, nil)
+	for _, e := range []event{{Do: "report", Worker: "w1", Life: 1}, admit} {
+		applyEvent(t, &first, start, 1_000_000, &e)
+	}
+	first.Decide(start, 1_000_000)
+	applyEvent(t, &first, start, 1_000_000, &event{Do: "crashed", Worker: "w1", Runs: []string{"a.0.0.0 1"}})
+	progress := first.TakeChange().Jobs()["a"]
+	if progress == nil {
+		t.Fatal("progress of the job after a crash: got none, want one to store")
+	}
+
+	var second Scheduler
+	second.SetQueues(testQueues)
+	second.BeginTerm(2, nil)
+	applyEvent(t, &second, start, 1_000_000, &event{Do: "report", Worker: "w2", Life: 1})
+	second.Admit(start, 1_000_000, jobOf(t, &admit), progress, true)
+	orders := second.Decide(start, 1_000_000)
+	if got := orders.Starts(); len(got) != 1 || !got[0].Trial {
+		t.Fatalf("starts by the next dispatcher: got %+v, want one trial", got)
+	}
+	run := orders.Starts()[0].Run
+	second.MarkStarted("w2", []RunStarted{{Task: orders.Starts()[0].Task, Run: run}})
+	second.RunnerGone(start, 1_000_000, "w2", true)
+	if got, _ := second.Phase("a"); got.String() != "failed" {
+		t.Errorf("phase after a second crash: got %s, want failed", got)
+	}
+	if got := second.TakeAbandonedTasks(); len(got) != 1 || got[0].Crashes != 2 {
+		t.Errorf("abandoned tasks: got %+v, want one after two crashes", got)
+	}
+}
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -58,6 +58,9 @@
 	// at the worker, from 0 to 1.
 	Harm   float64
 	Reason string
+	// Trial asks the agent to report soon whether the run is still at work, since its task is
+	// suspected of crashing runners.
+	Trial bool
 }
 
 // Stop is an order to stop a run, or to make sure that the run never starts.
@@ -105,6 +108,7 @@
 		sc.createDueOccurrences(now, wallMS, j)
 	}
 	o := &Orders{}
+	sc.endHolds(now)
 	sc.releaseRoom()
 	sc.askQuestions(now, o)
 	for _, s := range sc.placementOrder(now) {
@@ -228,6 +232,11 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
 			continue
 		}
+		if t.crashes.suspicious() {
+			sc.placeTrial(now, s, &q, i, o)
+			c = nil // the trial may have changed a candidate
+			continue
+		}
 		if c == nil && !sc.knownFull(s, &q) {
 			c = sc.candidates(now, s, q)
 		}
@@ -267,7 +276,7 @@
 // suitable reports whether a worker may run a step, apart from the placement policy and whether it
 // has room.
 func (sc *Scheduler) suitable(now time.Time, s *stepState, q *Queue, w *workerState) bool {
-	return sc.eligible(s, q, w) && w.health.usable(now)
+	return sc.eligible(s, q, w) && w.health.usable(now) && !w.held(now)
 }
 
 // eligible reports whether a worker may run a step, apart from its health, the placement policy and whether
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -88,7 +88,7 @@
 func (sc *Scheduler) probeLongRunning(now time.Time, s *stepState, q *Queue, index int, o *Orders) bool {
 	var best *workerState
 	for w := range sc.suspects {
-		if !w.health.mayProbeLongRunning(now) || !sc.eligible(s, q, w) || !s.permitted(now, q, w) || !sc.hasRoom(w, s, 0) {
+		if !w.health.mayProbeLongRunning(now) || w.held(now) || !sc.eligible(s, q, w) || !s.permitted(now, q, w) || !sc.hasRoom(w, s, 0) {
 			continue
 		}
 		if best == nil || longerSound(w, best) {
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -182,6 +182,9 @@
 		t := &o.steps[tp.Step].tasks[tp.Index]
 		t.failedRuns, t.checkpoint = tp.Failed, tp.Saved
 	}
+	for i := range p.Crashes {
+		sc.restoreCrashes(o, &p.Crashes[i])
+	}
 }
 
 // openSteps opens the steps of an occurrence whose dependencies are all done.
@@ -225,6 +228,7 @@
 		for _, s := range o.steps {
 			delete(sc.readySteps, s)
 			for i := range s.tasks {
+				delete(sc.crashSuspects, &s.tasks[i])
 				if s.tasks[i].done && s.spec.Gang {
 					continue // the other runs of the gang end with the run that was reported as done
 				}
@@ -267,6 +271,9 @@
 		} else if len(t.failedRuns) > 0 || t.checkpoint != "" {
 			p.Tasks = append(p.Tasks, workflow.TaskProgress{Occurrence: s.occurrence.index, Step: s.index, Index: i, Failed: t.failedRuns, Saved: t.checkpoint})
 		}
+		if !t.done && t.crashes != (crashCount{}) {
+			p.Crashes = append(p.Crashes, workflow.TaskCrashes{Occurrence: s.occurrence.index, Step: s.index, Index: i, AtStart: t.crashes.atStart, Confirmed: t.crashes.confirmed, Total: t.crashes.total})
+		}
 	}
 	if s.doneTasks > 0 {
 		p.Done = append(p.Done, done)
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"savoryhoist.example/savoryhoist/pkg/workflow"
@@ -12,10 +13,19 @@
 	w.unknownJobs = unknownJobReport{}
 	delete(sc.workersWithUnknownJobs, w)
 	sc.forgetAllUnwanted(w)
-	for _, r := range w.runs {
-		sc.lostRuns = append(sc.lostRuns, LostRun{Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Started: r.started})
+	var culprits []*run
+	for _, r := range slices.Clone(sc.runsInOrder(w)) {
+		if crashed && sc.recordCrash(r) {
+			culprits = append(culprits, r)
+		}
+		sc.lostRuns = append(sc.lostRuns, LostRun{
+			Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Started: r.started, Proven: r.proven, Crashes: r.step.tasks[r.id.Index].crashes.total,
+		})
 		sc.endRun(now, wallMS, w, &RunEnd{Task: r.id, Run: r.number, How: OutcomeGone})
 	}
+	for _, r := range culprits {
+		sc.abandon(now, wallMS, r)
+	}
 }
 
 // LostRun is a run that is regarded as ended because the worker's runner ended or was replaced, or
@@ -26,8 +36,11 @@
 	Worker string
 	// Crashed is set if the worker's runner has crashed, rather than the lease expired.
 	Crashed bool
-	// Started is set if the runner is known to have started the run.
-	Started bool
+	// Started is set if the runner is known to have started the run, Proven if the run was at work
+	// for provenStartAfter.
+	Started, Proven bool
+	// Crashes is the number of runners that have crashed while they ran the task.
+	Crashes int
 }
 
 // TakeLostRuns returns the runs that were lost since the last call.
--- a/pkg/dispatch/placement_test.go
+++ b/pkg/dispatch/placement_test.go
@@ -53,6 +53,10 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
 			continue
 		}
+		if t.crashes.suspicious() {
+			sc.placeTrial(now, s, &q, i, o)
+			continue
+		}
 		w := sc.chooseWorker(now, s, t, q, nil)
 		if w == nil && s.spec.LongRunning {
 			w = sc.probeWorkerByFullScan(now, s, q)
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -106,7 +106,7 @@
 	w := sc.workerState(info.Name)
 	if w.life != info.Life {
 		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.draining)
-		w.life = info.Life
+		sc.beginLife(now, w, info.Life)
 		w.health = workerHealth{}
 		sc.noteHealth(w)
 		sc.noteChange(w)
@@ -199,6 +199,9 @@
 		r.phase = runRunning
 	}
 	r.started = true
+	if now.Sub(r.orderedAt) >= provenStartAfter {
+		sc.proveStart(r)
+	}
 	if status.Percent != r.percent {
 		r.percent, r.progressedAt = status.Percent, now
 	}
@@ -207,6 +210,7 @@
 		r.checkpoint = status.Saved
 	}
 	sc.checkProbe(now, r)
+	sc.settleCrashes(now, r)
 }
 
 // adoptRun takes in the status of a run from a report. The run may have been ordered in an
@@ -239,6 +243,7 @@
 		s.runsPerWorker[w.name]++
 	}
 	w.add(r)
+	w.unprovenRuns++
 	sc.rooms.update(w)
 	return r
 }
@@ -320,6 +325,7 @@
 // removeRun removes a run from its task and worker.
 func (sc *Scheduler) removeRun(now time.Time, r *run) {
 	r.worker.remove(r)
+	sc.endTrial(r)
 	sc.rooms.update(r.worker)
 	sc.noteChange(r.worker)
 	s := r.step
@@ -373,6 +379,7 @@
 		return
 	}
 	t.done = true
+	delete(sc.crashSuspects, t)
 	s.doneTasks++
 	if len(t.runs) == 0 {
 		sc.addWaitingTasks(s, -1)
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -77,6 +77,12 @@
 	pendingStops []Stop
 	// lostRuns are the lost runs that the next call of TakeLostRuns returns.
 	lostRuns []LostRun
+	// crashSuspects are the tasks that are suspected of crashing runners.
+	crashSuspects map[*taskState]struct{}
+	// heldWorkers are the workers that trials keep from getting other tasks.
+	heldWorkers map[*workerState]struct{}
+	// abandonedTasks are the tasks that the next call of TakeAbandonedTasks returns.
+	abandonedTasks []AbandonedTask
 	// healthChanges are the changes that the next call of TakeHealthChanges returns.
 	healthChanges []HealthChange
 	// remoteRackSlowdown is the factor by which a task takes longer on another rack than that of
@@ -119,6 +125,8 @@
 	sc.repeatingJobs = make(map[*jobState]struct{})
 	sc.full = make(fullFleet)
 	sc.suspects = make(map[*workerState]struct{})
+	sc.crashSuspects = make(map[*taskState]struct{})
+	sc.heldWorkers = make(map[*workerState]struct{})
 	sc.unreported = make(map[string]bool)
 	sc.readySteps = make(map[*stepState]struct{})
 	sc.changedJobs = make(map[*jobState]struct{})
@@ -221,6 +229,9 @@
 	waitingSince time.Time
 	// failedWorker is the worker where the last run failed.
 	failedWorker string
+	// crashes counts the runners that crashed while they ran the task, and crashedOn names their workers.
+	crashes   crashCount
+	crashedOn []string
 	// stalls counts runs that were stopped because they made no progress.
 	stalls int
 }
@@ -252,8 +263,11 @@
 	checkpoint    string
 	stopOrderedAt time.Time
 	stopReason    string
-	// started is set once the runner is known to have started the run.
-	started bool
+	// started is set once the runner is known to have started the run, proven once the run has been
+	// at work for provenStartAfter, so that it cannot be one that crashes its runner at the start.
+	started, proven bool
+	// exclusive is set if no other run may start at the worker before this one is proven.
+	exclusive bool
 }
 
 // task returns the states of a task and its step, or nil if the job, occurrence, step or task is
@@ -311,6 +325,17 @@
 	room roomPlace
 	// changed is set while the worker is one of Scheduler.changedWorkers.
 	changed bool
+	// everReported is set once a life of the worker's runner was known in this term.
+	everReported bool
+	// lifeBeganAt is when the present life became known, if another one was known before in this term.
+	lifeBeganAt time.Time
+	// unprovenRuns counts the runs that are not proven.
+	unprovenRuns int
+	// trial is the run at the worker whose task is suspected of crashing runners; nil if there is none.
+	trial *run
+	// reservedFor is the task that the worker is kept free for until reservedUntil.
+	reservedFor   *taskState
+	reservedUntil time.Time
 	// silent is set while there has been no recent contact.
 	silent bool
 	// leaseExpired is set once the worker's lease has expired, until the next contact: nothing can run
--- a/pkg/dispatch/speculative.go
+++ b/pkg/dispatch/speculative.go
@@ -34,7 +34,7 @@
 	for _, r := range stragglers {
 		s, t := r.step, &r.step.tasks[r.id.Index]
 		q, ok := sc.queues[s.occurrence.job.submission.Queue]
-		if !ok || t.done || now.Before(t.notBefore) {
+		if !ok || t.done || now.Before(t.notBefore) || t.crashes.suspicious() {
 			continue
 		}
 		if w := sc.chooseWorker(now, s, t, q, nil); w != nil {
--- a/pkg/workflow/progress.go
+++ b/pkg/workflow/progress.go
@@ -51,6 +51,21 @@
 	Done []DoneTasks `cbor:"3,keyasint,omitempty"`
 	// Tasks holds the state of tasks that are not done and have failed runs or a checkpoint.
 	Tasks []TaskProgress `cbor:"4,keyasint,omitempty"`
+	// Crashes holds the tasks that are not done and under which runners have crashed.
+	Crashes []TaskCrashes `cbor:"5,keyasint,omitempty"`
+}
+
+// TaskCrashes counts the runners that have crashed while they ran a task.
+type TaskCrashes struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	// AtStart counts those that crashed shortly after they were told to start the task, and Confirmed
+	// those of them that are known to have started it.
+	AtStart   int
+	Confirmed int
+	Total     int
 }
 
 // DoneTasks is the set of done tasks of one step of one occurrence; Bits has one bit for each
