--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -105,8 +105,8 @@
 func (sc *Scheduler) ApplyReport(now time.Time, wallMS int64, info *Worker, runs []RunStatus, ends []RunEnd) {
 	w := sc.workerState(info.Name)
 	if w.life != info.Life {
-		sc.endAllRuns(now, w)
-		w.life = info.Life
+		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.draining)
+		sc.beginLife(now, w, info.Life)
 		w.health = workerHealth{}
 		sc.noteHealth(w)
 		sc.noteChange(w)
@@ -115,6 +115,7 @@
 	w.unknownJobs = unknownJobReport{}
 	delete(sc.workersWithUnknownJobs, w)
 	sc.setWorkerInfo(now, w, info)
+	sc.forgetAllUnwanted(w)
 	sc.ApplyEnds(now, wallMS, info.Name, info.Life, ends)
 	listed := make(map[workflow.TaskID]uint64, len(runs))
 	for i := range runs {
@@ -152,7 +153,7 @@
 func (sc *Scheduler) workerState(name string) *workerState {
 	w := sc.workers[name]
 	if w == nil {
-		w = &workerState{name: name, runs: make(map[workflow.TaskID]*run), servingTasksByImage: make(map[string]int)}
+		w = &workerState{name: name, runs: make(map[workflow.TaskID]*run), servingTasksByImage: make(map[string]int), unwanted: make(map[unwantedRun]worker.Resources)}
 		sc.addWorker(w)
 	}
 	return w
@@ -164,9 +165,13 @@
 		sc.noteChange(w)
 		sc.largestMilliCPU = max(sc.largestMilliCPU, info.Capacity.MilliCPU)
 	}
+	resized := w.capacity.MilliCPU != info.Capacity.MilliCPU
 	w.lastContact, w.silent, w.leaseExpired = now, false, false
 	w.service, w.capacity, w.draining, w.pacePercent, w.instance = info.Service, info.Capacity, info.Draining, info.PacePercent, info.Instance
 	sc.rooms.update(w)
+	if resized {
+		sc.recountShares(w)
+	}
 	if w.pacePercent < fullPacePercent {
 		w.lastSlowedAt = now
 	}
@@ -193,6 +198,10 @@
 	if r.phase == runStartOrdered {
 		r.phase = runRunning
 	}
+	r.started = true
+	if now.Sub(r.orderedAt) >= provenStartAfter {
+		sc.proveStart(r)
+	}
 	if status.Percent != r.percent {
 		r.percent, r.progressedAt = status.Percent, now
 	}
@@ -201,6 +210,7 @@
 		r.checkpoint = status.Saved
 	}
 	sc.checkProbe(now, r)
+	sc.settleCrashes(now, r)
 }
 
 // adoptRun takes in the status of a run from a report. The run may have been ordered in an
@@ -212,7 +222,7 @@
 	}
 	s, t := sc.task(status.Task)
 	if t == nil || t.done || s.occurrence.job.phase.Ended() || (len(t.runs) > 0 && !s.spec.Speculative) {
-		sc.pendingStops = append(sc.pendingStops, Stop{Worker: w.name, Life: w.life, Task: status.Task, Run: status.Run, Reason: "the run is unknown or no longer needed"})
+		sc.stopUnwanted(w, s, status)
 		return
 	}
 	r := sc.addRun(now, s, t, status.Task, w, status.Run)
@@ -233,6 +243,7 @@
 		s.runsPerWorker[w.name]++
 	}
 	w.add(r)
+	w.unprovenRuns++
 	sc.rooms.update(w)
 	return r
 }
@@ -257,6 +268,7 @@
 	for i := range ends {
 		e := &ends[i]
 		w.lastEndNumber = max(w.lastEndNumber, e.Number)
+		sc.forgetUnwanted(w, unwantedRun{e.Task, e.Run})
 		if sc.jobs[e.Task.Job] == nil {
 			sc.holdEnd(now, w, e)
 			continue
@@ -273,6 +285,7 @@
 	w := sc.workerState(name)
 	if w.life == life {
 		w.unknownJobs.dropRun(id, runNumber)
+		sc.forgetUnwanted(w, unwantedRun{id, runNumber})
 		sc.endRun(now, wallMS, w, &RunEnd{Task: id, Run: runNumber, How: OutcomeRefused})
 	}
 }
@@ -314,6 +327,7 @@
 // removeRun removes a run from its task and worker.
 func (sc *Scheduler) removeRun(now time.Time, r *run) {
 	r.worker.remove(r)
+	sc.endTrial(r)
 	sc.rooms.update(r.worker)
 	sc.noteChange(r.worker)
 	s := r.step
@@ -367,6 +381,7 @@
 		return
 	}
 	t.done = true
+	delete(sc.crashSuspects, t)
 	s.doneTasks++
 	if len(t.runs) == 0 {
 		sc.addWaitingTasks(s, -1)
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -79,6 +79,12 @@
 	pendingStops []Stop
 	// lostRuns are the lost runs that the next call of TakeLostRuns returns.
 	lostRuns []LostRun
+	// crashSuspects are the tasks that are suspected of crashing runners.
+	crashSuspects map[*taskState]struct{}
+	// heldWorkers are the workers that trials keep from getting other tasks.
+	heldWorkers map[*workerState]struct{}
+	// abandonedTasks are the tasks that the next call of TakeAbandonedTasks returns.
+	abandonedTasks []AbandonedTask
 	// healthChanges are the changes that the next call of TakeHealthChanges returns.
 	healthChanges []HealthChange
 	// remoteRackSlowdown is the factor by which a task takes longer on another rack than that of
@@ -122,6 +128,8 @@
 	sc.full = make(fullFleet)
 	sc.suspects = make(map[*workerState]struct{})
 	sc.keptWorkers = make(map[*workerState]struct{})
+	sc.crashSuspects = make(map[*taskState]struct{})
+	sc.heldWorkers = make(map[*workerState]struct{})
 	sc.unreported = make(map[string]bool)
 	sc.readySteps = make(map[*stepState]struct{})
 	sc.changedJobs = make(map[*jobState]struct{})
@@ -224,6 +232,9 @@
 	waitingSince time.Time
 	// avoided are the workers where runs of the task have failed or were refused, the latest one last.
 	avoided []avoidedWorker
+	// crashes counts the runners that crashed while they ran the task, and crashedOn names their workers.
+	crashes   crashCount
+	crashedOn []string
 	// stalls counts runs that were stopped because they made no progress.
 	stalls int
 }
@@ -255,6 +266,11 @@
 	checkpoint    string
 	stopOrderedAt time.Time
 	stopReason    string
+	// started is set once the runner is known to have started the run, proven once the run has been
+	// at work for provenStartAfter, so that it cannot be one that crashes its runner at the start.
+	started, proven bool
+	// exclusive is set if no other run may start at the worker before this one is proven.
+	exclusive bool
 }
 
 // task returns the states of a task and its step, or nil if the job, occurrence, step or task is
@@ -312,13 +328,27 @@
 	room roomPlace
 	// changed is set while the worker is one of Scheduler.changedWorkers.
 	changed bool
+	// everReported is set once a life of the worker's runner was known in this term.
+	everReported bool
+	// lifeBeganAt is when the present life became known, if another one was known before in this term.
+	lifeBeganAt time.Time
+	// unprovenRuns counts the runs that are not proven.
+	unprovenRuns int
+	// trial is the run at the worker whose task is suspected of crashing runners; nil if there is none.
+	trial *run
+	// reservedFor is the task that the worker is kept free for until reservedUntil.
+	reservedFor   *taskState
+	reservedUntil time.Time
 	// silent is set while there has been no recent contact.
 	silent bool
 	// leaseExpired is set once the worker's lease has expired, until the next contact: nothing can run
 	// on the worker.
 	leaseExpired bool
 	runs         map[workflow.TaskID]*run
-	allocated    worker.Resources
+	// unwanted holds what the unwanted runs at the worker reserve.
+	unwanted map[unwantedRun]worker.Resources
+	// allocated is what runs and unwanted runs reserve.
+	allocated worker.Resources
 	// bestEffortMilliCPU is the processor time that best-effort tasks request.
 	bestEffortMilliCPU int64
 	// servingTasks counts tasks with a latency target.
@@ -364,9 +394,13 @@
 // countBestEffort adds the processor time of a best-effort run to the worker's sums if delta is 1, and
 // removes it from them if delta is -1.
 func (w *workerState) countBestEffort(r *run, delta int) {
-	image := r.step.spec.Image
 	w.bestEffortMilliCPU += int64(delta) * r.step.spec.Size.MilliCPU
-	w.bestEffortShares.add(image, float64(delta)*float64(r.step.spec.Size.MilliCPU)/float64(max(1, w.capacity.MilliCPU)))
+	w.bestEffortShares.add(r.step.spec.Image, float64(delta)*w.shareOf(r.step))
+}
+
+// shareOf returns the fraction of the worker's processors that a task of a step requests.
+func (w *workerState) shareOf(s *stepState) float64 {
+	return float64(s.spec.Size.MilliCPU) / float64(max(1, w.capacity.MilliCPU))
 }
 
 // count adds a run to the worker's counts if delta is 1, and removes it from them if delta is -1.
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -156,6 +156,12 @@
 	sc.keptWorkers[w] = struct{}{}
 }
 
+// keptFrom reports whether a worker is kept for a long-running task that runs were stopped for, and the step is
+// none.
+func (w *workerState) keptFrom(now time.Time, s *stepState) bool {
+	return !s.spec.LongRunning && now.Before(w.keptUntil)
+}
+
 // releaseKept forgets the workers that are no longer kept for long-running tasks.
 func (sc *Scheduler) releaseKept(now time.Time) {
 	for w := range sc.keptWorkers {
