Refuse starts that cross an empty report, until the dispatcher has read it

Cause: an agent whose runner is mute and whose last run lease has expired sends an empty report, "the worker runs nothing", which the dispatcher takes for the end of all runs that it has ordered there. The report says nothing true about a start that is under way. The agent carried such a start out, since its life (the time between two restarts of the runner) was still the present one.

The same can happen later: empty report, full report, and only then a start from before the empty report.

Change: after an empty report the agent refuses starts until it sends a full report. It sends that report once the dispatcher has answered a ping sent after the empty one. The dispatcher sends orders and answers over the same connection while it holds one lock, and a connection keeps the order of messages or is closed; so the starts from before it read the empty report have arrived, and it orders none after that, since the worker has no life until the full report. Stops are carried out as before. A new connection needs no wait: the agent reads one connection at a time, and the dispatcher sends no order over it before the first report. The runner is polled without delay meanwhile, so that the wait costs one round trip.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -97,9 +97,13 @@
 	// lastRunLeaseEnd is the latest end, on the agent's clock, of all run leases that the runner
 	// was asked for.
 	lastRunLeaseEnd time.Time
-	// reportedEmpty is set once the dispatcher was told that the worker runs nothing, until the
-	// runner answers again.
+	// reportedEmpty is set once the dispatcher was told that the worker runs nothing, until it is sent a
+	// full report.
 	reportedEmpty bool
+	// emptyReportPing is the number of the ping that followed the last empty report.
+	emptyReportPing uint64
+	// answeredPing is the number of the last ping that the dispatcher has answered.
+	answeredPing uint64
 	// term is the leadership term of the dispatcher that the agent serves or served last; 0
 	// before the first.
 	term uint64
@@ -238,7 +242,7 @@
 		a.mu.Lock()
 		known := a.term != 0
 		wait := pollWait
-		if a.runnerClockReadAt.IsZero() {
+		if a.runnerClockReadAt.IsZero() || a.reportedEmpty && a.conn != nil {
 			wait = 0
 		} else if a.colocated {
 			wait = colocatedPollWait
@@ -307,10 +311,9 @@
 	if a.reportedEmpty || a.conn == nil || !a.allRunsEnded(err) {
 		return
 	}
-	a.reportedEmpty = true
 	a.count("runners-lost")
 	a.log.Warn().Err(err).Uint64("life", a.life).Msg("runner lost; its runs have ended")
-	a.conn.Send(&peer.Message{Report: a.emptyReport()})
+	a.sendEmptyReport(clock.Steady())
 }
 
 // allRunsEnded reports whether it is certain, after a poll that failed with err, that nothing
@@ -319,11 +322,20 @@
 	return errors.Is(err, ErrNotListening) || clock.Steady().After(a.lastRunLeaseEnd.Add(leaseSlack))
 }
 
-// emptyReport returns a report of a worker without a runner.
-func (a *Agent) emptyReport() *peer.Report {
-	return &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}}
+// sendEmptyReport tells the dispatcher that the worker runs nothing, and pings it. Start orders that are
+// under way meanwhile are refused, since the dispatcher regards their runs as ended. The caller holds mu.
+func (a *Agent) sendEmptyReport(now time.Time) {
+	a.reportedEmpty = true
+	a.conn.Send(&peer.Message{Report: &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}}})
+	a.ping(now)
+	a.emptyReportPing = a.pingSeq
 }
 
+// emptyReportRead reports whether every order that the dispatcher sent before it read the empty report
+// has arrived: a connection keeps the order of messages, and the ping after the report is answered. The
+// caller holds mu.
+func (a *Agent) emptyReportRead() bool { return a.answeredPing >= a.emptyReportPing }
+
 // leaseSlack is added to the end of the last run lease before the lease counts as expired. It
 // covers the time that a call takes to reach the runner.
 const leaseSlack = 300 * time.Millisecond
@@ -352,15 +364,24 @@
 		return // a newer listing was applied before
 	}
 	a.applyListing(now, l)
-	if a.reportedEmpty && a.conn != nil {
-		a.reportedEmpty = false
-		a.sendReport()
+	if a.reportedEmpty {
+		a.endEmptyReport()
 		return
 	}
 	a.sendNewEnds()
 	a.setPaces(ctx, now)
 }
 
+// endEmptyReport sends a full report after an empty one, once no start order that the dispatcher
+// regards as ended can arrive any more. The caller holds mu.
+func (a *Agent) endEmptyReport() {
+	if a.conn == nil || !a.emptyReportRead() {
+		return
+	}
+	a.reportedEmpty = false
+	a.sendReport()
+}
+
 // applyListing replaces the known state of the runner by a listing. The caller holds mu.
 func (a *Agent) applyListing(now time.Time, l *Listing) {
 	a.runnerClockMS, a.runnerClockReadAt = l.ClockMS, now
@@ -437,5 +458,6 @@
 var (
 	errLeaseTooShort   = errors.New("too little of the worker lease is left for a start")
 	errOtherLife       = errors.New("the order is for another life of the runner")
+	errReportedEmpty   = errors.New("the dispatcher was told that the worker runs nothing")
 	errNoPolicyService = errors.New("no policy service is configured")
 )
--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -310,8 +310,8 @@
 	}
 }
 
-// Once no runner listens, an empty worker is reported. Once the runner listens again, its
-// life is reported again.
+// Once no runner listens, an empty worker is reported. Once the runner listens again and the dispatcher
+// has read that report, the runner's life is reported again.
 func TestGoneRunnerIsReported(t *testing.T) {
 	s := newFixture(t)
 	s.runner.gone = true
@@ -322,6 +322,7 @@
 	if m.Report.Worker.Life != 0 {
 		t.Errorf("life: got %d, want 0", m.Report.Worker.Life)
 	}
+	s.answerPing(t)
 	s.runner.gone = false
 	if err := s.agent.poll(context.Background(), 0); err != nil {
 		t.Fatal(err)
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -214,15 +214,8 @@
 	}
 	a.mu.Lock()
 	a.conn = conn
-	a.reportedEmpty = empty
-	a.lastReportedEnd = a.lastEndNumber()
 	clear(a.pingSentAt)
-	if empty {
-		conn.Send(&peer.Message{Report: a.emptyReport()})
-	} else {
-		conn.Send(&peer.Message{Report: a.newReport()})
-	}
-	a.ping(clock.Steady())
+	a.sendFirstReport(clock.Steady(), empty)
 	a.mu.Unlock()
 	for {
 		if !clock.WaitForWake(ctx, conn.Done(), pingEvery) {
@@ -238,6 +231,19 @@
 	}
 }
 
+// sendFirstReport sends the first report on a connection and the first ping. It needs no answer to an
+// empty report on an earlier connection, since orders on that one arrive no more. The caller holds mu.
+func (a *Agent) sendFirstReport(now time.Time, empty bool) {
+	if empty {
+		a.lastReportedEnd = a.lastEndNumber()
+		a.sendEmptyReport(now)
+		return
+	}
+	a.reportedEmpty = false
+	a.sendReport()
+	a.ping(now)
+}
+
 // ping sends a ping, which asks for a longer worker lease and describes the worker.
 // The caller holds mu.
 func (a *Agent) ping(now time.Time) {
@@ -259,6 +265,7 @@
 		conn.Close()
 		return
 	}
+	a.answeredPing = max(a.answeredPing, p.Seq)
 	if sent, ok := a.pingSentAt[p.Seq]; ok && p.WorkerLeaseRenewed {
 		a.workerLease.Renew(sent)
 	}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -26,18 +26,13 @@
 	for i := range orders.Starts {
 		s := orders.Starts[i]
 		key := runKey{s.Task, s.Run}
-		if s.Life != a.life {
-			a.refuse(s.Life, key, errOtherLife)
-			continue
-		}
-		leaseEndMS := a.runLeaseEndMS(now)
-		if leaseEndMS == 0 || a.workerLease.Remaining(now) < minLeaseLeft {
-			a.refuse(s.Life, key, errLeaseTooShort)
+		if err := a.checkStart(now, &s); err != nil {
+			a.refuse(s.Life, key, err)
 			continue
 		}
 		a.extendLastRunLeaseEnd(now)
 		a.unlistedStarts[key] = &s
-		c := a.newCall()
+		c, leaseEndMS := a.newCall(), a.runLeaseEndMS(now)
 		a.group.Go(func() { a.startRun(ctx, c, &s, leaseEndMS) })
 	}
 	for _, q := range orders.PolicyQuestions {
@@ -53,6 +48,19 @@
 	}
 }
 
+// checkStart returns why a start order must not be carried out, or nil. The caller holds mu.
+func (a *Agent) checkStart(now time.Time, s *dispatch.Start) error {
+	switch {
+	case s.Life != a.life:
+		return errOtherLife
+	case a.reportedEmpty:
+		return errReportedEmpty
+	case a.runLeaseEndMS(now) == 0 || a.workerLease.Remaining(now) < minLeaseLeft:
+		return errLeaseTooShort
+	}
+	return nil
+}
+
 // refuse tells the dispatcher that an order for a run is not carried out and never will be.
 // The dispatcher then counts the run as one that never ran. The caller holds mu.
 func (a *Agent) refuse(life uint64, key runKey, reason error) {
@@ -191,10 +199,15 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.life == life {
-		a.log.Info().Uint64("life", life).Int("starts", len(starts)).Msg("fenced starts that were sent to an earlier life of the runner")
-		a.sendReport()
+	if a.life != life {
+		return
+	}
+	a.log.Info().Uint64("life", life).Int("starts", len(starts)).Msg("fenced starts that were sent to an earlier life of the runner")
+	if a.reportedEmpty {
+		a.endEmptyReport()
+		return
 	}
+	a.sendReport()
 }
 
 // fenceStart makes sure that a run never starts in a life of the runner. It returns false
