Say of no start that it never runs, before that is certain

A stop for an earlier life (the time between two restarts of the runner) was answered with "never runs". The start of that run may have reached the next life with the same instance ID, where the agent makes sure that it does not take effect before it reports that life. A poll that failed since no runner listened, and was handled after another poll had found and reported the next life, reported the worker as empty. Starts that had been carried out in the next life then counted as ended.

Change: the agent drops stops for another life, since the report of the present life says what runs; a stop that the agent was carrying out when the life ended was dropped before, too. A failed poll reports an empty worker only if the runner has answered no other poll since the failed one began.

Tests: both seen failing before: "before the start is fenced: got {Life:7 Run:2 ...}, want no refusal" and "lives reported: got [8 0], want [8]".

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -287,7 +287,7 @@
 	a.mu.Unlock()
 	l, err := a.runner.Renew(callCtx, request)
 	if err != nil {
-		a.handlePollFailure(err)
+		a.handlePollFailure(now, err)
 		return err
 	}
 	a.handleListing(ctx, l)
@@ -302,13 +302,14 @@
 	}
 }
 
-// handlePollFailure handles the error of a failed poll. It reports an empty worker to the
-// dispatcher once it is certain that nothing runs any more.
-func (a *Agent) handlePollFailure(err error) {
+// handlePollFailure handles the error of a poll that began at the given time. It reports an empty worker
+// to the dispatcher once it is certain that nothing runs any more, unless the runner has answered another
+// poll since then: it may be in its next life.
+func (a *Agent) handlePollFailure(began time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sameLifeUntil = time.Time{}
-	if a.reportedEmpty || a.conn == nil || !a.allRunsEnded(err) {
+	if a.reportedEmpty || a.conn == nil || a.runnerClockReadAt.After(began) || !a.allRunsEnded(err) {
 		return
 	}
 	a.count("runners-lost")
--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -34,6 +34,10 @@
 	percents map[runKey]int
 	// gone is set while the runner does not listen.
 	gone bool
+	// stopErr is returned by a stop, which has no effect if it is set.
+	stopErr error
+	// beforeFailure is called, if set, before a renewal of a runner that is gone returns.
+	beforeFailure func()
 }
 
 // functions returns the functions that call f.
@@ -53,6 +57,9 @@
 func (f *fakeRunner) stop(_ context.Context, _ Call, task workflow.TaskID, run uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.stopErr != nil {
+		return f.stopErr
+	}
 	for i, r := range f.listing.Runs {
 		if r.Task == task && r.Run == run {
 			f.listing.Runs = slices.Delete(f.listing.Runs, i, i+1)
@@ -69,6 +76,11 @@
 	defer f.mu.Unlock()
 	f.renewals = append(f.renewals, h)
 	if f.gone {
+		if hook := f.beforeFailure; hook != nil {
+			f.mu.Unlock()
+			hook()
+			f.mu.Lock()
+		}
 		return nil, errors.Mark(errors.New("refused"), ErrNotListening)
 	}
 	f.listing.ClockMS++
--- a/internal/runneragent/lives_test.go
+++ b/internal/runneragent/lives_test.go
@@ -135,3 +135,50 @@
 		t.Errorf("long after a listing: got %d, want 0", got)
 	}
 }
+
+// A start that an earlier life may have received can take effect in the present life until it is fenced.
+func TestStopForAnEarlierLifeDoesNotRefuseAStartBeforeItIsFenced(t *testing.T) {
+	s := newFixture(t)
+	s.runner.mu.Lock()
+	s.runner.startErr, s.runner.stopErr = ErrNoAnswer, ErrNoAnswer
+	s.runner.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.agent.handleOrders(ctx, startOrders(3))
+	s.runner.mu.Lock()
+	s.runner.listing = Listing{ClockMS: 1, StartedAtMS: 8}
+	s.runner.mu.Unlock()
+	if err := s.agent.poll(ctx, 0); err != nil {
+		t.Fatal(err)
+	}
+	s.agent.handleOrders(ctx, &peer.Orders{Term: 3, Stops: []dispatch.Stop{{Worker: "w1", Life: 7, Task: task, Run: 2}}})
+	for _, m := range s.sentSoFar(t, isRefusal) {
+		t.Errorf("before the start is fenced: got %+v, want no refusal", m.OrderRefused)
+	}
+}
+
+// A poll that failed before the runner's next life was reported says nothing about that life.
+func TestPollThatFailedBeforeANewLifeDoesNotReportItEmpty(t *testing.T) {
+	s := newFixture(t)
+	s.runner.mu.Lock()
+	s.runner.gone = true
+	s.runner.beforeFailure = func() {
+		s.runner.mu.Lock()
+		s.runner.gone, s.runner.beforeFailure, s.runner.listing = false, nil, Listing{ClockMS: 1, StartedAtMS: 8}
+		s.runner.mu.Unlock()
+		if err := s.agent.poll(context.Background(), 0); err != nil {
+			t.Error(err)
+		}
+	}
+	s.runner.mu.Unlock()
+	if err := s.agent.poll(context.Background(), 0); err == nil {
+		t.Fatal("got no error, want one")
+	}
+	var lives []uint64
+	for _, m := range s.sentSoFar(t, isReport) {
+		lives = append(lives, m.Report.Worker.Life)
+	}
+	if !slices.Equal(lives, []uint64{8}) {
+		t.Errorf("lives reported: got %v, want [8]", lives)
+	}
+}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -12,8 +12,8 @@
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
 
-// handleOrders carries out the dispatcher's orders. It drops orders of another term, and refuses
-// orders for another life, the time between two restarts of the runner.
+// handleOrders carries out the dispatcher's orders. It drops orders of another term and stops for
+// another life, the time between two restarts of the runner, and refuses starts for another life.
 func (a *Agent) handleOrders(ctx context.Context, orders *peer.Orders) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -40,10 +40,6 @@
 	}
 	for i := range orders.Stops {
 		s := orders.Stops[i]
-		if s.Life != a.life {
-			a.refuse(s.Life, runKey{s.Task, s.Run}, errOtherLife)
-			continue
-		}
 		a.group.Go(func() { a.fence(ctx, s.Life, runKey{s.Task, s.Run}, s.Reason) })
 	}
 }
