--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -100,9 +100,13 @@
 	// lastRunLeaseEnd is the latest end, on the agent's clock, of all run leases that the runner
 	// was asked for.
 	lastRunLeaseEnd time.Time
-	// reportedEmpty is set once the dispatcher was told that the worker runs nothing, until the
-	// runner answers again.
+	// reportedEmpty is set once the dispatcher was told that the worker runs nothing, until it is sent a
+	// full report.
 	reportedEmpty bool
+	// emptyReportPing is the number of the ping that followed the last empty report.
+	emptyReportPing uint64
+	// answeredPing is the number of the last ping that the dispatcher has answered.
+	answeredPing uint64
 	// term is the leadership term of the dispatcher that the agent serves or served last; 0
 	// before the first.
 	term uint64
@@ -248,7 +252,7 @@
 		a.mu.Lock()
 		known := a.term != 0
 		wait := pollWait
-		if a.runnerClockReadAt.IsZero() {
+		if a.runnerClockReadAt.IsZero() || a.reportedEmpty && a.conn != nil {
 			wait = 0
 		} else if a.colocated {
 			wait = colocatedPollWait
@@ -293,7 +297,7 @@
 	a.mu.Unlock()
 	l, err := a.runner.Renew(callCtx, request)
 	if err != nil {
-		a.handlePollFailure(err)
+		a.handlePollFailure(now, err)
 		return err
 	}
 	a.handleListing(ctx, l)
@@ -308,21 +312,19 @@
 	}
 }
 
-// handlePollFailure handles the error of a failed poll. It reports an empty worker to the
-// dispatcher once it is certain that nothing runs any more.
-func (a *Agent) handlePollFailure(err error) {
+// handlePollFailure handles the error of a poll that began at the given time. It reports an empty worker
+// to the dispatcher once it is certain that nothing runs any more, unless the runner has answered another
+// poll since then: it may be in its next life.
+func (a *Agent) handlePollFailure(began time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sameLifeUntil = time.Time{}
-	if a.reportedEmpty || a.conn == nil || !a.allRunsEnded(err) {
+	if a.reportedEmpty || a.conn == nil || a.runnerClockReadAt.After(began) || !a.allRunsEnded(err) {
 		return
 	}
-	a.reportedEmpty = true
 	a.count("runners-lost")
 	a.log.Warn().Err(err).Uint64("life", a.life).Msg("runner lost; its runs have ended")
-	report := a.emptyReport()
-	report.RunnerEnded = errors.Is(err, ErrNotListening)
-	a.conn.Send(&peer.Message{Report: report})
+	a.sendEmptyReport(clock.Steady(), errors.Is(err, ErrNotListening))
 }
 
 // allRunsEnded reports whether it is certain, after a poll that failed with err, that nothing
@@ -331,9 +333,14 @@
 	return errors.Is(err, ErrNotListening) || clock.Steady().After(a.lastRunLeaseEnd.Add(leaseSlack))
 }
 
-// emptyReport returns a report of a worker without a runner.
-func (a *Agent) emptyReport() *peer.Report {
-	return &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}, Started: a.startedUnlisted()}
+// sendEmptyReport tells the dispatcher that the worker runs nothing, and pings it. ended is set if the runner has
+// ended, rather than not to answer. Start orders that are under way meanwhile are refused, since the
+// dispatcher regards their runs as ended. The caller holds mu.
+func (a *Agent) sendEmptyReport(now time.Time, ended bool) {
+	a.reportedEmpty = true
+	a.conn.Send(&peer.Message{Report: &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}, Started: a.startedUnlisted(), RunnerEnded: ended}})
+	a.ping(now)
+	a.emptyReportPing = a.pingSeq
 }
 
 // startedUnlisted returns the starts that the runner has answered and not listed. The caller holds mu.
@@ -345,6 +352,11 @@
 	return out
 }
 
+// emptyReportRead reports whether every order that the dispatcher sent before it read the empty report
+// has arrived: a connection keeps the order of messages, and the ping after the report is answered. The
+// caller holds mu.
+func (a *Agent) emptyReportRead() bool { return a.answeredPing >= a.emptyReportPing }
+
 // leaseSlack is added to the end of the last run lease before the lease counts as expired. It
 // covers the time that a call takes to reach the runner.
 const leaseSlack = 300 * time.Millisecond
@@ -373,15 +385,24 @@
 		return // a newer listing was applied before
 	}
 	a.applyListing(now, l)
-	if a.reportedEmpty && a.conn != nil {
-		a.reportedEmpty = false
-		a.sendReport()
+	if a.reportedEmpty {
+		a.endEmptyReport()
 		return
 	}
 	a.sendNewEnds()
 	a.setPaces(ctx, now)
 }
 
+// endEmptyReport sends a full report after an empty one, once no start order that the dispatcher
+// regards as ended can arrive any more. The caller holds mu.
+func (a *Agent) endEmptyReport() {
+	if a.conn == nil || !a.emptyReportRead() {
+		return
+	}
+	a.reportedEmpty = false
+	a.sendReport()
+}
+
 // applyListing replaces the known state of the runner by a listing. The caller holds mu.
 func (a *Agent) applyListing(now time.Time, l *Listing) {
 	a.runnerClockMS, a.runnerClockReadAt = l.ClockMS, now
@@ -464,5 +485,6 @@
 var (
 	errLeaseTooShort   = errors.New("too little of the worker lease is left for a start")
 	errOtherLife       = errors.New("the order is for another life of the runner")
+	errReportedEmpty   = errors.New("the dispatcher was told that the worker runs nothing")
 	errNoPolicyService = errors.New("no policy service is configured")
 )
--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -35,6 +35,10 @@
 	percents map[runKey]int
 	// gone is set while the runner does not listen.
 	gone bool
+	// stopErr is returned by a stop, which has no effect if it is set.
+	stopErr error
+	// beforeFailure is called, if set, before a renewal of a runner that is gone returns.
+	beforeFailure func()
 }
 
 // functions returns the functions that call f.
@@ -54,6 +58,9 @@
 func (f *fakeRunner) stop(_ context.Context, _ Call, task workflow.TaskID, run uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.stopErr != nil {
+		return f.stopErr
+	}
 	for i, r := range f.listing.Runs {
 		if r.Task == task && r.Run == run {
 			f.listing.Runs = slices.Delete(f.listing.Runs, i, i+1)
@@ -70,6 +77,11 @@
 	defer f.mu.Unlock()
 	f.renewals = append(f.renewals, h)
 	if f.gone {
+		if hook := f.beforeFailure; hook != nil {
+			f.mu.Unlock()
+			hook()
+			f.mu.Lock()
+		}
 		return nil, errors.Mark(errors.New("refused"), ErrNotListening)
 	}
 	f.listing.ClockMS++
@@ -311,8 +323,8 @@
 	}
 }
 
-// Once no runner listens, an empty worker is reported. Once the runner listens again, its
-// life is reported again.
+// Once no runner listens, an empty worker is reported. Once the runner listens again and the dispatcher
+// has read that report, the runner's life is reported again.
 func TestGoneRunnerIsReported(t *testing.T) {
 	s := newFixture(t)
 	s.runner.gone = true
@@ -323,6 +335,7 @@
 	if m.Report.Worker.Life != 0 {
 		t.Errorf("life: got %d, want 0", m.Report.Worker.Life)
 	}
+	s.answerPing(t)
 	s.runner.gone = false
 	if err := s.agent.poll(context.Background(), 0); err != nil {
 		t.Fatal(err)
