--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -16,6 +16,10 @@
 	// provenAfter is how long a long-running task that tests a suspect worker has to stay at work for the
 	// worker to count as sound: it has no end that could show it.
 	provenAfter = 2 * time.Second
+	// longRunningProbeInterval is how long after a failed run a suspect worker may be probed with a
+	// long-running task, ahead of its next probe. With provenAfter it stays below the six seconds in which
+	// a long-running task has to run again.
+	longRunningProbeInterval = 3 * time.Second
 )
 
 // workerHealth is what the outcomes of runs say about a worker.
@@ -31,6 +35,7 @@
 // recordOutcome updates the health of a run's worker after the run has ended.
 func (sc *Scheduler) recordOutcome(now time.Time, r *run, how Outcome) {
 	h := &r.worker.health
+	suspect, probed := h.outcomes.Suspect(), h.probe == r
 	switch how {
 	case OutcomeDone:
 		h.outcomes.RecordSuccess()
@@ -46,6 +51,7 @@
 	}
 	h.probe = nil
 	sc.noteHealth(r.worker)
+	sc.addHealthChange(r.worker, suspect, probed, how)
 }
 
 // noteHealth updates the set of suspect workers after a change of a worker's health.
@@ -68,6 +74,41 @@
 	h.probe = nil
 	sc.noteHealth(r.worker)
 	sc.noteChange(r.worker)
+	sc.addHealthChange(r.worker, true, true, OutcomeDone)
+}
+
+// mayProbeLongRunning reports whether a suspect worker may be probed with a long-running task: its failures
+// do not count, so it is probed more often than with other tasks.
+func (h *workerHealth) mayProbeLongRunning(now time.Time) bool {
+	return h.outcomes.Suspect() && h.probe == nil && now.Sub(h.outcomes.LastFailure()) >= longRunningProbeInterval
+}
+
+// probeLongRunning starts a task of a long-running step that no sound worker has room for on a suspect
+// worker, as its probe: on the one that has not failed for longest. It reports whether there is one.
+func (sc *Scheduler) probeLongRunning(now time.Time, s *stepState, q *Queue, index int, o *Orders) bool {
+	var best *workerState
+	for w := range sc.suspects {
+		if !w.health.mayProbeLongRunning(now) || !sc.eligible(s, q, w) || !s.permitted(now, q, w) || !sc.hasRoom(w, s, 0) {
+			continue
+		}
+		if best == nil || longerSound(w, best) {
+			best = w
+		}
+	}
+	if best == nil {
+		return false
+	}
+	sc.orderStart(now, s, index, best, s.tasks[index].lastRunNumber+1, "probe of a suspect worker: no sound worker has room", o)
+	return true
+}
+
+// longerSound reports whether the last failure on worker x is older than on y; ties are broken by name.
+func longerSound(x, y *workerState) bool {
+	xFailed, yFailed := x.health.outcomes.LastFailure(), y.health.outcomes.LastFailure()
+	if !xFailed.Equal(yFailed) {
+		return xFailed.Before(yFailed)
+	}
+	return x.name < y.name
 }
 
 // usable reports whether a worker's health allows it to get a task.
@@ -77,3 +118,39 @@
 	}
 	return h.outcomes.MayProbe(now) && h.probe == nil
 }
+
+// HealthChange is a change of what the scheduler holds of a worker's health.
+type HealthChange struct {
+	Worker string
+	// Suspect is set if the worker is suspect after the change.
+	Suspect bool
+	// Probed is set if the change follows from the end of a probe, which ended with Outcome.
+	Probed  bool
+	Outcome Outcome
+	// FailedJobs are the jobs that have failed on the worker since its last success, and NextProbe
+	// is the earliest time of the next probe of a suspect worker.
+	FailedJobs []string
+	NextProbe  time.Time
+}
+
+// addHealthChange records a change of a worker's health if the worker became suspect, was probed, or is
+// no longer suspect.
+func (sc *Scheduler) addHealthChange(w *workerState, wasSuspect, probed bool, how Outcome) {
+	h := &w.health.outcomes
+	if h.Suspect() == wasSuspect && !probed {
+		return
+	}
+	sc.healthChanges = append(sc.healthChanges, HealthChange{
+		Worker: w.name, Suspect: h.Suspect(), Probed: probed, Outcome: how, FailedJobs: h.FailedJobs(), NextProbe: h.ProbeAt(),
+	})
+}
+
+// TakeHealthChanges returns the changes of workers' health since the last call.
+func (sc *Scheduler) TakeHealthChanges() []HealthChange {
+	out := sc.healthChanges
+	sc.healthChanges = nil
+	return out
+}
+
+// SuspectWorkers returns the number of suspect workers.
+func (sc *Scheduler) SuspectWorkers() int { return len(sc.suspects) }
--- a/pkg/worker/health.go
+++ b/pkg/worker/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -37,6 +38,8 @@
 	failedProbes int
 	// probeAt is the earliest time of a suspect worker's next probe.
 	probeAt time.Time
+	// lastFailure is when a run last failed on the worker.
+	lastFailure time.Time
 }
 
 // FailureRate returns the failure rate of the latest runs, from 0 to 1, as an
@@ -47,6 +50,16 @@
 // with no success in between. Such a worker gets no tasks other than probes.
 func (h *Health) Suspect() bool { return h.failedJobCount >= suspectAfterJobs }
 
+// FailedJobs returns the distinct jobs that have failed on the worker since its last success, at most as
+// many as make it suspect.
+func (h *Health) FailedJobs() []string { return slices.Clone(h.failedJobs[:h.failedJobCount]) }
+
+// ProbeAt returns the earliest time of a suspect worker's next probe.
+func (h *Health) ProbeAt() time.Time { return h.probeAt }
+
+// LastFailure returns when a run last failed on the worker, or the zero time.
+func (h *Health) LastFailure() time.Time { return h.lastFailure }
+
 // MayProbe reports whether a suspect worker is due to be probed with one task.
 func (h *Health) MayProbe(now time.Time) bool { return !now.Before(h.probeAt) }
 
@@ -57,12 +70,16 @@
 	h.failedProbes = 0
 }
 
-// RecordFailure records a failed run whose cause may be the worker.
+// RecordFailure records a failed run whose cause may be the worker. The failure of a run on a suspect
+// worker that is not due to be probed is none of a probe and does not delay the next one.
 func (h *Health) RecordFailure(now time.Time, job string) {
 	h.failureRate += (1 - h.failureRate) * newestOutcomeWeight
+	h.lastFailure = now
 	if h.Suspect() {
-		h.failedProbes++
-		h.probeAt = now.Add(backoff(firstProbeDelay, h.failedProbes, maxProbeDelay))
+		if h.MayProbe(now) {
+			h.failedProbes++
+			h.probeAt = now.Add(backoff(firstProbeDelay, h.failedProbes, maxProbeDelay))
+		}
 		return
 	}
 	for _, known := range h.failedJobs[:h.failedJobCount] {
