Report a restart before starts of the earlier life are fenced

After a restart of its runner, an agent reported the new life only once every unresolved start of the earlier life was fenced. While one stop was not answered, all runs of the earlier life counted as present and orders were refused.

The new life is now reported at once, with the unresolved starts as pending runs. The dispatcher adopts these in the same step in which it ends the earlier life, so that it starts no such task again (TestPendingStartOfEarlierLifeIsNotRepeated). Each is refused once it is fenced, independently of the others. They stay in unlistedStarts until then, so later reports list them too. Fences and first polls no longer end with a connection, and a connection that ended is not taken up.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -340,8 +340,8 @@
 // covers the time that a call takes to reach the runner.
 const leaseSlack = 300 * time.Millisecond
 
-// handleListing applies a listing and reports changes to the dispatcher. It reports a new
-// life only once no start that was sent to an earlier life can take effect in the new one.
+// handleListing applies a listing and reports changes to the dispatcher. It reports a new life at once,
+// with the starts that may still take effect in it as pending runs, and refuses each once it is fenced.
 func (a *Agent) handleListing(ctx context.Context, l *Listing) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -351,13 +351,12 @@
 			return
 		}
 		a.beginLife(l.StartedAtMS)
-		unresolved := a.takeUnresolvedStarts(now)
+		unresolved := a.collectUnresolvedStarts(now)
 		a.applyListing(now, l)
-		if len(unresolved) > 0 {
-			a.group.Go(func() { a.fenceAndReport(ctx, l.StartedAtMS, unresolved) })
-			return
-		}
 		a.sendReport()
+		for _, key := range unresolved {
+			a.group.Go(func() { a.fence(ctx, l.StartedAtMS, key, "the start was sent to an earlier life of the runner") })
+		}
 		return
 	}
 	if l.ClockMS < a.runnerClockMS {
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -115,9 +115,7 @@
 	if err != nil {
 		return "", false
 	}
-	live, stop := context.WithCancel(ctx)
-	defer stop()
-	detach := context.AfterFunc(live, conn.Close)
+	detach := context.AfterFunc(ctx, conn.Close)
 	defer detach()
 	a.mu.Lock()
 	term := a.term
@@ -129,7 +127,7 @@
 		switch {
 		case m.Welcome != nil:
 			a.AddEntries(m.Welcome.EntryAddresses)
-			if m.Welcome.IsDispatcher && a.joinTerm(live, conn, m.Welcome.NewestTerm) {
+			if m.Welcome.IsDispatcher && a.joinTerm(ctx, conn, m.Welcome.NewestTerm) {
 				stayed = true
 				a.log.Info().Str("dispatcher", m.Welcome.Name).Uint64("term", m.Welcome.NewestTerm).Msg("dispatcher connected")
 				return
@@ -197,14 +195,22 @@
 		if !clock.WaitForWake(ctx, conn.Done(), retryDelay) {
 			return false, false
 		}
-		select {
-		case <-conn.Done():
+		if hasEnded(conn) {
 			return false, false
-		default:
 		}
 	}
 }
 
+// hasEnded reports whether a connection has ended.
+func hasEnded(conn *peer.Conn) bool {
+	select {
+	case <-conn.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // serveTerm sends the dispatcher a report from a new poll of the runner, and then pings the
 // dispatcher until the connection ends.
 func (a *Agent) serveTerm(ctx context.Context, conn *peer.Conn) {
@@ -213,12 +219,16 @@
 		return
 	}
 	a.mu.Lock()
+	if hasEnded(conn) {
+		a.mu.Unlock()
+		return // a later connection may be in use
+	}
 	a.conn = conn
 	clear(a.pingSentAt)
 	a.sendFirstReport(clock.Steady(), empty)
 	a.mu.Unlock()
 	for {
-		if !clock.WaitForWake(ctx, conn.Done(), pingEvery) {
+		if !clock.WaitForWake(ctx, conn.Done(), pingEvery) || hasEnded(conn) {
 			return
 		}
 		a.mu.Lock()
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,7 +102,7 @@
 }
 
 // pollForRun polls the runner once, and reports whether the start of a run no longer waits to
-// be listed: the runner has listed the run as running or ended, or has restarted.
+// be listed: the runner has listed the run as running or ended.
 func (a *Agent) pollForRun(ctx context.Context, key runKey) bool {
 	if err := a.poll(ctx, 0); err != nil {
 		return false
@@ -124,7 +125,7 @@
 		c, current := a.newCall(), a.life == life
 		a.mu.Unlock()
 		if !current {
-			return // the report of the new life tells the dispatcher what runs
+			return // the run is listed as pending in the report of the new life, and fenced in that life
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := a.runner.Stop(callCtx, c, key.task, key.run)
@@ -158,23 +159,18 @@
 	return false
 }
 
-// takeUnresolvedStarts returns the starts that have not appeared in a listing and may take
+// collectUnresolvedStarts returns the starts that have not appeared in a listing and may take
 // effect in the present life of the runner, which may have the same instance ID as the life
 // that they were sent to. Starts that the runner answered are among them, since either life may
-// have answered. It removes all starts from unlistedStarts; unansweredStarts keeps those it has.
-// The caller holds mu.
-func (a *Agent) takeUnresolvedStarts(now time.Time) []runKey {
-	var out []runKey
-	for key := range a.unlistedStarts {
-		delete(a.unlistedStarts, key)
-		out = append(out, key)
-	}
+// have answered. All of them are in unlistedStarts afterwards, so that reports list them as pending
+// until they are refused. The caller holds mu.
+func (a *Agent) collectUnresolvedStarts(now time.Time) []runKey {
 	for key, mayStartUntil := range a.unansweredStarts {
-		if now.Before(mayStartUntil) {
-			out = append(out, key)
+		if now.Before(mayStartUntil) && a.unlistedStarts[key] == nil {
+			a.unlistedStarts[key] = &dispatch.Start{Task: key.task, Run: key.run}
 		}
 	}
-	return out
+	return slices.Collect(maps.Keys(a.unlistedStarts))
 }
 
 // addUnanswered records a start without an answer, and removes recorded starts that are too
@@ -183,50 +179,3 @@
 	maps.DeleteFunc(a.unansweredStarts, func(_ runKey, mayStartUntil time.Time) bool { return !now.Before(mayStartUntil) })
 	a.unansweredStarts[key] = now.Add(maxStartDelay)
 }
-
-// fenceAndReport makes sure that starts of an earlier life never take effect in life, the
-// present life of the runner, and only then reports this life to the dispatcher.
-func (a *Agent) fenceAndReport(ctx context.Context, life uint64, starts []runKey) {
-	for _, key := range starts {
-		if !a.fenceStart(ctx, life, key) {
-			return // the runner has restarted again
-		}
-	}
-	for a.poll(ctx, 0) != nil {
-		if !clock.WaitForWake(ctx, nil, retryDelay) {
-			return
-		}
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.life != life {
-		return
-	}
-	a.log.Info().Uint64("life", life).Int("starts", len(starts)).Msg("fenced starts that were sent to an earlier life of the runner")
-	if a.reportedEmpty {
-		a.endEmptyReport()
-		return
-	}
-	a.sendReport()
-}
-
-// fenceStart makes sure that a run never starts in a life of the runner. It returns false
-// if that life is over or ctx has ended.
-func (a *Agent) fenceStart(ctx context.Context, life uint64, key runKey) bool {
-	for ctx.Err() == nil {
-		a.mu.Lock()
-		c, current := a.newCall(), a.life == life
-		a.mu.Unlock()
-		if !current {
-			return false
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := a.runner.Stop(callCtx, c, key.task, key.run)
-		cancel()
-		if err == nil {
-			return true
-		}
-		clock.WaitForWake(ctx, nil, retryDelay)
-	}
-	return false
-}
--- /dev/null
+++ b/pkg/dispatch/pending_test.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/pkg/worker"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
+)
+
+// A start of an earlier life that a worker reports as pending in the next life may still take effect: its
+// task is not started again before the worker has refused it, although another worker has room.
+func TestPendingStartOfEarlierLifeIsNotRepeated(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		sc, now := new(Scheduler), time.Unix(1000, 0)
+		sc.SetQueues(testQueues)
+		sc.BeginTerm(1, nil)
+		info := func(name string, life uint64) *Worker {
+			return &Worker{Name: name, Life: life, Service: "bench", Capacity: worker.Resources{MilliCPU: 16000, MemoryMB: 64000}, PacePercent: fullPacePercent}
+		}
+		sc.ApplyReport(now, 0, info("w1", 1), nil, nil)
+		step := workflow.Step{Count: 1, LongRunning: longRunning, Size: worker.Resources{MilliCPU: 1000}}
+		sc.Admit(now, 0, &workflow.Submission{ID: "a", Queue: "lasts", Spec: workflow.Spec{Steps: []workflow.Step{step}}}, nil, false)
+		starts := sc.Decide(now, 0).Starts()
+		if len(starts) != 1 {
+			t.Fatalf("long-running %v: starts: got %v, want one", longRunning, starts)
+		}
+		run := RunStatus{Task: starts[0].Task, Run: starts[0].Run, Pending: true}
+		sc.ApplyReport(now, 0, info("w2", 1), nil, nil)
+		sc.ApplyReport(now, 0, info("w1", 2), []RunStatus{run}, nil)
+		for range 20 {
+			now = now.Add(400 * time.Millisecond)
+			sc.ApplyPing(now, info("w1", 2), nil)
+			sc.ApplyPing(now, info("w2", 1), nil)
+			if o := sc.Decide(now, 0); len(o.Starts())+len(o.Stops()) != 0 {
+				t.Fatalf("long-running %v: orders while the start is pending: got starts %v and stops %v, want none", longRunning, o.Starts(), o.Stops())
+			}
+		}
+		sc.OrderRefused(now, 0, "w1", 2, run.Task, run.Run)
+		now = now.Add(refusedRetryDelay)
+		if starts := sc.Decide(now, 0).Starts(); len(starts) != 1 || starts[0].Run == run.Run {
+			t.Errorf("long-running %v: starts after the refusal: got %v, want a new run", longRunning, starts)
+		}
+	}
+}
