Refuse starts while the runner has not answered for two seconds

Each start order to a runner that does not answer asked for a run lease up to the end of the worker lease, so that the time from which all its runs count as ended moved on with every order. Its earlier runs were never given up as long as orders came.

Starts are now refused once the last listing is older than maxRunnerSilence. Such starts were never sent, so they need no fence and extend no lease. Polls return after one second even if nothing happens, so a runner that answers is not affected.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -48,6 +48,8 @@
 	maxStartDelay = 13 * time.Second
 	// minLeaseLeft is how much of the worker lease must be left for a run to be started.
 	minLeaseLeft = 500 * time.Millisecond
+	// maxRunnerSilence is how long after the last listing starts are still passed to the runner.
+	maxRunnerSilence = 2 * time.Second
 	// clockDriftDivisor bounds the relative error of the runner's clock rate: one part in 50.
 	clockDriftDivisor = 50
 )
@@ -456,6 +458,7 @@
 
 var (
 	errLeaseTooShort   = errors.New("too little of the worker lease is left for a start")
+	errSilentRunner    = errors.New("the runner does not answer")
 	errOtherLife       = errors.New("the order is for another life of the runner")
 	errReportedEmpty   = errors.New("the dispatcher was told that the worker runs nothing")
 	errNoPolicyService = errors.New("no policy service is configured")
