--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -51,6 +51,8 @@
 	trialReportDelay = 300 * time.Millisecond
 	// minLeaseLeft is how much of the worker lease must be left for a run to be started.
 	minLeaseLeft = 500 * time.Millisecond
+	// maxRunnerSilence is how long after the last listing starts are still passed to the runner.
+	maxRunnerSilence = 2 * time.Second
 	// clockDriftDivisor bounds the relative error of the runner's clock rate: one part in 50.
 	clockDriftDivisor = 50
 )
@@ -361,8 +363,8 @@
 // covers the time that a call takes to reach the runner.
 const leaseSlack = 300 * time.Millisecond
 
-// handleListing applies a listing and reports changes to the dispatcher. It reports a new
-// life only once no start that was sent to an earlier life can take effect in the new one.
+// handleListing applies a listing and reports changes to the dispatcher. It reports a new life at once,
+// with the starts that may still take effect in it as pending runs, and refuses each once it is fenced.
 func (a *Agent) handleListing(ctx context.Context, l *Listing) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -372,13 +374,12 @@
 			return
 		}
 		a.beginLife(l.StartedAtMS)
-		unresolved := a.takeUnresolvedStarts(now)
+		unresolved := a.collectUnresolvedStarts(now)
 		a.applyListing(now, l)
-		if len(unresolved) > 0 {
-			a.group.Go(func() { a.fenceAndReport(ctx, l.StartedAtMS, unresolved) })
-			return
-		}
 		a.sendReport()
+		for _, key := range unresolved {
+			a.group.Go(func() { a.fence(ctx, l.StartedAtMS, key, "the start was sent to an earlier life of the runner") })
+		}
 		return
 	}
 	if l.ClockMS < a.runnerClockMS {
@@ -484,6 +485,7 @@
 
 var (
 	errLeaseTooShort   = errors.New("too little of the worker lease is left for a start")
+	errSilentRunner    = errors.New("the runner does not answer")
 	errOtherLife       = errors.New("the order is for another life of the runner")
 	errReportedEmpty   = errors.New("the dispatcher was told that the worker runs nothing")
 	errNoPolicyService = errors.New("no policy service is configured")
