--- a/pkg/dispatch/crash_review_test.go
+++ b/pkg/dispatch/crash_review_test.go
@@ -103,3 +103,119 @@
 		}
 	}
 }
+
+// Two runs of one task that a worker lists after a change of the dispatcher both end with its runner.
+func TestTwoRunsOfOneTaskAtOneWorkerBothEnd(t *testing.T) {
+	var sc Scheduler
+	sc.SetQueues(testQueues)
+	sc.BeginTerm(2, []string{"w1"})
+	start := time.Unix(1000, 0)
+	applyEvent(t, &sc, start, 1_000_000, &event{Do: "admit", Job: "a", Queue: "fits", FromEarlierTerm: true, Steps: json.RawMessage(`[{"count": 1, "cpu": 100, "copies": true}]`)})
+	applyEvent(t, &sc, start, 1_000_000, &event{Do: "report", Worker: "w1", Life: 1, Runs: []string{"a.0.0.0 1 10 0", "a.0.0.0 3 10 0"}})
+	applyEvent(t, &sc, start, 1_000_000, &event{Do: "crashed", Worker: "w1"})
+	w := sc.workers["w1"]
+	_, task := sc.task(taskOf(t, "a.0.0.0"))
+	if w.unprovenRuns != 0 || w.allocated.MilliCPU != 0 || len(task.runs) != 0 {
+		t.Errorf("after the crash: got %d unproven runs, %d allocated, %d runs of the task, want 0 of each", w.unprovenRuns, w.allocated.MilliCPU, len(task.runs))
+	}
+}
+
+// TestCrashAccountingHolds plays random events and crashes, and counts anew what is kept between decisions.
+func TestCrashAccountingHolds(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		s := newStream(seed)
+		for i := range 400 {
+			s.event()
+			if i%7 == 0 {
+				crashRandomRunner(s)
+			}
+			sc := s.both[0]
+			sc.Decide(s.now, s.wallMS)
+			s.both[1].decideByFullScan(s.now, s.wallMS)
+			for _, w := range sc.fleet {
+				unproven := 0
+				for _, r := range w.runs {
+					if !r.proven {
+						unproven++
+					}
+				}
+				if unproven != w.unprovenRuns || w.trial != nil && w.runs[w.trial.id] != w.trial {
+					t.Fatalf("seed %d event %d, %s: got %d unproven runs, want %d; or its trial has ended", seed, i, w.name, w.unprovenRuns, unproven)
+				}
+			}
+			suspects := 0
+			for _, j := range sc.jobs {
+				for _, o := range j.occurrences {
+					for _, step := range o.steps {
+						for k := range step.tasks {
+							if x := &step.tasks[k]; !x.done && !j.phase.Ended() && x.crashes.suspicious() {
+								suspects++
+							}
+						}
+					}
+				}
+			}
+			if got := sc.CrashSuspects(); got != suspects {
+				t.Fatalf("seed %d event %d: got %d suspects, want %d", seed, i, got, suspects)
+			}
+		}
+	}
+}
+
+// crashRandomRunner ends the runner of a random worker, by a crash or without an answer, and starts the next.
+func crashRandomRunner(s *stream) {
+	w := s.workers[s.random.IntN(len(s.workers))]
+	var started []RunStarted
+	for _, r := range s.runsAt(w) {
+		started = append(started, RunStarted{Task: r.id, Run: r.number})
+	}
+	ended := s.random.IntN(3) > 0
+	s.each(func(sc *Scheduler) {
+		sc.MarkStarted(w.Name, started)
+		sc.RunnerGone(s.now, s.wallMS, w.Name, ended)
+	})
+	w.Life++
+	s.ends[w.Name] = 0
+	s.each(func(sc *Scheduler) { sc.ApplyReport(s.now, s.wallMS, w, nil, nil) })
+}
+
+// A task whose starts no runner answers is started five times at most, although the crash before each of two
+// changes of the dispatcher was not stored.
+func TestStartsOfDeadlyTaskAcrossDispatchers(t *testing.T) {
+	now, term, changes := time.Unix(1000, 0), uint64(1), 2
+	job := jobOf(t, &event{Job: "a", Queue: "fits", Steps: json.RawMessage(`[{"count": 1, "cpu": 1000}]`)})
+	sc := new(Scheduler)
+	begin := func() {
+		sc = new(Scheduler)
+		sc.SetQueues(testQueues)
+		sc.BeginTerm(term, nil)
+	}
+	begin()
+	sc.Admit(now, 1_000_000, job, nil, false)
+	stored := sc.TakeChange().Jobs()["a"]
+	starts := 0
+	for life := uint64(1); life < 20; life++ {
+		applyEvent(t, sc, now, 1_000_000, &event{Do: "report", Worker: "w1", Life: life})
+		ordered := 0
+		for i := 0; i < 400 && ordered == 0; i++ {
+			now = now.Add(10 * time.Millisecond)
+			ordered = len(sc.Decide(now, 1_000_000).Starts())
+		}
+		if ordered == 0 {
+			break
+		}
+		starts++
+		applyEvent(t, sc, now, 1_000_000, &event{Do: "crashed", Worker: "w1"})
+		if changes > 0 {
+			changes--
+			term++
+			begin()
+			sc.Admit(now, 1_000_000, job, stored, true)
+		} else if p := sc.TakeChange().Jobs()["a"]; p != nil {
+			stored = p
+		}
+	}
+	if starts > 5 {
+		t.Errorf("starts of a task that crashes each runner before it answers: got %d, want at most 5", starts)
+	}
+}
