Count crashes by the starts that were sent, and bound the wait for trials

- Runs that the agent had listed since its last ping were reported as not started.
- Orders that were never sent counted, so that a task could be abandoned that no runner had started ("got failed, want running").
The agent now names the starts that it sent and the runs that it listed, and only these count, answered or not.
TestStartsOfDeadlyTaskAcrossDispatchers therefore names the sent start.
- The first report on a connection did not say that the runner had ended.
- The heartbeat of the next life made the earlier one look drained, so that its crash passed for a planned end; the worker now says of itself whether its end was announced.
TestHeartbeatOfNextLifeDoesNotAnnounceTheEnd checks that.
- A crash that makes a task suspicious is stored at once, for the next dispatcher.
- A reservation outlived its job.
- A second run of a task that a worker lists overwrote the first.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -126,9 +126,9 @@
 	sameLifeUntil time.Time
 	// unlistedStarts are start orders that have not appeared in a listing yet.
 	unlistedStarts map[runKey]*dispatch.Start
-	// acceptedStarts are the unlisted starts that the runner has answered.
-	acceptedStarts map[runKey]bool
-	// earlierStarts are the acceptedStarts of the life before the present one.
+	// sentStarts are the unlisted starts that were sent to the runner and not refused.
+	sentStarts map[runKey]bool
+	// earlierStarts are the runs that the life before the present one had started.
 	earlierStarts []dispatch.RunStarted
 	// unansweredStarts are starts that the runner did not answer, with the time on the agent's
 	// clock until which they may take effect.
@@ -150,7 +150,7 @@
 	a := &Agent{
 		settings: s, runner: runner, store: storeClient, log: logger, registry: registry, wakePoll: make(chan struct{}, 1),
 		lastRunLeaseEnd: clock.Steady().Add(leadership.WorkerLeaseDuration), // an earlier agent process may have renewed run leases up to then
-		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), acceptedStarts: make(map[runKey]bool), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
+		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), sentStarts: make(map[runKey]bool), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
 	}
 	for _, e := range s.Entries {
 		a.entries[e] = true
@@ -215,8 +215,8 @@
 	if a.life != 0 {
 		a.log.Warn().Uint64("from", a.life).Uint64("to", startedAtMS).Int("runs", len(a.runs)).Msg("runner restarted")
 	}
-	a.earlierStarts = a.startedUnlisted()
-	clear(a.acceptedStarts)
+	a.earlierStarts = a.startedRuns()
+	clear(a.sentStarts)
 	a.life = startedAtMS
 	a.reportedEmpty = false
 	a.runnerClockMS, a.runnerClockReadAt = 0, time.Time{}
@@ -326,7 +326,7 @@
 	}
 	a.count("runners-lost")
 	a.log.Warn().Err(err).Uint64("life", a.life).Msg("runner lost; its runs have ended")
-	a.sendEmptyReport(clock.Steady(), errors.Is(err, ErrNotListening))
+	a.sendEmptyReport(clock.Steady(), emptyStateOf(err))
 }
 
 // allRunsEnded reports whether it is certain, after a poll that failed with err, that nothing
@@ -335,22 +335,44 @@
 	return errors.Is(err, ErrNotListening) || clock.Steady().After(a.lastRunLeaseEnd.Add(leaseSlack))
 }
 
-// sendEmptyReport tells the dispatcher that the worker runs nothing, and pings it. ended is set if the runner has
-// ended, rather than not to answer. Start orders that are under way meanwhile are refused, since the
-// dispatcher regards their runs as ended. The caller holds mu.
-func (a *Agent) sendEmptyReport(now time.Time, ended bool) {
+// runnerState says what a poll has shown of the runner.
+type runnerState uint8
+
+const (
+	runnerAnswers runnerState = iota
+	// runnerSilent is a runner that has not answered until all its leases had expired.
+	runnerSilent
+	// runnerEnded is a runner that does not listen any more.
+	runnerEnded
+)
+
+// emptyStateOf returns the state of a runner whose runs have all ended, from the error of the last poll.
+func emptyStateOf(err error) runnerState {
+	if errors.Is(err, ErrNotListening) {
+		return runnerEnded
+	}
+	return runnerSilent
+}
+
+// sendEmptyReport tells the dispatcher that the worker runs nothing, and pings it. Start orders that are under
+// way meanwhile are refused, since the dispatcher regards their runs as ended. The caller holds mu.
+func (a *Agent) sendEmptyReport(now time.Time, state runnerState) {
 	a.reportedEmpty = true
-	a.conn.Send(&peer.Message{Report: &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}, Started: a.startedUnlisted(), RunnerEnded: ended}})
+	a.conn.Send(&peer.Message{Report: &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}, Started: a.startedRuns(), RunnerEnded: state == runnerEnded}})
 	a.ping(now)
 	a.emptyReportPing = a.pingSeq
 }
 
-// startedUnlisted returns the starts that the runner has answered and not listed. The caller holds mu.
-func (a *Agent) startedUnlisted() []dispatch.RunStarted {
+// startedRuns returns the runs that the present life of the runner lists, and the starts that were sent to it
+// since: the dispatcher may know neither. The caller holds mu.
+func (a *Agent) startedRuns() []dispatch.RunStarted {
 	var out []dispatch.RunStarted
-	for key := range a.acceptedStarts {
+	for key := range a.sentStarts {
 		out = append(out, dispatch.RunStarted{Task: key.task, Run: key.run})
 	}
+	for i := range a.runs {
+		out = append(out, dispatch.RunStarted{Task: a.runs[i].Task, Run: a.runs[i].Run})
+	}
 	return out
 }
 
@@ -427,7 +449,7 @@
 // noteListed records that the runner has listed a run, as running or ended. The caller holds mu.
 func (a *Agent) noteListed(key runKey) {
 	delete(a.unlistedStarts, key)
-	delete(a.acceptedStarts, key)
+	delete(a.sentStarts, key)
 }
 
 // lastEndNumber returns the number of the last run end that the runner has listed in its
@@ -479,6 +501,7 @@
 	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, PacePercent: a.guard.pacer.PacePercent()}
 	if b := &a.heartbeat; b.StartedAtMS == a.life {
 		w.Service, w.Capacity, w.Labels, w.Draining, w.Instance = b.Service, b.Capacity, b.Labels, b.Draining, b.Instance
+		w.EndAnnounced = b.Draining
 	}
 	return w
 }
--- a/internal/runneragent/crash_review_test.go
+++ b/internal/runneragent/crash_report_test.go
@@ -9,14 +9,13 @@
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
 
-// The heartbeat of a next life says that the earlier one has ended, not that its end was announced: the
-// dispatcher counts no crash of a worker that is draining.
+// The heartbeat of a next life says that the earlier one has ended, not that its end was announced.
 func TestHeartbeatOfNextLifeDoesNotAnnounceTheEnd(t *testing.T) {
 	s := newFixture(t)
 	s.agent.HandleHeartbeat(&Heartbeat{Instance: "i-1", StartedAtMS: 8, Seq: 1, Service: "bench"})
 	m := s.next(t, func(m *peer.Message) bool { return m.Ping != nil })
-	if m.Ping.Worker.Life == 7 && m.Ping.Worker.Draining {
-		t.Error("ping after the heartbeat of life 8: got life 7 draining, want no announcement of its end")
+	if m.Ping.Worker.Life == 7 && m.Ping.Worker.EndAnnounced {
+		t.Error("ping after the heartbeat of life 8: got the end of life 7 announced, want no announcement")
 	}
 }
 
@@ -45,8 +44,8 @@
 	key := runKey{task, 2}
 	s.agent.mu.Lock()
 	s.agent.unlistedStarts[key] = &dispatch.Start{Task: task, Run: 2}
+	s.agent.sentStarts[key] = true
 	s.agent.mu.Unlock()
-	s.agent.noteAccepted(key)
 	s.runner.mu.Lock()
 	s.runner.listing.Runs = []dispatch.RunStatus{{Task: task, Run: 2}}
 	s.runner.mu.Unlock()
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -177,26 +177,25 @@
 }
 
 // firstPoll polls the runner until the runner answers, or until it is certain that nothing
-// runs at the worker; empty is set in the second case. ok is false if the connection or ctx
-// ends before.
-func (a *Agent) firstPoll(ctx context.Context, conn *peer.Conn) (empty, ok bool) {
+// runs at the worker. ok is false if the connection or ctx ends before.
+func (a *Agent) firstPoll(ctx context.Context, conn *peer.Conn) (state runnerState, ok bool) {
 	for {
 		err := a.poll(ctx, 0)
 		if err == nil {
-			return false, true
+			return runnerAnswers, true
 		}
 		a.mu.Lock()
 		ended := a.allRunsEnded(err)
 		a.mu.Unlock()
 		if ended {
 			a.log.Warn().Err(err).Msg("no runner; reporting a worker without runs")
-			return true, true
+			return emptyStateOf(err), true
 		}
 		if !clock.WaitForWake(ctx, conn.Done(), retryDelay) {
-			return false, false
+			return runnerAnswers, false
 		}
 		if hasEnded(conn) {
-			return false, false
+			return runnerAnswers, false
 		}
 	}
 }
@@ -214,7 +213,7 @@
 // serveTerm sends the dispatcher a report from a new poll of the runner, and then pings the
 // dispatcher until the connection ends.
 func (a *Agent) serveTerm(ctx context.Context, conn *peer.Conn) {
-	empty, ok := a.firstPoll(ctx, conn)
+	state, ok := a.firstPoll(ctx, conn)
 	if !ok {
 		return
 	}
@@ -225,7 +224,7 @@
 	}
 	a.conn = conn
 	clear(a.pingSentAt)
-	a.sendFirstReport(clock.Steady(), empty)
+	a.sendFirstReport(clock.Steady(), state)
 	a.mu.Unlock()
 	for {
 		if !clock.WaitForWake(ctx, conn.Done(), pingEvery) || hasEnded(conn) {
@@ -243,10 +242,10 @@
 
 // sendFirstReport sends the first report on a connection and the first ping. It needs no answer to an
 // empty report on an earlier connection, since orders on that one arrive no more. The caller holds mu.
-func (a *Agent) sendFirstReport(now time.Time, empty bool) {
-	if empty {
+func (a *Agent) sendFirstReport(now time.Time, state runnerState) {
+	if state != runnerAnswers {
 		a.lastReportedEnd = a.lastEndNumber()
-		a.sendEmptyReport(now, false)
+		a.sendEmptyReport(now, state)
 		return
 	}
 	a.reportedEmpty = false
--- a/internal/runneragent/lives_test.go
+++ b/internal/runneragent/lives_test.go
@@ -72,7 +72,7 @@
 	s.restartRunner(t)
 	s.next(t, isReport)
 	s.agent.mu.Lock()
-	s.agent.sendFirstReport(clock.Steady(), false)
+	s.agent.sendFirstReport(clock.Steady(), runnerAnswers)
 	s.agent.mu.Unlock()
 	if runs := s.next(t, isReport).Report.Runs; len(runs) != 1 || !runs[0].Pending {
 		t.Errorf("runs before the fence: got %v, want run 2 pending", runs)
@@ -80,7 +80,7 @@
 	release()
 	s.agent.group.Wait()
 	s.agent.mu.Lock()
-	s.agent.sendFirstReport(clock.Steady(), false)
+	s.agent.sendFirstReport(clock.Steady(), runnerAnswers)
 	s.agent.mu.Unlock()
 	if runs := s.next(t, isReport).Report.Runs; len(runs) != 0 {
 		t.Errorf("runs after the fence: got %v, want none", runs)
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -33,6 +33,7 @@
 		}
 		a.extendLastRunLeaseEnd(now)
 		a.unlistedStarts[key] = &s
+		a.sentStarts[key] = true
 		c, leaseEndMS := a.newCall(), a.runLeaseEndMS(now)
 		a.group.Go(func() { a.startRun(ctx, c, &s, leaseEndMS) })
 	}
@@ -82,7 +83,6 @@
 	switch {
 	case err == nil:
 		a.count("starts")
-		a.noteAccepted(key)
 		if s.Trial {
 			a.reportTrial(ctx)
 		}
@@ -103,15 +103,6 @@
 	}
 }
 
-// noteAccepted records that the runner has answered a start, unless it has listed the run already.
-func (a *Agent) noteAccepted(key runKey) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.unlistedStarts[key] != nil {
-		a.acceptedStarts[key] = true
-	}
-}
-
 // reportTrial polls the runner a short time after the start of a trial and pings the dispatcher, which waits
 // to see whether the runner still works.
 func (a *Agent) reportTrial(ctx context.Context) {
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -219,7 +219,7 @@
 // applyEvent calls the method of the scheduler that an event stands for.
 func applyEvent(t *testing.T, sc *Scheduler, now time.Time, wallMS int64, e *event) {
 	t.Helper()
-	w := &Worker{Name: e.Worker, Life: e.Life, Service: "bench", Capacity: worker.Resources{MilliCPU: e.MilliCPU, MemoryMB: e.MemMB}, Labels: e.Labels, Draining: e.Draining, PacePercent: 100, Instance: fmt.Sprintf("%s/%d", e.Worker, e.Life)}
+	w := &Worker{Name: e.Worker, Life: e.Life, Service: "bench", Capacity: worker.Resources{MilliCPU: e.MilliCPU, MemoryMB: e.MemMB}, Labels: e.Labels, Draining: e.Draining, EndAnnounced: e.Draining, PacePercent: 100, Instance: fmt.Sprintf("%s/%d", e.Worker, e.Life)}
 	if e.MilliCPU == 0 {
 		w.Capacity = worker.Resources{MilliCPU: 16000, MemoryMB: 64000}
 	}
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -14,16 +14,13 @@
 const (
 	// provenStartAfter is how long a run has to be at work to be proven.
 	provenStartAfter = 250 * time.Millisecond
-	// crashesWithTrial is the number of crashes with which a task is abandoned if the last one was an
-	// exclusive trial, and crashesAtStart without such a trial. Both count runs that are known to
-	// have been started.
+	// crashesWithTrial is the number of crashes with unproven runs with which a task is abandoned if the last one
+	// was an exclusive trial, and crashesAtStart without such a trial.
 	crashesWithTrial = 2
 	crashesAtStart   = 3
-	// maxCrashes bounds the crashes of a task however long its runs were at work, and whether or not
-	// they are known to have been started.
+	// maxCrashes bounds the crashes of a task however long its runs were at work.
 	maxCrashes = 4
-	// suspiciousCrashes is the number of crashes that make a task suspicious although its runs were proven, or
-	// are not known to have been started.
+	// suspiciousCrashes is the number of crashes that make a task suspicious although its runs were proven.
 	suspiciousCrashes = 2
 	// settledAfter is how long a long-running task has to be at work for its crashes to be forgotten.
 	settledAfter = 10 * time.Second
@@ -37,22 +34,19 @@
 	maxHold = 1500 * time.Millisecond
 )
 
-// crashCount counts the runners that crashed while they ran a task. The zero value counts none.
+// crashCount counts the runners that crashed after a run of the task was sent to them. The zero value counts none.
 type crashCount struct {
-	// atStart counts crashes with an unproven run, and confirmed those whose run is known to have started.
-	atStart, confirmed int
-	total              int
+	// unproven counts those that crashed before the run was proven.
+	unproven int
+	all      int
 }
 
-// suspicious reports whether the task may be the cause of the crashes. One crash of a runner that may not have
-// started the task is no sign of it.
-func (c crashCount) suspicious() bool {
-	return c.confirmed > 0 || c.atStart >= suspiciousCrashes || c.total >= suspiciousCrashes
-}
+// suspicious reports whether the task may be the cause of the crashes.
+func (c crashCount) suspicious() bool { return c.unproven > 0 || c.all >= suspiciousCrashes }
 
-// convicts reports whether the task is to be abandoned after a crash, with or without an exclusive trial.
-func (c crashCount) convicts(exclusive bool) bool {
-	return exclusive && c.confirmed >= crashesWithTrial || c.confirmed >= crashesAtStart || c.total >= maxCrashes || c.atStart >= maxCrashes
+// abandons reports whether the task is to be abandoned after a crash, with or without an exclusive trial.
+func (c crashCount) abandons(exclusive bool) bool {
+	return exclusive && c.unproven >= crashesWithTrial || c.unproven >= crashesAtStart || c.all >= maxCrashes
 }
 
 // AbandonedTask is a task that is not started again, since runners crashed while they ran it.
@@ -77,17 +71,12 @@
 func (sc *Scheduler) recordCrash(r *run) bool {
 	j := r.step.occurrence.job
 	t := &r.step.tasks[r.id.Index]
-	if t.done || j.phase.Ended() {
+	if t.done || j.phase.Ended() || !r.started {
 		return false
 	}
-	if r.started {
-		t.crashes.total++
-	}
+	t.crashes.all++
 	if !r.proven {
-		t.crashes.atStart++
-		if r.started {
-			t.crashes.confirmed++
-		}
+		t.crashes.unproven++
 	}
 	if !slices.Contains(t.crashedOn, r.worker.name) {
 		t.crashedOn = append(t.crashedOn, r.worker.name)
@@ -95,8 +84,9 @@
 	sc.changedJobs[j] = struct{}{}
 	if t.crashes.suspicious() {
 		sc.crashSuspects[t] = struct{}{}
+		sc.urgentChange = true
 	}
-	return t.crashes.convicts(r.exclusive)
+	return t.crashes.abandons(r.exclusive)
 }
 
 // abandon ends the job of a task that crashes the runners which start it.
@@ -106,7 +96,7 @@
 		return
 	}
 	c := r.step.tasks[r.id.Index].crashes
-	sc.abandonedTasks = append(sc.abandonedTasks, AbandonedTask{Task: r.id, Crashes: max(c.total, c.atStart), Worker: r.worker.name})
+	sc.abandonedTasks = append(sc.abandonedTasks, AbandonedTask{Task: r.id, Crashes: c.all, Worker: r.worker.name})
 	sc.endJob(now, wallMS, j, workflow.PhaseFailed)
 }
 
@@ -116,7 +106,7 @@
 		return
 	}
 	t := &o.steps[c.Step].tasks[c.Index]
-	t.crashes = crashCount{atStart: max(0, c.AtStart), confirmed: max(0, c.Confirmed), total: max(0, c.Total)}
+	t.crashes = crashCount{unproven: max(0, c.Unproven), all: max(0, c.All)}
 	if t.crashes.suspicious() {
 		sc.crashSuspects[t] = struct{}{}
 	}
@@ -127,7 +117,7 @@
 	if w.everReported {
 		w.lifeBeganAt = now
 	}
-	w.everReported = true
+	w.everReported, w.endAnnounced = true, false
 	w.life = life
 }
 
@@ -140,10 +130,10 @@
 	r.worker.unprovenRuns--
 	sc.endTrial(r)
 	t := &r.step.tasks[r.id.Index]
-	if t.crashes.atStart == 0 {
+	if t.crashes.unproven == 0 {
 		return
 	}
-	t.crashes.atStart, t.crashes.confirmed = 0, 0
+	t.crashes.unproven = 0
 	if !t.crashes.suspicious() {
 		delete(sc.crashSuspects, t)
 	}
@@ -153,7 +143,7 @@
 // settleCrashes forgets the crashes of a long-running task that has been at work for long enough.
 func (sc *Scheduler) settleCrashes(now time.Time, r *run) {
 	t := &r.step.tasks[r.id.Index]
-	if t.crashes.total == 0 || !r.step.spec.LongRunning || r.percent < fullPercent || now.Sub(r.orderedAt) < settledAfter {
+	if t.crashes.all == 0 || !r.step.spec.LongRunning || r.percent < fullPercent || now.Sub(r.orderedAt) < settledAfter {
 		return
 	}
 	t.crashes, t.crashedOn = crashCount{}, nil
@@ -191,15 +181,25 @@
 	}
 }
 
+// endReservations ends the reservations that match.
+func (sc *Scheduler) endReservations(match func(w *workerState) bool) {
+	for w := range sc.heldWorkers {
+		if w.reservedFor != nil && match(w) {
+			w.reservedFor, w.reservedJob, w.reservedUntil = nil, nil, time.Time{}
+			sc.noteChange(w)
+		}
+	}
+}
+
 // placeTrial starts a suspicious task on the worker where a crash does the least harm. While few tasks are
 // suspicious, the trial is exclusive: the worker is kept free from other starts until the run is proven, so
 // that a crash convicts the task. With many, as after a mass failure, trials run beside other tasks.
 func (sc *Scheduler) placeTrial(now time.Time, s *stepState, q *Queue, index int, o *Orders) {
 	t := &s.tasks[index]
 	waited := now.Sub(t.waitingSince)
-	w := sc.trialWorker(now, s, q, t, waited >= maxTrialWait)
+	w := sc.trialWorker(now, s, q, t, waited)
 	if w == nil {
-		if s.spec.LongRunning && waited >= preemptionWait {
+		if s.spec.LongRunning && !sc.probeLongRunning(now, s, q, index, o) && waited >= maxTrialWait {
 			sc.preemptFor(now, s, *q)
 		}
 		return
@@ -207,12 +207,12 @@
 	exclusive := len(sc.crashSuspects) <= max(1, len(sc.fleet)/2) && waited < maxExclusiveWait
 	if exclusive && w.unprovenRuns > 0 {
 		if w.reservedFor != t || !now.Before(w.reservedUntil) {
-			w.reservedFor, w.reservedUntil = t, now.Add(maxHold)
+			w.reservedFor, w.reservedJob, w.reservedUntil = t, s.occurrence.job, now.Add(maxHold)
 			sc.hold(w)
 		}
 		return
 	}
-	w.reservedFor, w.reservedUntil = nil, time.Time{}
+	sc.endReservations(func(w *workerState) bool { return w.reservedFor == t })
 	sc.orderStart(now, s, index, w, t.lastRunNumber+1, "trial of a task that may have crashed a runner", o)
 	w.trial = w.runs[s.taskID(index)]
 	w.trial.exclusive = exclusive
@@ -221,12 +221,13 @@
 	o.starts[len(o.starts)-1].Trial = true
 }
 
-// trialWorker returns the worker for the trial of a task, or nil. anyWorker also admits workers on which the
-// task has crashed, and those whose runner has restarted lately.
-func (sc *Scheduler) trialWorker(now time.Time, s *stepState, q *Queue, t *taskState, anyWorker bool) *workerState {
+// trialWorker returns the worker for the trial of a task, or nil. From maxTrialWait on it also returns workers on
+// which the task has crashed and those whose runner has restarted lately, from maxExclusiveWait on also
+// workers with another trial.
+func (sc *Scheduler) trialWorker(now time.Time, s *stepState, q *Queue, t *taskState, waited time.Duration) *workerState {
 	var best *workerState
 	for _, w := range sc.fleet {
-		if !sc.eligible(s, q, w) || !w.health.usable(now) || !s.permitted(now, q, w) || !sc.hasRoom(w, s, 0) || w.trial != nil {
+		if !sc.eligible(s, q, w) || !w.health.usable(now) || !s.permitted(now, q, w) || !sc.hasRoom(w, s, 0) || w.trial != nil && waited < maxExclusiveWait {
 			continue
 		}
 		if w.keptFrom(now, s) || w.held(now) && w.reservedFor != t {
@@ -235,7 +236,7 @@
 		if w.reservedFor == t && now.Before(w.reservedUntil) {
 			return w
 		}
-		if !anyWorker && (slices.Contains(t.crashedOn, w.name) || now.Sub(w.lifeBeganAt) < steadyAfter) {
+		if waited < maxTrialWait && (slices.Contains(t.crashedOn, w.name) || now.Sub(w.lifeBeganAt) < steadyAfter) {
 			continue
 		}
 		if best == nil || compareHarm(w, best) < 0 {
--- a/pkg/dispatch/crash_review_test.go
+++ b/pkg/dispatch/crash_limits_test.go
@@ -179,7 +179,7 @@
 	s.each(func(sc *Scheduler) { sc.ApplyReport(s.now, s.wallMS, w, nil, nil) })
 }
 
-// A task whose starts no runner answers is started five times at most, although the crash before each of two
+// A task whose starts are sent and answered by no runner is started five times at most, although the crash before each of two
 // changes of the dispatcher was not stored.
 func TestStartsOfDeadlyTaskAcrossDispatchers(t *testing.T) {
 	now, term, changes := time.Unix(1000, 0), uint64(1), 2
@@ -196,16 +196,17 @@
 	starts := 0
 	for life := uint64(1); life < 20; life++ {
 		applyEvent(t, sc, now, 1_000_000, &event{Do: "report", Worker: "w1", Life: life})
-		ordered := 0
-		for i := 0; i < 400 && ordered == 0; i++ {
+		var ordered []Start
+		for i := 0; i < 400 && len(ordered) == 0; i++ {
 			now = now.Add(10 * time.Millisecond)
-			ordered = len(sc.Decide(now, 1_000_000).Starts())
+			ordered = sc.Decide(now, 1_000_000).Starts()
 		}
-		if ordered == 0 {
+		if len(ordered) == 0 {
 			break
 		}
 		starts++
-		applyEvent(t, sc, now, 1_000_000, &event{Do: "crashed", Worker: "w1"})
+		sent := fmt.Sprintf("%s %d", ordered[0].Task, ordered[0].Run)
+		applyEvent(t, sc, now, 1_000_000, &event{Do: "crashed", Worker: "w1", Runs: []string{sent}})
 		if changes > 0 {
 			changes--
 			term++
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -226,7 +226,8 @@
 func (sc *Scheduler) endJob(now time.Time, wallMS int64, j *jobState, phase workflow.Phase) {
 	j.phase, j.endedMS = phase, wallMS
 	sc.changedJobs[j] = struct{}{}
-	sc.jobEnded = true
+	sc.urgentChange = true
+	sc.endReservations(func(w *workerState) bool { return w.reservedJob == j })
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			delete(sc.readySteps, s)
@@ -275,7 +276,7 @@
 			p.Tasks = append(p.Tasks, workflow.TaskProgress{Occurrence: s.occurrence.index, Step: s.index, Index: i, Failed: t.failedRuns, Saved: t.checkpoint})
 		}
 		if !t.done && t.crashes != (crashCount{}) {
-			p.Crashes = append(p.Crashes, workflow.TaskCrashes{Occurrence: s.occurrence.index, Step: s.index, Index: i, AtStart: t.crashes.atStart, Confirmed: t.crashes.confirmed, Total: t.crashes.total})
+			p.Crashes = append(p.Crashes, workflow.TaskCrashes{Occurrence: s.occurrence.index, Step: s.index, Index: i, Unproven: t.crashes.unproven, All: t.crashes.all})
 		}
 	}
 	if s.doneTasks > 0 {
@@ -304,9 +305,9 @@
 	}
 }
 
-// HasUrgentChange reports whether a job has ended since the last call of TakeChange: its caller may
-// wait for the end.
-func (sc *Scheduler) HasUrgentChange() bool { return sc.jobEnded }
+// HasUrgentChange reports whether a job has ended or a task has crashed a runner since the last call of
+// TakeChange: a caller may wait for the end, and the next dispatcher must know the crash.
+func (sc *Scheduler) HasUrgentChange() bool { return sc.urgentChange }
 
 // HasChange reports whether TakeChange would return a change that is not empty.
 func (sc *Scheduler) HasChange() bool { return len(sc.changedJobs) > 0 || len(sc.pendingAcks) > 0 }
@@ -319,6 +320,6 @@
 	}
 	sc.changedJobs = make(map[*jobState]struct{})
 	sc.pendingAcks = make(map[string]ackPosition)
-	sc.jobEnded = false
+	sc.urgentChange = false
 	return c
 }
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -19,7 +19,7 @@
 			culprits = append(culprits, r)
 		}
 		sc.lostRuns = append(sc.lostRuns, LostRun{
-			Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Started: r.started, Proven: r.proven, Crashes: r.step.tasks[r.id.Index].crashes.total,
+			Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Started: r.started, Proven: r.proven, Crashes: r.step.tasks[r.id.Index].crashes.all,
 		})
 		sc.endRun(now, wallMS, w, &RunEnd{Task: r.id, Run: r.number, How: OutcomeGone})
 	}
@@ -81,7 +81,7 @@
 // the runner is known to have ended, rather than not to answer. It returns the number of runs lost.
 func (sc *Scheduler) RunnerGone(now time.Time, wallMS int64, name string, ended bool) int {
 	w := sc.workers[name]
-	n := sc.loseWorker(now, wallMS, name, ended && w != nil && !w.draining)
+	n := sc.loseWorker(now, wallMS, name, ended && w != nil && !w.endAnnounced)
 	if w != nil {
 		w.life = 0
 	}
--- a/pkg/dispatch/placement_test.go
+++ b/pkg/dispatch/placement_test.go
@@ -75,7 +75,7 @@
 func (sc *Scheduler) probeWorkerByFullScan(now time.Time, s *stepState, q Queue) *workerState {
 	var due []*workerState
 	for _, w := range sc.fleet {
-		if w.health.mayProbeLongRunning(now) && sc.eligible(s, &q, w) && s.permitted(now, &q, w) && sc.hasRoom(w, s, 0) {
+		if w.health.mayProbeLongRunning(now) && !w.held(now) && sc.eligible(s, &q, w) && s.permitted(now, &q, w) && sc.hasRoom(w, s, 0) {
 			due = append(due, w)
 		}
 	}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -97,6 +97,8 @@
 	PacePercent int `cbor:"7,keyasint,omitempty"`
 	// Instance is the instance ID of the runner.
 	Instance string `cbor:"8,keyasint,omitempty"`
+	// EndAnnounced is set if this life of the runner has said that it is about to end.
+	EndAnnounced bool `cbor:"9,keyasint,omitempty"`
 }
 
 // ApplyReport takes in the full state of a worker: its runs and the run ends that it lists. Runs
@@ -105,7 +107,7 @@
 func (sc *Scheduler) ApplyReport(now time.Time, wallMS int64, info *Worker, runs []RunStatus, ends []RunEnd) {
 	w := sc.workerState(info.Name)
 	if w.life != info.Life {
-		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.draining)
+		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.endAnnounced)
 		sc.beginLife(now, w, info.Life)
 		w.health = workerHealth{}
 		sc.noteHealth(w)
@@ -165,6 +167,7 @@
 		sc.noteChange(w)
 		sc.largestMilliCPU = max(sc.largestMilliCPU, info.Capacity.MilliCPU)
 	}
+	w.endAnnounced = w.endAnnounced || info.EndAnnounced
 	resized := w.capacity.MilliCPU != info.Capacity.MilliCPU
 	w.lastContact, w.silent, w.leaseExpired = now, false, false
 	w.service, w.capacity, w.draining, w.pacePercent, w.instance = info.Service, info.Capacity, info.Draining, info.PacePercent, info.Instance
@@ -221,7 +224,7 @@
 		return
 	}
 	s, t := sc.task(status.Task)
-	if t == nil || t.done || s.occurrence.job.phase.Ended() || (len(t.runs) > 0 && !s.spec.Speculative) {
+	if t == nil || t.done || s.occurrence.job.phase.Ended() || w.runs[status.Task] != nil || (len(t.runs) > 0 && !s.spec.Speculative) {
 		sc.stopUnwanted(w, s, status)
 		return
 	}
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -73,8 +73,8 @@
 	// pendingAcks holds, by worker name, the number of the last run end that has been processed
 	// and is still to be acknowledged to the worker.
 	pendingAcks map[string]ackPosition
-	// jobEnded is set if one of changedJobs has ended.
-	jobEnded bool
+	// urgentChange is set if one of changedJobs has ended or a task of one has become suspicious.
+	urgentChange bool
 	// pendingStops are the stop orders that the next call of Decide returns.
 	pendingStops []Stop
 	// lostRuns are the lost runs that the next call of TakeLostRuns returns.
@@ -330,6 +330,8 @@
 	changed bool
 	// everReported is set once a life of the worker's runner was known in this term.
 	everReported bool
+	// endAnnounced is set once the present life has said that it is about to end.
+	endAnnounced bool
 	// lifeBeganAt is when the present life became known, if another one was known before in this term.
 	lifeBeganAt time.Time
 	// unprovenRuns counts the runs that are not proven.
@@ -338,6 +340,7 @@
 	trial *run
 	// reservedFor is the task that the worker is kept free for until reservedUntil.
 	reservedFor   *taskState
+	reservedJob   *jobState
 	reservedUntil time.Time
 	// silent is set while there has been no recent contact.
 	silent bool
--- a/pkg/workflow/progress.go
+++ b/pkg/workflow/progress.go
@@ -61,11 +61,9 @@
 	Occurrence int
 	Step       int
 	Index      int
-	// AtStart counts those that crashed shortly after they were told to start the task, and Confirmed
-	// those of them that are known to have started it.
-	AtStart   int
-	Confirmed int
-	Total     int
+	// Unproven counts those that crashed before the run had been at work for some time.
+	Unproven int
+	All      int
 }
 
 // DoneTasks is the set of done tasks of one step of one occurrence; Bits has one bit for each
