--- a/internal/explore/term/term_test.go
+++ b/internal/explore/term/term_test.go
@@ -35,7 +35,7 @@
 	}{
 		{"a worker is taken for lost before its lease has expired", Rules{WorkerLeaseEndsBy: func(lastContact time.Time) time.Time { return lastContact.Add(3 * time.Second) }}, 0},
 		{"workers that have not reported are not waited for", Rules{EarlierLeasesEndBy: func(*leadership.Predecessor) time.Time { return time.Time{} }}, 0},
-		{"a dispatcher acts without a valid leadership lease", Rules{LeaderLeaseValid: func(*leadership.LeaderLease, time.Time) bool { return true }}, 3680},
+		{"a dispatcher acts without a valid leadership lease", Rules{LeaderLeaseValid: func(*leadership.LeaderLease, time.Time) bool { return true }}, 420},
 		{"a worker runs tasks after its lease has expired", Rules{WorkerLeaseRemaining: func(l *leadership.WorkerLease, now time.Time) time.Duration {
 			return l.Remaining(now.Add(-2 * time.Second))
 		}}, 810},
