--- a/internal/coordinator/waiting.go
+++ b/internal/coordinator/waiting.go
@@ -33,7 +33,7 @@
 		return
 	}
 	t.waitingLoggedAt = now
-	c.gauge("crash-suspects", int64(t.scheduler.CrashSuspects()))
+	c.gauge("suspicious-tasks", int64(t.scheduler.SuspiciousTasks()))
 	c.gauge("workers-suspect", int64(t.scheduler.SuspectWorkers()))
 	tasks := 0
 	for i, w := range t.scheduler.WaitingSteps(now, minLoggedWait) {
@@ -44,6 +44,7 @@
 		c.log.Warn().Str("step", w.Step().String()).Int("tasks", w.Tasks()).Dur("longest", w.Longest()).Bool("held", w.Held()).
 			Int("usable", w.Excluded(dispatch.ExclusionNone)).Int("full", w.Excluded(dispatch.ExclusionFull)).
 			Int("probe-pending", w.Excluded(dispatch.ExclusionProbePending)).Int("under-probe", w.Excluded(dispatch.ExclusionUnderProbe)).
+			Int("held-for-others", w.Excluded(dispatch.ExclusionHeld)).
 			Int("silent", w.Excluded(dispatch.ExclusionSilent)).Int("no-runner", w.Excluded(dispatch.ExclusionNoRunner)).
 			Int("draining", w.Excluded(dispatch.ExclusionDraining)).Int("policy", w.Excluded(dispatch.ExclusionPolicy)).
 			Uint64("term", t.number).Msg("long-running tasks wait for a worker")
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -64,8 +64,8 @@
 	return out
 }
 
-// CrashSuspects returns the number of tasks that are suspected of crashing runners.
-func (sc *Scheduler) CrashSuspects() int { return len(sc.crashSuspects) }
+// SuspiciousTasks returns the number of tasks that are suspected of crashing runners.
+func (sc *Scheduler) SuspiciousTasks() int { return len(sc.suspiciousTasks) }
 
 // recordCrash counts the crash of the runner of a run, and reports whether the task is to be abandoned.
 func (sc *Scheduler) recordCrash(r *run) bool {
@@ -83,7 +83,7 @@
 	}
 	sc.changedJobs[j] = struct{}{}
 	if t.crashes.suspicious() {
-		sc.crashSuspects[t] = struct{}{}
+		sc.suspiciousTasks[t] = struct{}{}
 		sc.urgentChange = true
 	}
 	return t.crashes.abandons(r.exclusive)
@@ -108,7 +108,7 @@
 	t := &o.steps[c.Step].tasks[c.Index]
 	t.crashes = crashCount{unproven: max(0, c.Unproven), all: max(0, c.All)}
 	if t.crashes.suspicious() {
-		sc.crashSuspects[t] = struct{}{}
+		sc.suspiciousTasks[t] = struct{}{}
 	}
 }
 
@@ -135,7 +135,7 @@
 	}
 	t.crashes.unproven = 0
 	if !t.crashes.suspicious() {
-		delete(sc.crashSuspects, t)
+		delete(sc.suspiciousTasks, t)
 	}
 	sc.changedJobs[r.step.occurrence.job] = struct{}{}
 }
@@ -147,16 +147,13 @@
 		return
 	}
 	t.crashes, t.crashedOn = crashCount{}, nil
-	delete(sc.crashSuspects, t)
+	delete(sc.suspiciousTasks, t)
 	sc.changedJobs[r.step.occurrence.job] = struct{}{}
 }
 
 // endTrial ends the trial that a run is, if it is one, after the run was proven or removed.
 func (sc *Scheduler) endTrial(r *run) {
 	w := r.worker
-	if !r.proven && w.runs[r.id] != r {
-		w.unprovenRuns--
-	}
 	if w.trial == r {
 		w.trial = nil
 		sc.noteChange(w)
@@ -204,7 +201,7 @@
 		}
 		return
 	}
-	exclusive := len(sc.crashSuspects) <= max(1, len(sc.fleet)/2) && waited < maxExclusiveWait
+	exclusive := len(sc.suspiciousTasks) <= max(1, len(sc.fleet)/2) && waited < maxExclusiveWait
 	if exclusive && w.unprovenRuns > 0 {
 		if w.reservedFor != t || !now.Before(w.reservedUntil) {
 			w.reservedFor, w.reservedJob, w.reservedUntil = t, s.occurrence.job, now.Add(maxHold)
--- a/pkg/dispatch/crash_limits_test.go
+++ b/pkg/dispatch/crash_limits_test.go
@@ -155,7 +155,7 @@
 					}
 				}
 			}
-			if got := sc.CrashSuspects(); got != suspects {
+			if got := sc.SuspiciousTasks(); got != suspects {
 				t.Fatalf("seed %d event %d: got %d suspects, want %d", seed, i, got, suspects)
 			}
 		}
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -232,7 +232,7 @@
 		for _, s := range o.steps {
 			delete(sc.readySteps, s)
 			for i := range s.tasks {
-				delete(sc.crashSuspects, &s.tasks[i])
+				delete(sc.suspiciousTasks, &s.tasks[i])
 				if s.tasks[i].done && s.spec.Gang {
 					continue // the other runs of the gang end with the run that was reported as done
 				}
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -13,17 +13,17 @@
 	w.unknownJobs = unknownJobReport{}
 	delete(sc.workersWithUnknownJobs, w)
 	sc.forgetAllUnwanted(w)
-	var culprits []*run
+	var abandoned []*run
 	for _, r := range slices.Clone(sc.runsInOrder(w)) {
 		if crashed && sc.recordCrash(r) {
-			culprits = append(culprits, r)
+			abandoned = append(abandoned, r)
 		}
 		sc.lostRuns = append(sc.lostRuns, LostRun{
 			Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Started: r.started, Proven: r.proven, Crashes: r.step.tasks[r.id.Index].crashes.all,
 		})
 		sc.endRun(now, wallMS, w, &RunEnd{Task: r.id, Run: r.number, How: OutcomeGone})
 	}
-	for _, r := range culprits {
+	for _, r := range abandoned {
 		sc.abandon(now, wallMS, r)
 	}
 }
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -330,6 +330,9 @@
 // removeRun removes a run from its task and worker.
 func (sc *Scheduler) removeRun(now time.Time, r *run) {
 	r.worker.remove(r)
+	if !r.proven {
+		r.worker.unprovenRuns--
+	}
 	sc.endTrial(r)
 	sc.rooms.update(r.worker)
 	sc.noteChange(r.worker)
@@ -384,7 +387,7 @@
 		return
 	}
 	t.done = true
-	delete(sc.crashSuspects, t)
+	delete(sc.suspiciousTasks, t)
 	s.doneTasks++
 	if len(t.runs) == 0 {
 		sc.addWaitingTasks(s, -1)
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -79,8 +79,8 @@
 	pendingStops []Stop
 	// lostRuns are the lost runs that the next call of TakeLostRuns returns.
 	lostRuns []LostRun
-	// crashSuspects are the tasks that are suspected of crashing runners.
-	crashSuspects map[*taskState]struct{}
+	// suspiciousTasks are the tasks that are suspected of crashing runners.
+	suspiciousTasks map[*taskState]struct{}
 	// heldWorkers are the workers that trials keep from getting other tasks.
 	heldWorkers map[*workerState]struct{}
 	// abandonedTasks are the tasks that the next call of TakeAbandonedTasks returns.
@@ -128,7 +128,7 @@
 	sc.full = make(fullFleet)
 	sc.suspects = make(map[*workerState]struct{})
 	sc.keptWorkers = make(map[*workerState]struct{})
-	sc.crashSuspects = make(map[*taskState]struct{})
+	sc.suspiciousTasks = make(map[*taskState]struct{})
 	sc.heldWorkers = make(map[*workerState]struct{})
 	sc.unreported = make(map[string]bool)
 	sc.readySteps = make(map[*stepState]struct{})
--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -27,6 +27,8 @@
 	ExclusionProbePending
 	// ExclusionUnderProbe is a suspect worker that is being probed with another task.
 	ExclusionUnderProbe
+	// ExclusionHeld is a worker that is kept for another task, by a trial or because runs were stopped for it.
+	ExclusionHeld
 	// ExclusionPolicy is a worker that the placement policy does not permit.
 	ExclusionPolicy
 	// ExclusionFull is a worker without room.
@@ -110,6 +112,8 @@
 		return ExclusionSilent
 	case w.draining:
 		return ExclusionDraining
+	case h.usable(now) && (w.held(now) || w.keptFrom(now, s)):
+		return ExclusionHeld
 	case h.usable(now):
 	case h.probe != nil:
 		return ExclusionUnderProbe
