--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -178,19 +178,19 @@
 	}
 }
 
-// endReservations ends the reservations that match.
+// endReservations ends the reservations of workers for trials that match.
 func (sc *Scheduler) endReservations(match func(w *workerState) bool) {
 	for w := range sc.heldWorkers {
 		if w.reservedFor != nil && match(w) {
 			w.reservedFor, w.reservedJob, w.reservedUntil = nil, nil, time.Time{}
-			sc.noteChange(w)
+			sc.full.release(w)
 		}
 	}
 }
 
 // placeTrial starts a suspicious task on the worker where a crash does the least harm. While few tasks are
 // suspicious, the trial is exclusive: the worker is kept free from other starts until the run is proven, so
-// that a crash convicts the task. With many, as after a mass failure, trials run beside other tasks.
+// that a crash points to the task alone. With many, as after a mass failure, trials run beside other tasks.
 func (sc *Scheduler) placeTrial(now time.Time, s *stepState, q *Queue, index int, o *Orders) {
 	t := &s.tasks[index]
 	waited := now.Sub(t.waitingSince)
@@ -214,7 +214,6 @@
 	w.trial = w.runs[s.taskID(index)]
 	w.trial.exclusive = exclusive
 	sc.hold(w)
-	sc.full.release(w) // the reservation is over
 	o.starts[len(o.starts)-1].Trial = true
 }
 
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -338,7 +338,7 @@
 	unprovenRuns int
 	// trial is the run at the worker whose task is suspected of crashing runners; nil if there is none.
 	trial *run
-	// reservedFor is the task that the worker is kept free for until reservedUntil.
+	// reservedFor is the task, of the job reservedJob, that the worker is kept free for until reservedUntil.
 	reservedFor   *taskState
 	reservedJob   *jobState
 	reservedUntil time.Time
