--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -433,7 +433,7 @@
 	a.runs = l.Runs
 	a.runEnds = a.runEnds[:0]
 	for _, e := range l.RunEnds {
-		a.noteListed(runKey{e.Task, e.Run})
+		a.forgetStart(runKey{e.Task, e.Run})
 		if e.Number > a.lastAckedEnd {
 			a.runEnds = append(a.runEnds, e)
 		}
@@ -441,13 +441,14 @@
 	for _, r := range l.Runs {
 		if o := a.unlistedStarts[runKey{r.Task, r.Run}]; o != nil {
 			a.guard.addTasks([]dispatch.GuardedTask{{Task: r.Task, TargetMS: o.TargetMS, Fills: o.Fills, Harm: o.Harm}})
-			a.noteListed(runKey{r.Task, r.Run})
+			a.forgetStart(runKey{r.Task, r.Run})
 		}
 	}
 }
 
-// noteListed records that the runner has listed a run, as running or ended. The caller holds mu.
-func (a *Agent) noteListed(key runKey) {
+// forgetStart drops what is kept of a start that the runner has listed or that never takes effect. The caller
+// holds mu.
+func (a *Agent) forgetStart(key runKey) {
 	delete(a.unlistedStarts, key)
 	delete(a.sentStarts, key)
 }
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -64,7 +64,7 @@
 // refuse tells the dispatcher that an order for a run is not carried out and never will be.
 // The dispatcher then counts the run as one that never ran. The caller holds mu.
 func (a *Agent) refuse(life uint64, key runKey, reason error) {
-	a.noteListed(key)
+	a.forgetStart(key)
 	a.count("orders-refused")
 	a.log.Info().Str("task", key.task.String()).Uint64("run", key.run).Str("reason", reason.Error()).Msg("order refused")
 	if a.conn != nil {
