Split the agent and the crash rules by job, and name runs that were sent

No decision, bound or literal changes, except the field "started" of the line "run lost with its worker", which is "sent".

Conclusion: go test of pkg/dispatch, pkg/queue, runneragent and coordinator passes.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -60,7 +60,7 @@
 	for _, l := range t.scheduler.TakeLostRuns() {
 		c.count("runs-lost", 1)
 		c.log.Warn().Str("task", l.Task.String()).Uint64("run", l.Run).Str("worker", l.Worker).Bool("crashed", l.Crashed).
-			Bool("started", l.Started).Bool("proven", l.Proven).Int("crashes", l.Crashes).Msg("run lost with its worker")
+			Bool("sent", l.Sent).Bool("proven", l.Proven).Int("crashes", l.Crashes).Msg("run lost with its worker")
 	}
 	for _, a := range t.scheduler.TakeAbandonedTasks() {
 		c.count("tasks-abandoned", 1)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -133,7 +133,7 @@
 // the time between two restarts of the worker's runner; 0 means that the worker has no runner.
 // The caller holds mu.
 func (t *term) applyReport(now time.Time, c *Coordinator, r *peer.Report) {
-	t.scheduler.MarkStarted(r.Worker.Name, r.Started)
+	t.scheduler.ConfirmSent(r.Worker.Name, r.Sent)
 	if r.Worker.Life == 0 {
 		n := t.scheduler.RunnerGone(now, clock.WallMS(), r.Worker.Name, r.RunnerEnded)
 		c.log.Warn().Str("worker", r.Worker.Name).Int("runs", n).Msg("worker has no runner; its runs have ended")
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -130,8 +130,8 @@
 	Worker  dispatch.Worker      `cbor:"1,keyasint"`
 	Runs    []dispatch.RunStatus `cbor:"2,keyasint,omitempty"`
 	RunEnds []dispatch.RunEnd    `cbor:"3,keyasint,omitempty"`
-	// Started lists the runs that an earlier life of the runner has started, and has not listed.
-	Started []dispatch.RunStarted `cbor:"4,keyasint,omitempty"`
+	// Sent lists the runs that were sent to the life of the runner that has ended, listed or not.
+	Sent []dispatch.SentRun `cbor:"4,keyasint,omitempty"`
 	// RunnerEnded is set in the report of a worker without a runner if nothing listens there, rather than
 	// the runner not answering.
 	RunnerEnded bool `cbor:"5,keyasint,omitempty"`
--- a/internal/runneragent/crash_report_test.go
+++ b/internal/runneragent/crash_report_test.go
@@ -59,7 +59,7 @@
 		t.Fatal("poll of a runner that has ended: got no error, want one")
 	}
 	m := s.next(t, func(m *peer.Message) bool { return m.Report != nil || m.Ping != nil && len(m.Ping.Runs) > 0 })
-	if m.Report != nil && !slices.Contains(m.Report.Started, dispatch.RunStarted{Task: task, Run: 2}) {
-		t.Errorf("started, in the report of the ended runner: got %v, want run 2 of %s", m.Report.Started, task)
+	if m.Report != nil && !slices.Contains(m.Report.Sent, dispatch.SentRun{Task: task, Run: 2}) {
+		t.Errorf("started, in the report of the ended runner: got %v, want run 2 of %s", m.Report.Sent, task)
 	}
 }
--- a/internal/runneragent/emptyreport_test.go
+++ b/internal/runneragent/emptyreport_test.go
@@ -69,7 +69,7 @@
 		name    string
 		answers bool
 	}{
-		{"the runner is still mute", false},
+		{"the runner does not answer yet", false},
 		{"the runner has answered again", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -13,6 +13,14 @@
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
 
+var (
+	errLeaseTooShort   = errors.New("too little of the worker lease is left for a start")
+	errSilentRunner    = errors.New("the runner does not answer")
+	errOtherLife       = errors.New("the order is for another life of the runner")
+	errReportedEmpty   = errors.New("the dispatcher was told that the worker runs nothing")
+	errNoPolicyService = errors.New("no policy service is configured")
+)
+
 // handleOrders carries out the dispatcher's orders. It drops orders of another term and stops for
 // another life, the time between two restarts of the runner, and refuses starts for another life.
 func (a *Agent) handleOrders(ctx context.Context, orders *peer.Orders) {
--- /dev/null
+++ b/internal/runneragent/report.go
@@ -0,0 +1,120 @@
+package runneragent
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+)
+
+// runnerState says what a poll has shown of the runner.
+type runnerState uint8
+
+const (
+	runnerAnswers runnerState = iota
+	// runnerSilent is a runner that has not answered until all its leases had expired.
+	runnerSilent
+	// runnerEnded is a runner that does not listen any more.
+	runnerEnded
+)
+
+// emptyStateOf returns the state of a runner whose runs have all ended, from the error of the last poll.
+func emptyStateOf(err error) runnerState {
+	if errors.Is(err, ErrNotListening) {
+		return runnerEnded
+	}
+	return runnerSilent
+}
+
+// sendEmptyReport tells the dispatcher that the worker runs nothing, and pings it. Start orders that are under
+// way meanwhile are refused, since the dispatcher regards their runs as ended. The caller holds mu.
+func (a *Agent) sendEmptyReport(now time.Time, state runnerState) {
+	a.reportedEmpty = true
+	a.conn.Send(&peer.Message{Report: &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}, Sent: a.sentRuns(), RunnerEnded: state == runnerEnded}})
+	a.ping(now)
+	a.emptyReportPing = a.pingSeq
+}
+
+// sentRuns returns the runs that the present life of the runner lists, and the starts that were sent to it
+// since: the dispatcher may know neither. The caller holds mu.
+func (a *Agent) sentRuns() []dispatch.SentRun {
+	var out []dispatch.SentRun
+	for key := range a.sentStarts {
+		out = append(out, dispatch.SentRun{Task: key.task, Run: key.run})
+	}
+	for i := range a.runs {
+		out = append(out, dispatch.SentRun{Task: a.runs[i].Task, Run: a.runs[i].Run})
+	}
+	return out
+}
+
+// emptyReportRead reports whether every order that the dispatcher sent before it read the empty report
+// has arrived: a connection keeps the order of messages, and the ping after the report is answered. The
+// caller holds mu.
+func (a *Agent) emptyReportRead() bool { return a.answeredPing >= a.emptyReportPing }
+
+// endEmptyReport sends a full report after an empty one, once no start order that the dispatcher
+// regards as ended can arrive any more. The caller holds mu.
+func (a *Agent) endEmptyReport() {
+	if a.conn == nil || !a.emptyReportRead() {
+		return
+	}
+	a.reportedEmpty = false
+	a.sendReport()
+}
+
+// lastEndNumber returns the number of the last run end that the runner has listed in its
+// present life. The caller holds mu.
+func (a *Agent) lastEndNumber() uint64 {
+	last := a.lastAckedEnd
+	for _, e := range a.runEnds {
+		last = max(last, e.Number)
+	}
+	return last
+}
+
+// sendReport sends a report of the worker's whole state to the dispatcher, if
+// connected. The caller holds mu.
+func (a *Agent) sendReport() {
+	a.lastReportedEnd = a.lastEndNumber()
+	if a.conn != nil {
+		a.conn.Send(&peer.Message{Report: a.newReport()})
+	}
+}
+
+// sendNewEnds sends the run ends that have not been sent to the dispatcher yet. The caller holds mu.
+func (a *Agent) sendNewEnds() {
+	if a.conn == nil {
+		return
+	}
+	var unsent []dispatch.RunEnd
+	for _, e := range a.runEnds {
+		if e.Number > a.lastReportedEnd {
+			unsent = append(unsent, e)
+		}
+	}
+	if len(unsent) > 0 && a.conn.Send(&peer.Message{RunEnds: &peer.RunEnds{Life: a.life, Ends: unsent}}) {
+		a.lastReportedEnd = a.lastEndNumber()
+	}
+}
+
+// newReport returns a report of the worker's whole state. The caller holds mu.
+func (a *Agent) newReport() *peer.Report {
+	r := &peer.Report{Worker: a.describeWorker(), Runs: append([]dispatch.RunStatus(nil), a.runs...), RunEnds: append([]dispatch.RunEnd(nil), a.runEnds...), Sent: a.earlierRuns}
+	for k := range a.unlistedStarts {
+		r.Runs = append(r.Runs, dispatch.RunStatus{Task: k.task, Run: k.run, Pending: true})
+	}
+	return r
+}
+
+// describeWorker returns what the agent knows of its worker. The caller holds mu.
+func (a *Agent) describeWorker() dispatch.Worker {
+	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, PacePercent: a.guard.pacer.PacePercent()}
+	if b := &a.heartbeat; b.StartedAtMS == a.life {
+		w.Service, w.Capacity, w.Labels, w.Draining, w.Instance = b.Service, b.Capacity, b.Labels, b.Draining, b.Instance
+		w.EndAnnounced = b.Draining
+	}
+	return w
+}
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -251,12 +251,12 @@
 		sc.MarkSilent(e.Worker)
 	case "lapsed":
 		sc.WorkerLeaseExpired(now, e.Worker)
-	case "crashed", "mute":
-		var started []RunStarted
+	case "crashed", "not-answering":
+		var started []SentRun
 		for _, r := range runsOf(t, e.Runs) {
-			started = append(started, RunStarted{Task: r.Task, Run: r.Run})
+			started = append(started, SentRun{Task: r.Task, Run: r.Run})
 		}
-		sc.MarkStarted(e.Worker, started)
+		sc.ConfirmSent(e.Worker, started)
 		sc.RunnerGone(now, wallMS, e.Worker, e.Do == "crashed")
 	case "caught-up":
 		sc.AllJobsKnown(now, now)
--- a/pkg/dispatch/crash_limits_test.go
+++ b/pkg/dispatch/crash_limits_test.go
@@ -165,13 +165,13 @@
 // crashRandomRunner ends the runner of a random worker, by a crash or without an answer, and starts the next.
 func crashRandomRunner(s *stream) {
 	w := s.workers[s.random.IntN(len(s.workers))]
-	var started []RunStarted
+	var started []SentRun
 	for _, r := range s.runsAt(w) {
-		started = append(started, RunStarted{Task: r.id, Run: r.number})
+		started = append(started, SentRun{Task: r.id, Run: r.number})
 	}
 	ended := s.random.IntN(3) > 0
 	s.each(func(sc *Scheduler) {
-		sc.MarkStarted(w.Name, started)
+		sc.ConfirmSent(w.Name, started)
 		sc.RunnerGone(s.now, s.wallMS, w.Name, ended)
 	})
 	w.Life++
@@ -181,7 +181,7 @@
 
 // A task whose starts are sent and answered by no runner is started five times at most, although the crash before each of two
 // changes of the dispatcher was not stored.
-func TestStartsOfDeadlyTaskAcrossDispatchers(t *testing.T) {
+func TestStartsOfCrashingTaskAcrossDispatchers(t *testing.T) {
 	now, term, changes := time.Unix(1000, 0), uint64(1), 2
 	job := jobOf(t, &event{Job: "a", Queue: "fits", Steps: json.RawMessage(`[{"count": 1, "cpu": 1000}]`)})
 	sc := new(Scheduler)
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -32,7 +32,7 @@
 		t.Fatalf("starts by the next dispatcher: got %+v, want one trial", got)
 	}
 	run := orders.Starts()[0].Run
-	second.MarkStarted("w2", []RunStarted{{Task: orders.Starts()[0].Task, Run: run}})
+	second.ConfirmSent("w2", []SentRun{{Task: orders.Starts()[0].Task, Run: run}})
 	second.RunnerGone(start, 1_000_000, "w2", true)
 	if got, _ := second.Phase("a"); got.String() != "failed" {
 		t.Errorf("phase after a second crash: got %s, want failed", got)
--- a/pkg/dispatch/lasting_test.go
+++ b/pkg/dispatch/long_running_test.go
@@ -191,27 +191,27 @@
 	}
 }
 
-// lasting returns a long-running step.
-func lasting(milliCPU int64) workflow.Step {
+// longRunning returns a long-running step.
+func longRunning(milliCPU int64) workflow.Step {
 	return workflow.Step{Count: 1, Size: worker.Resources{MilliCPU: milliCPU, MemoryMB: 100}, LongRunning: true}
 }
 
 // A task that a worker refuses to start is started at another one that has room.
-func TestLastingTaskLeavesWorkerThatRefuses(t *testing.T) {
+func TestLongRunningTaskLeavesWorkerThatRefuses(t *testing.T) {
 	p := newPlay(t, "w1", "w2")
-	p.admit("a", lasting(1000))
+	p.admit("a", longRunning(1000))
 	p.run(time.Second)
 	p.worker("w1").refuses = true
-	p.admit("b", lasting(1000))
+	p.admit("b", longRunning(1000))
 	p.run(20 * time.Second)
 	p.expectAtWork()
 }
 
 // A task that has failed at two workers is started at a third one in time.
-func TestLastingTaskTriesThirdWorker(t *testing.T) {
+func TestLongRunningTaskTriesThirdWorker(t *testing.T) {
 	p := newPlay(t, "w1", "w2", "w3")
-	p.admit("a", lasting(1000))
-	p.admit("b", lasting(15500))
+	p.admit("a", longRunning(1000))
+	p.admit("b", longRunning(15500))
 	p.run(time.Second)
 	for _, name := range []string{"w1", "w2"} {
 		if got := len(p.worker(name).runs); got != 1 {
@@ -219,7 +219,7 @@
 		}
 		p.worker(name).lasts = func(*Start) (time.Duration, Outcome) { return 100 * time.Millisecond, OutcomeFailed }
 	}
-	p.admit("s", lasting(300))
+	p.admit("s", longRunning(300))
 	p.run(maxAway)
 	if got := len(p.worker("w3").runs); got != 1 {
 		t.Errorf("runs at the sound worker after %s: got %d, want 1", maxAway, got)
@@ -227,7 +227,7 @@
 }
 
 // A long batch task that tests a suspect worker does not keep a long-running task away until it ends.
-func TestLastingTaskDoesNotWaitForLongProbe(t *testing.T) {
+func TestLongRunningTaskDoesNotWaitForLongProbe(t *testing.T) {
 	p := newPlay(t, "w1")
 	p.worker("w1").lasts = func(s *Start) (time.Duration, Outcome) {
 		if s.Task.Job == "long" {
@@ -251,13 +251,13 @@
 		return 0, 0
 	}
 	p.run(18 * time.Second)
-	p.admit("s", lasting(1000))
+	p.admit("s", longRunning(1000))
 	p.run(20 * time.Second)
 	p.expectAtWork()
 }
 
 // Room that is freed in parts for a long-running task does not go to batch tasks of lower priority.
-func TestLastingTaskGetsTheRoomFreedForIt(t *testing.T) {
+func TestLongRunningTaskGetsTheRoomFreedForIt(t *testing.T) {
 	p := newPlay(t, "w1")
 	stops := 0
 	p.worker("w1").stopTime = func(*playedRun) time.Duration {
@@ -266,7 +266,7 @@
 	}
 	p.admitTo("shapes", "batch", workflow.Step{Count: 400, Size: worker.Resources{MilliCPU: 1000, MemoryMB: 100}, EstimateMS: 60000})
 	p.run(time.Second)
-	p.admit("s", lasting(4000))
+	p.admit("s", longRunning(4000))
 	p.run(20 * time.Second)
 	p.expectAtWork()
 }
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -19,7 +19,7 @@
 			abandoned = append(abandoned, r)
 		}
 		sc.lostRuns = append(sc.lostRuns, LostRun{
-			Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Started: r.started, Proven: r.proven, Crashes: r.step.tasks[r.id.Index].crashes.all,
+			Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Sent: r.sent, Proven: r.proven, Crashes: r.step.tasks[r.id.Index].crashes.all,
 		})
 		sc.endRun(now, wallMS, w, &RunEnd{Task: r.id, Run: r.number, How: OutcomeGone})
 	}
@@ -36,9 +36,9 @@
 	Worker string
 	// Crashed is set if the worker's runner has crashed, rather than the lease expired.
 	Crashed bool
-	// Started is set if the runner is known to have started the run, Proven if the run was at work
-	// for provenStartAfter.
-	Started, Proven bool
+	// Sent is set if the run is known to have been sent to the runner, Proven if it was at work for
+	// provenStartAfter.
+	Sent, Proven bool
 	// Crashes is the number of runners that have crashed while they ran the task.
 	Crashes int
 }
@@ -88,22 +88,22 @@
 	return n
 }
 
-// RunStarted identifies a run that a runner has started.
-type RunStarted struct {
+// SentRun identifies a run that was sent to a runner, which may have started it.
+type SentRun struct {
 	_    struct{} `cbor:",toarray"`
 	Task workflow.TaskID
 	Run  uint64
 }
 
-// MarkStarted records that a worker's runner has started runs, although it has not listed them.
-func (sc *Scheduler) MarkStarted(name string, started []RunStarted) {
+// ConfirmSent records that runs were sent to a worker's runner, although it may not have listed them.
+func (sc *Scheduler) ConfirmSent(name string, sent []SentRun) {
 	w := sc.workers[name]
 	if w == nil {
 		return
 	}
-	for _, s := range started {
+	for _, s := range sent {
 		if r := w.runs[s.Task]; r != nil && r.number == s.Run {
-			r.started = true
+			r.sent = true
 		}
 	}
 }
--- a/pkg/dispatch/numbers_test.go
+++ b/pkg/dispatch/numbers_test.go
@@ -10,7 +10,7 @@
 // A runner refuses a run that is not higher than one that ended there, also if that run is of an earlier term.
 func TestRunNumbersExceedThoseOfEarlierTerms(t *testing.T) {
 	const failedRun = runsPerTerm + 500
-	sub := &workflow.Submission{ID: "a", Queue: "lasts", Spec: workflow.Spec{Steps: []workflow.Step{lasting(1000)}}}
+	sub := &workflow.Submission{ID: "a", Queue: "lasts", Spec: workflow.Spec{Steps: []workflow.Step{longRunning(1000)}}}
 	progress := &workflow.Progress{Phase: workflow.PhaseRunning, Tasks: []workflow.TaskProgress{{Failed: []uint64{failedRun}}}}
 	p := newPlay(t, "w1")
 	p.sc.BeginTerm(2, nil)
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -201,7 +201,7 @@
 	if r.phase == runStartOrdered {
 		r.phase = runRunning
 	}
-	r.started = true
+	r.sent = true
 	if now.Sub(r.orderedAt) >= provenStartAfter {
 		sc.proveStart(r)
 	}
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -266,9 +266,9 @@
 	checkpoint    string
 	stopOrderedAt time.Time
 	stopReason    string
-	// started is set once the runner is known to have started the run, proven once the run has been
-	// at work for provenStartAfter, so that it cannot be one that crashes its runner at the start.
-	started, proven bool
+	// sent is set once the run is known to have been sent to the runner, proven once it has been at work
+	// for provenStartAfter.
+	sent, proven bool
 	// exclusive is set if no other run may start at the worker before this one is proven.
 	exclusive bool
 }
--- a/pkg/queue/change.go
+++ b/pkg/queue/change.go
@@ -81,7 +81,7 @@
 	if !f.RecordFailure(t.Worker()) {
 		return
 	}
-	if h := s.fleet.Health(t.Worker()); h.Suspect() && h.MayProbe(now) {
+	if h := s.fleet.Health(t.Worker()); h.Suspect() && h.MayProbe(now) { // a suspect worker gets nothing but probes
 		h.RecordFailedProbe(now)
 	} else {
 		h.RecordFailure(now, id.Job)
