--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -111,9 +111,8 @@
 		sc.createDueOccurrences(now, wallMS, j)
 	}
 	o := &Orders{}
-	sc.endHolds(now)
 	sc.releaseRoom()
-	sc.releaseKept(now)
+	sc.endHolds(now)
 	sc.askQuestions(now, o)
 	for _, s := range sc.placementOrder(now) {
 		sc.placeStep(now, s, o)
@@ -237,8 +236,9 @@
 			continue
 		}
 		if t.crashes.suspicious() {
-			sc.placeTrial(now, s, &q, i, o)
-			c = nil // the trial may have changed a candidate
+			if sc.placeTrial(now, s, &q, i, o) {
+				c = nil // a candidate may have changed
+			}
 			continue
 		}
 		if c == nil && !sc.knownFull(s, &q) {
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -227,7 +227,7 @@
 	j.phase, j.endedMS = phase, wallMS
 	sc.changedJobs[j] = struct{}{}
 	sc.urgentChange = true
-	sc.endReservations(func(w *workerState) bool { return w.reservedJob == j })
+	sc.endReservations(func(reserved workflow.TaskID) bool { return reserved.Job == j.submission.ID })
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			delete(sc.readySteps, s)
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -152,7 +152,7 @@
 	for w := range sc.suspects {
 		sc.full.release(w)
 	}
-	for w := range sc.keptWorkers {
+	for w := range sc.heldWorkers {
 		sc.full.release(w)
 	}
 }
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -56,8 +56,6 @@
 	// usable as time passes.
 	changedWorkers []*workerState
 	suspects       map[*workerState]struct{}
-	// keptWorkers are kept for long-running tasks, see workerState.keptUntil, or were at the last decision.
-	keptWorkers map[*workerState]struct{}
 	// stepCandidates are the candidates of the step that is being placed.
 	stepCandidates candidates
 	// largestMilliCPU is the largest processor capacity that a worker has reported.
@@ -81,7 +79,7 @@
 	lostRuns []LostRun
 	// suspiciousTasks are the tasks that are suspected of crashing runners.
 	suspiciousTasks map[*taskState]struct{}
-	// heldWorkers are the workers that trials keep from getting other tasks.
+	// heldWorkers are held by trials or kept for long-running tasks, or were at the last decision.
 	heldWorkers map[*workerState]struct{}
 	// abandonedTasks are the tasks that the next call of TakeAbandonedTasks returns.
 	abandonedTasks []AbandonedTask
@@ -127,7 +125,6 @@
 	sc.repeatingJobs = make(map[*jobState]struct{})
 	sc.full = make(fullFleet)
 	sc.suspects = make(map[*workerState]struct{})
-	sc.keptWorkers = make(map[*workerState]struct{})
 	sc.suspiciousTasks = make(map[*taskState]struct{})
 	sc.heldWorkers = make(map[*workerState]struct{})
 	sc.unreported = make(map[string]bool)
@@ -235,6 +232,8 @@
 	// crashes counts the runners that crashed while they ran the task, and crashedOn names their workers.
 	crashes   crashCount
 	crashedOn []string
+	// nextTrial is the earliest time of the next search for a worker for a trial.
+	nextTrial time.Time
 	// stalls counts runs that were stopped because they made no progress.
 	stalls int
 }
@@ -338,9 +337,8 @@
 	unprovenRuns int
 	// trial is the run at the worker whose task is suspected of crashing runners; nil if there is none.
 	trial *run
-	// reservedFor is the task, of the job reservedJob, that the worker is kept free for until reservedUntil.
-	reservedFor   *taskState
-	reservedJob   *jobState
+	// reservedFor is the task that the worker is kept free for until reservedUntil.
+	reservedFor   workflow.TaskID
 	reservedUntil time.Time
 	// silent is set while there has been no recent contact.
 	silent bool
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -153,7 +153,7 @@
 // called again at each search, so that the room is free again soon after the task has started.
 func (sc *Scheduler) keepRoom(now time.Time, w *workerState) {
 	w.keptUntil = now.Add(keptRoomTime)
-	sc.keptWorkers[w] = struct{}{}
+	sc.hold(w)
 }
 
 // keptFrom reports whether a worker is kept for a long-running task that runs were stopped for, and the step is
@@ -162,15 +162,6 @@
 	return !s.spec.LongRunning && now.Before(w.keptUntil)
 }
 
-// releaseKept forgets the workers that are no longer kept for long-running tasks.
-func (sc *Scheduler) releaseKept(now time.Time) {
-	for w := range sc.keptWorkers {
-		if !now.Before(w.keptUntil) {
-			delete(sc.keptWorkers, w)
-		}
-	}
-}
-
 // preemptionVictims returns the runs at a worker, of lower priority than the given one and the
 // youngest first, that have to end so that need fits. It reports whether need fits once they have
 // ended. Runs that are being stopped count as ended.
