Log what a second start of a task follows from, and what contradicts it

No decision changes.

- 'start ordered' names the task's last run of the term, its worker and how it ended.
- 'worker lists a run that was taken for ended' (counter contradictions): a report or an end that contradicts a conclusion of the scheduler, with what it was concluded from: a refusal, an expired lease, a runner that is gone, another life, or the end of the earlier terms.
- 'ignored run ends of another life or of unknown tasks' (run-ends-ignored).
- 'this entry is the dispatcher' names the term before; 'workers did not report in this term' says how long after the beginning, and whether the earlier dispatcher was known to have stopped.
- Agents: 'renewal reached another life of the runner', 'listing handled late', 'runner forgot a run without listing its end', each with a counter.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -10,6 +10,7 @@
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
 	"savoryhoist.example/savoryhoist/pkg/leadership"
 )
 
@@ -62,6 +63,11 @@
 		c.log.Warn().Str("task", l.Task.String()).Uint64("run", l.Run).Str("worker", l.Worker).Bool("crashed", l.Crashed).
 			Bool("sent", l.Sent).Bool("proven", l.Proven).Int("crashes", l.Crashes).Msg("run lost with its worker")
 	}
+	for _, x := range t.scheduler.TakeContradictions() {
+		c.count("contradictions", 1)
+		c.log.Warn().Str("task", x.Task.String()).Uint64("run", x.Run).Str("worker", x.Worker).Str("how", listedAs(x.How)).Str("concluded", string(x.Conclusion)).
+			Bool("restarted", x.Restarted).Uint64("term", t.number).Msg("worker lists a run that was taken for ended")
+	}
 	for _, a := range t.scheduler.TakeAbandonedTasks() {
 		c.count("tasks-abandoned", 1)
 		c.log.Warn().Str("task", a.Task.String()).Int("crashes", a.Crashes).Str("worker", a.Worker).Msg("task abandoned: runners crash when they start it")
@@ -86,7 +92,7 @@
 	c.count("stops-ordered", len(orders.Stops()))
 	c.count("questions-asked", len(orders.Questions()))
 	for _, s := range orders.Starts() {
-		c.log.Info().Str("task", s.Task.String()).Uint64("run", s.Run).Str("worker", s.Worker).Str("reason", s.Reason).Msg("start ordered")
+		c.logStart(t, &s)
 		o := ordersTo(s.Worker)
 		o.Starts = append(o.Starts, s)
 	}
@@ -110,6 +116,23 @@
 	}
 }
 
+// logStart logs a start order and, if the task ran before in this term, how its last run ended.
+func (c *Coordinator) logStart(t *term, s *dispatch.Start) {
+	line := c.log.Info().Str("task", s.Task.String()).Uint64("run", s.Run).Str("worker", s.Worker).Str("reason", s.Reason)
+	if p, ok := t.scheduler.PreviousRun(s.Task); ok {
+		line = line.Uint64("previous-run", p.Run).Str("previous-worker", p.Worker).Str("previous-how", p.How.String())
+	}
+	line.Msg("start ordered")
+}
+
+// listedAs returns the name of an outcome, or "running" if there is none yet.
+func listedAs(how dispatch.Outcome) string {
+	if how == 0 {
+		return "running"
+	}
+	return how.String()
+}
+
 // considerClaim claims leadership if neither this entry nor any other one has had contact
 // with a dispatcher lately. An entry that shuts down or has no configuration does not claim.
 func (c *Coordinator) considerClaim(ctx context.Context, now time.Time) {
@@ -227,7 +250,7 @@
 	c.mu.Unlock()
 	c.count("terms-begun", 1)
 	c.gauge("term", int64(t.number))
-	c.log.Info().Uint64("term", t.number).Str("reason", reason).Str("before", previous.Entry).Int("workers", len(workers)).
+	c.log.Info().Uint64("term", t.number).Str("reason", reason).Str("before", previous.Entry).Uint64("previous-term", previous.Term).Int("workers", len(workers)).
 		Int("jobs", c.Status().Jobs).Dur("took", now.Sub(sent)).Msg("this entry is the dispatcher")
 	if previous.Term != 0 && previous.Entry != c.settings.Name {
 		c.group.Go(func() { c.watchPredecessor(ctx, t, previous) })
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -167,7 +167,10 @@
 			c.count("runs-"+e.How.String(), 1)
 			c.log.Info().Str("task", e.Task.String()).Uint64("run", e.Run).Str("worker", h.Name).Str("how", e.How.String()).Msg("run ended")
 		}
-		t.scheduler.ApplyEnds(now, clock.WallMS(), h.Name, m.RunEnds.Life, m.RunEnds.Ends)
+		if n := t.scheduler.ApplyEnds(now, clock.WallMS(), h.Name, m.RunEnds.Life, m.RunEnds.Ends); n > 0 {
+			c.count("run-ends-ignored", n)
+			c.log.Warn().Str("worker", h.Name).Uint64("life", m.RunEnds.Life).Int("ends", n).Msg("ignored run ends of another life or of unknown tasks")
+		}
 	case m.OrderRefused != nil:
 		c.count("orders-refused", 1)
 		c.log.Info().Str("task", m.OrderRefused.Task.String()).Uint64("run", m.OrderRefused.Run).Str("worker", h.Name).Str("reason", m.OrderRefused.Reason).Msg("agent refused an order")
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -179,7 +179,7 @@
 	}
 	if !t.earlierRunsOver && t.leasesExpired(now, c, t.predecessor.LeasesEndBy()) {
 		t.earlierRunsOver = true
-		c.log.Warn().Int("workers", t.scheduler.UnreportedWorkers()).Msg("workers did not report in this term; the leases of their runs from earlier terms have expired")
+		c.log.Warn().Int("workers", t.scheduler.UnreportedWorkers()).Uint64("term", t.number).Dur("since", now.Sub(t.began)).Bool("predecessor-stopped", t.predecessor.Stopped()).Msg("workers did not report in this term; the leases of their runs from earlier terms have expired")
 		t.scheduler.ExpireEarlierTerms()
 	}
 }
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -65,10 +65,28 @@
 		a.handlePollFailure(now, err)
 		return err
 	}
+	a.checkRenewal(now, clock.Steady(), &request, l)
 	a.handleListing(ctx, l)
 	return nil
 }
 
+// checkRenewal logs an answer to a renewal sent at sent that comes from another life than the renewal was meant for,
+// or that was handled late.
+func (a *Agent) checkRenewal(sent, now time.Time, r *RenewRequest, l *Listing) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	took := now.Sub(sent)
+	if l.StartedAtMS != a.life && (r.LastAckedEnd > 0 || r.LeaseEndMS > 0) {
+		a.count("renewals-in-another-life")
+		a.log.Warn().Uint64("life", a.life).Uint64("reached", l.StartedAtMS).Uint64("acked", r.LastAckedEnd).Int64("lease-end-ms", r.LeaseEndMS).
+			Dur("took", took).Msg("renewal reached another life of the runner")
+	}
+	if took > r.MaxWait+sameLifeFor {
+		a.count("listings-late")
+		a.log.Info().Dur("took", took).Dur("wait", r.MaxWait).Int64("clock-ms", l.ClockMS).Int64("last-clock-ms", a.runnerClockMS).Msg("listing handled late")
+	}
+}
+
 // extendLastRunLeaseEnd records that a call asks the runner for run leases up to the end of the
 // worker lease. The caller holds mu.
 func (a *Agent) extendLastRunLeaseEnd(now time.Time) {
@@ -137,6 +155,7 @@
 func (a *Agent) applyListing(now time.Time, l *Listing) {
 	a.runnerClockMS, a.runnerClockReadAt = l.ClockMS, now
 	a.sameLifeUntil = now.Add(sameLifeFor)
+	a.logVanishedRuns(l)
 	a.runs = l.Runs
 	a.runEnds = a.runEnds[:0]
 	for _, e := range l.RunEnds {
@@ -153,6 +172,24 @@
 	}
 }
 
+// logVanishedRuns logs the runs of the last listing that l neither lists nor shows as ended: the runner has
+// forgotten their ends. The caller holds mu.
+func (a *Agent) logVanishedRuns(l *Listing) {
+	listed := make(map[runKey]bool, len(l.Runs)+len(l.RunEnds))
+	for i := range l.Runs {
+		listed[runKey{l.Runs[i].Task, l.Runs[i].Run}] = true
+	}
+	for i := range l.RunEnds {
+		listed[runKey{l.RunEnds[i].Task, l.RunEnds[i].Run}] = true
+	}
+	for i := range a.runs {
+		if r := &a.runs[i]; !listed[runKey{r.Task, r.Run}] {
+			a.count("runs-vanished")
+			a.log.Warn().Str("task", r.Task.String()).Uint64("run", r.Run).Uint64("life", a.life).Uint64("acked", a.lastAckedEnd).Msg("runner forgot a run without listing its end")
+		}
+	}
+}
+
 // forgetStart drops what is kept of a start that the runner has listed or that never takes effect. The caller
 // holds mu.
 func (a *Agent) forgetStart(key runKey) {
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -8,8 +8,8 @@
 )
 
 // endAllRuns ends every run at a worker and records the runs as lost. crashed is set if the worker's runner has
-// ended without having announced it.
-func (sc *Scheduler) endAllRuns(now time.Time, wallMS int64, w *workerState, crashed bool) {
+// ended without having announced it, c is from what the ends are concluded.
+func (sc *Scheduler) endAllRuns(now time.Time, wallMS int64, w *workerState, crashed bool, c Conclusion) {
 	w.unknownJobs = unknownJobReport{}
 	delete(sc.workersWithUnknownJobs, w)
 	sc.forgetAllUnwanted(w)
@@ -21,6 +21,7 @@
 		sc.lostRuns = append(sc.lostRuns, LostRun{
 			Task: r.id, Run: r.number, Worker: w.name, Crashed: crashed, Sent: r.sent, Proven: r.proven, Crashes: r.step.tasks[r.id.Index].crashes.all,
 		})
+		r.step.tasks[r.id.Index].conclude(r, c)
 		sc.endRun(now, wallMS, w, &RunEnd{Task: r.id, Run: r.number, How: OutcomeGone})
 	}
 	for _, r := range abandoned {
@@ -60,18 +61,18 @@
 // WorkerLeaseExpired records that the lease of a worker has expired, so that every run at the worker
 // has ended. It returns the number of runs lost.
 func (sc *Scheduler) WorkerLeaseExpired(now time.Time, name string) int {
-	return sc.loseWorker(now, 0, name, false)
+	return sc.loseWorker(now, 0, name, false, ConclusionLeaseExpired)
 }
 
-// loseWorker records that every run at a worker has ended, and returns their number.
-func (sc *Scheduler) loseWorker(now time.Time, wallMS int64, name string, crashed bool) int {
+// loseWorker records that every run at a worker has ended, as concluded from c, and returns their number.
+func (sc *Scheduler) loseWorker(now time.Time, wallMS int64, name string, crashed bool, c Conclusion) int {
 	delete(sc.unreported, name)
 	w := sc.workers[name]
 	if w == nil {
 		return 0
 	}
 	n := len(w.runs)
-	sc.endAllRuns(now, wallMS, w, crashed)
+	sc.endAllRuns(now, wallMS, w, crashed, c)
 	w.silent = true
 	w.leaseExpired = true
 	return n
@@ -81,7 +82,7 @@
 // the runner is known to have ended, rather than not to answer. It returns the number of runs lost.
 func (sc *Scheduler) RunnerGone(now time.Time, wallMS int64, name string, ended bool) int {
 	w := sc.workers[name]
-	n := sc.loseWorker(now, wallMS, name, ended && w != nil && !w.endAnnounced)
+	n := sc.loseWorker(now, wallMS, name, ended && w != nil && !w.endAnnounced, ConclusionRunnerGone)
 	if w != nil {
 		w.life = 0
 	}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -107,7 +107,7 @@
 func (sc *Scheduler) ApplyReport(now time.Time, wallMS int64, info *Worker, runs []RunStatus, ends []RunEnd) {
 	w := sc.workerState(info.Name)
 	if w.life != info.Life {
-		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.endAnnounced)
+		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.endAnnounced, ConclusionLifeReplaced)
 		sc.beginLife(now, w, info.Life)
 		w.health = workerHealth{}
 		sc.noteHealth(w)
@@ -224,6 +224,9 @@
 		return
 	}
 	s, t := sc.task(status.Task)
+	if t != nil {
+		sc.noteContradiction(w, t, status.Task, status.Run, 0)
+	}
 	if t == nil || t.done || s.occurrence.job.phase.Ended() || w.runs[status.Task] != nil || (len(t.runs) > 0 && !s.spec.Speculative) {
 		sc.stopUnwanted(w, s, status)
 		return
@@ -262,11 +265,11 @@
 }
 
 // ApplyEnds takes in the run ends that a worker lists in one life of its runner; those of another
-// life are ignored.
-func (sc *Scheduler) ApplyEnds(now time.Time, wallMS int64, name string, life uint64, ends []RunEnd) {
+// life are ignored. It returns the number of ends that are ignored.
+func (sc *Scheduler) ApplyEnds(now time.Time, wallMS int64, name string, life uint64, ends []RunEnd) (ignored int) {
 	w := sc.workerState(name)
 	if w.life != life {
-		return
+		return len(ends)
 	}
 	for i := range ends {
 		e := &ends[i]
@@ -276,11 +279,15 @@
 			sc.holdEnd(now, w, e)
 			continue
 		}
+		if _, t := sc.task(e.Task); t == nil {
+			ignored++
+		}
 		sc.endRun(now, wallMS, w, e)
 	}
 	if len(ends) > 0 {
 		sc.acknowledge(w)
 	}
+	return ignored
 }
 
 // OrderRefused records that a run that was ordered at a worker is known never to start.
@@ -297,15 +304,23 @@
 func (sc *Scheduler) endRun(now time.Time, wallMS int64, w *workerState, e *RunEnd) {
 	s, t := sc.task(e.Task)
 	r := w.runs[e.Task]
-	if r != nil && r.number == e.Run {
+	current := r != nil && r.number == e.Run
+	if current {
 		sc.recordOutcome(now, r, e.How)
 		sc.removeRun(now, r)
-	} else if t == nil {
-		return
 	}
 	if t == nil {
 		return
 	}
+	switch {
+	case current && e.How == OutcomeRefused:
+		t.conclude(r, ConclusionRefused)
+	case !current && e.How < OutcomeRefused && !t.done:
+		sc.noteContradiction(w, t, e.Task, e.Run, e.How)
+	}
+	if current {
+		t.previous = PreviousRun{Run: e.Run, Worker: w.name, How: e.How}
+	}
 	t.lastRunNumber = max(t.lastRunNumber, e.Run)
 	if e.Saved != "" {
 		t.checkpoint = e.Saved
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -77,6 +77,8 @@
 	pendingStops []Stop
 	// lostRuns are the lost runs that the next call of TakeLostRuns returns.
 	lostRuns []LostRun
+	// contradictions are what the next call of TakeContradictions returns.
+	contradictions []Contradiction
 	// suspiciousTasks are the tasks that are suspected of crashing runners.
 	suspiciousTasks map[*taskState]struct{}
 	// heldWorkers are held by trials or kept for long-running tasks, or were at the last decision.
@@ -236,6 +238,10 @@
 	nextTrial time.Time
 	// stalls counts runs that were stopped because they made no progress.
 	stalls int
+	// previous is the last run that ended in this term.
+	previous PreviousRun
+	// concluded are the latest runs whose ends were concluded.
+	concluded []concludedRun
 }
 
 type runPhase uint8
--- a/pkg/leadership/leadership.go
+++ b/pkg/leadership/leadership.go
@@ -204,6 +204,9 @@
 	}
 }
 
+// Stopped reports whether the earlier dispatcher is known to have stopped.
+func (p *Predecessor) Stopped() bool { return !p.deadSince.IsZero() }
+
 // LeasesEndBy returns the time by which the worker leases that an earlier dispatcher extended have
 // expired on workers that have not reported to the present one; zero if there was no earlier
 // dispatcher.
