Date a listing by its answer, not by its handling

Callers could see a task start again after its run had ended as done and the runner had been told that this end was stored.

Cause: a listing proved a life of the runner for 250 ms after the agent had handled it. A listing that waited in a socket while the process was frozen, or a renewal that was built before the freeze and left after it, let the acknowledgement and the lease of the earlier life reach the next one under the same name. That runner forgot ends that nobody had seen; the agent then told the dispatcher that the run had never started.

Before, with the simulated runner:

--- FAIL: TestEndOfANewLifeIsNotAcknowledgedFromAStaleListing (0.61s) --- FAIL: TestEndOfANewLifeIsNotAcknowledgedFromAStaleListing/the_agent_freezes_before_it_handles_a_listing (0.30s) stale_listing_test.go:118: last end of the new life: got 0, want 1 stale_listing_test.go:125: Jan 1 00:07:39.525: run 3 of 5c.0.1.0 started at w1 after the success of a run was acknowledged --- FAIL: TestEndOfANewLifeIsNotAcknowledgedFromAStaleListing/the_agent_freezes_before_it_sends_a_renewal (0.30s) stale_listing_test.go:118: last end of the new life: got 0, want 1 stale_listing_test.go:125: Jan 1 00:07:39.827: run 3 of 5c.0.1.0 started at w1 after the success of a run was acknowledged --- FAIL: TestLeaseOfAnEarlierLifeIsNotGrantedToTheNext (0.30s) stale_listing_test.go:139: lease end sent to the new life: got 4606, want 0 FAIL savoryhoist.example/savoryhoist/internal/runneragent 0.922s

and for the renewal that leaves late, in platform/:

--- FAIL: TestRenewalIsNotSentLate (0.12s) runner_send_test.go:53: frozen: got error <nil>, want one that says that it was not sent: true runner_send_test.go:56: frozen: calls that reached the runner: got 1, want 0

Change: a listing is dated by the sending of its poll or, if the poll waited, by the runner's clock against the last listing, less the error of that clock. The proof lasts 250 ms from then on. A renewal carries the end of the proof and is not sent without a connection at hand by then; the agent polls again at once, without acknowledgement and lease. Starts, too, take the runner for silent from the date of its answer. The lease still counts the reading of the runner's clock as taken when it was handled, which errs towards a shorter lease.

Why it works: the connection that a renewal gets within the proof belongs to the life that was proven, and ends with it.

An agent that takes over 250 ms for each short poll renews nothing; it did before.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -34,9 +34,11 @@
 	pollWait = time.Second
 	// callTimeout bounds a call to the runner, which runs on the same machine.
 	callTimeout = time.Second
-	// sameLifeFor is how long after a listing the runner is assumed not to have
+	// sameLifeFor is how long after it sent a listing the runner is assumed not to have
 	// restarted: calls to a runner that ends fail, and a restart takes longer than this.
 	sameLifeFor = 250 * time.Millisecond
+	// clockResolution is the resolution of the runner's clock.
+	clockResolution = time.Millisecond
 	// minPollInterval is the minimum time between the beginnings of two polls. Reports of run
 	// ends are delayed by up to this time.
 	minPollInterval = 25 * time.Millisecond
@@ -93,9 +95,10 @@
 	pingSeq uint64
 	// life is the start time of the runner, in Unix milliseconds; 0 before the first listing.
 	life uint64
-	// runnerClockMS is the latest reading of the runner's clock; runnerClockReadAt is when it
-	// arrived, on the agent's clock, and zero before the first listing of the present life.
+	// runnerClockMS is the latest reading of the runner's clock. It was taken between answeredAfter and
+	// runnerClockReadAt, when it was handled, on the agent's clock. Both are zero before the first listing of the present life.
 	runnerClockMS     int64
+	answeredAfter     time.Time
 	runnerClockReadAt time.Time
 	workerLease       leadership.WorkerLease
 	// lastRunLeaseEnd is the latest end, on the agent's clock, of all run leases that the runner
@@ -120,7 +123,7 @@
 	// number of the last run end that the dispatcher has stored.
 	lastReportedEnd uint64
 	lastAckedEnd    uint64
-	// sameLifeUntil is until when the runner is assumed not to have restarted since its last
+	// sameLifeUntil is until when the runner is assumed not to have restarted since it sent its last
 	// listing; zero after a failed poll.
 	sameLifeUntil time.Time
 	// unlistedStarts are start orders that have not appeared in a listing yet.
@@ -218,7 +221,7 @@
 	clear(a.sentStarts)
 	a.life = startedAtMS
 	a.reportedEmpty = false
-	a.runnerClockMS, a.runnerClockReadAt = 0, time.Time{}
+	a.runnerClockMS, a.answeredAfter, a.runnerClockReadAt = 0, time.Time{}, time.Time{}
 	a.runs, a.runEnds = nil, nil
 	a.lastReportedEnd, a.lastAckedEnd = 0, 0
 	a.guard = guard{}
@@ -235,7 +238,8 @@
 
 // runLeaseEndMS returns the latest allowed end of run leases, in milliseconds on the
 // runner's clock, or 0 if no run lease is allowed. That end is early enough that run leases end
-// no later than the worker lease even if the runner's clock is slow. The caller holds mu.
+// no later than the worker lease even if the runner's clock is slow, since its reading counts as taken
+// at the latest possible time. The caller holds mu.
 func (a *Agent) runLeaseEndMS(now time.Time) int64 {
 	left := a.workerLease.Remaining(now)
 	if left <= 0 || a.runnerClockReadAt.IsZero() {
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -61,7 +61,7 @@
 		return errOtherLife
 	case a.reportedEmpty:
 		return errReportedEmpty
-	case now.Sub(a.runnerClockReadAt) > maxRunnerSilence:
+	case now.Sub(a.answeredAfter) > maxRunnerSilence:
 		return errSilentRunner
 	case a.runLeaseEndMS(now) == 0 || a.workerLease.Remaining(now) < minLeaseLeft:
 		return errLeaseTooShort
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -44,9 +44,26 @@
 // poll renews the leases of all runs at the runner and applies its listing. The
 // runner may delay its answer for up to wait, until a run ends.
 func (a *Agent) poll(ctx context.Context, wait time.Duration) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout+wait)
-	defer cancel()
+	sent, request := a.newRenewal(wait)
+	l, err := a.renew(ctx, request)
+	if errors.Is(err, ErrNotSent) {
+		sent, request = a.newRenewal(wait)
+		l, err = a.renew(ctx, request)
+	}
+	if err != nil {
+		a.handlePollFailure(sent, err)
+		return err
+	}
+	a.checkRenewal(sent, clock.Steady(), &request, l)
+	a.handleListing(ctx, sent, l)
+	return nil
+}
+
+// newRenewal returns a renewal and the time at which it was built. It renews leases, acknowledges run ends and may wait
+// only if it is certain to reach the present life of the runner.
+func (a *Agent) newRenewal(wait time.Duration) (time.Time, RenewRequest) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	now := clock.Steady()
 	request := RenewRequest{Call: a.newCall()}
 	if now.Before(a.sameLifeUntil) {
@@ -55,19 +72,19 @@
 		// runner would forget run ends that were never reported, and the run leases would
 		// exceed the worker lease.
 		request.LastAckedEnd, request.LeaseEndMS, request.MaxWait = a.lastAckedEnd, a.runLeaseEndMS(now), wait
+		request.SendBefore = a.sameLifeUntil
 	}
 	if request.LeaseEndMS > 0 {
 		a.extendLastRunLeaseEnd(now)
 	}
-	a.mu.Unlock()
-	l, err := a.runner.Renew(callCtx, request)
-	if err != nil {
-		a.handlePollFailure(now, err)
-		return err
-	}
-	a.checkRenewal(now, clock.Steady(), &request, l)
-	a.handleListing(ctx, l)
-	return nil
+	return now, request
+}
+
+// renew sends a renewal, with a time limit.
+func (a *Agent) renew(ctx context.Context, r RenewRequest) (*Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+r.MaxWait)
+	defer cancel()
+	return a.runner.Renew(ctx, r)
 }
 
 // checkRenewal logs an answer to a renewal sent at sent that comes from another life than the renewal was meant for,
@@ -120,9 +137,10 @@
 // covers the time that a call takes to reach the runner.
 const leaseSlack = 300 * time.Millisecond
 
-// handleListing applies a listing and reports changes to the dispatcher. It reports a new life at once,
-// with the starts that may still take effect in it as pending runs, and refuses each once it is fenced.
-func (a *Agent) handleListing(ctx context.Context, l *Listing) {
+// handleListing applies the listing that answers a poll sent at the given time, and reports changes to the dispatcher. It
+// reports a new life at once, with the starts that may still take effect in it as pending runs, and refuses each once it
+// is fenced.
+func (a *Agent) handleListing(ctx context.Context, sent time.Time, l *Listing) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := clock.Steady()
@@ -132,7 +150,7 @@
 		}
 		a.beginLife(l.StartedAtMS)
 		unresolved := a.collectUnresolvedStarts(now)
-		a.applyListing(now, l)
+		a.applyListing(now, sent, l)
 		a.sendReport()
 		for _, key := range unresolved {
 			a.group.Go(func() { a.fence(ctx, l.StartedAtMS, key, "the start was sent to an earlier life of the runner") })
@@ -142,7 +160,7 @@
 	if l.ClockMS < a.runnerClockMS {
 		return // a newer listing was applied before
 	}
-	a.applyListing(now, l)
+	a.applyListing(now, sent, l)
 	if a.reportedEmpty {
 		a.endEmptyReport()
 		return
@@ -151,10 +169,12 @@
 	a.setPaces(ctx, now)
 }
 
-// applyListing replaces the known state of the runner by a listing. The caller holds mu.
-func (a *Agent) applyListing(now time.Time, l *Listing) {
+// applyListing replaces the known state of the runner by the listing that answers a poll sent at the given time. The
+// caller holds mu.
+func (a *Agent) applyListing(now, sent time.Time, l *Listing) {
+	a.answeredAfter = a.earliestAnswer(now, sent, l)
+	a.sameLifeUntil = a.answeredAfter.Add(sameLifeFor)
 	a.runnerClockMS, a.runnerClockReadAt = l.ClockMS, now
-	a.sameLifeUntil = now.Add(sameLifeFor)
 	a.logVanishedRuns(l)
 	a.runs = l.Runs
 	a.runEnds = a.runEnds[:0]
@@ -172,6 +192,25 @@
 	}
 }
 
+// earliestAnswer returns a time before which the runner cannot have sent a listing that is handled now and answers a poll
+// sent at the given time: the listing may have waited for long while the agent's process was frozen. The answer to a
+// poll that waits is dated by the runner's clock against the last listing. The caller holds mu.
+func (a *Agent) earliestAnswer(now, sent time.Time, l *Listing) time.Time {
+	if a.runnerClockReadAt.IsZero() {
+		return sent
+	}
+	elapsed := time.Duration(l.ClockMS-a.runnerClockMS)*time.Millisecond - clockResolution
+	elapsed -= elapsed / clockDriftDivisor
+	t := a.answeredAfter.Add(elapsed)
+	switch {
+	case t.Before(sent):
+		return sent
+	case t.After(now):
+		return now
+	}
+	return t
+}
+
 // logVanishedRuns logs the runs of the last listing that l neither lists nor shows as ended: the runner has
 // forgotten their ends. The caller holds mu.
 func (a *Agent) logVanishedRuns(l *Listing) {
--- a/internal/runneragent/runner.go
+++ b/internal/runneragent/runner.go
@@ -20,6 +20,8 @@
 	ErrTicket = errors.New("the runner did not accept the ticket")
 	// ErrNotListening means that no runner listens, so all of its runs have ended.
 	ErrNotListening = errors.New("no runner listens")
+	// ErrNotSent means that a call was not sent, since its SendBefore had passed.
+	ErrNotSent = errors.New("the call was not sent in time")
 	// ErrNoAnswer means that a call may have taken effect, or may do so later.
 	ErrNoAnswer = errors.New("the runner did not answer")
 )
@@ -44,6 +46,9 @@
 	LeaseEndMS int64
 	// MaxWait is how long the runner may delay its answer until a run ends.
 	MaxWait time.Duration
+	// SendBefore is the time on the agent's clock from which the call must not be sent any more; a zero time sets no
+	// such limit. The runner may be in another life by then, to which LastAckedEnd and LeaseEndMS must not be sent.
+	SendBefore time.Time
 }
 
 // Listing is the answer of a runner to the call that renews leases.
