Acknowledge run ends to the runner only while it lists one to forget

Callers could see a task start again after its run had ended as done.

Cause: every renewal carried the last acknowledged number, also the long poll of an idle runner, which is without an answer whenever the runner crashes. A call without an answer may be carried out seconds later, in the next life under the same name. That life numbers its ends from 1: it forgot ends that nobody had seen, and the agent reported a start that had ended as done as one that had never run.

Change: a renewal acknowledges only if the latest listing has an end up to the acknowledged number. An agent that has seen a life from its beginning logs and counts (run-ends-missed) gaps in the numbers of the listed ends.

Why it works: without such an end there is nothing to forget, and a later listing shows whether there is. What remains is a renewal that does acknowledge something, is not answered and is carried out in a next life. How the runs ended whose ends it makes the runner forget can not be known: reporting them as done might show a job as completed that is not, reporting nothing loses the task, so they are refused as before.

Two tests acknowledged ends that the runner did not list; it lists them now, and what they expect is unchanged.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -123,6 +123,12 @@
 	// number of the last run end that the dispatcher has stored.
 	lastReportedEnd uint64
 	lastAckedEnd    uint64
+	// oldestListedEnd is the number of the oldest run end in the latest listing, 0 if it has none; lastListedEnd is the
+	// number of the newest one listed in the present life. wholeLife is set if the agent knew an earlier life, so that it
+	// has to see all run ends of the present one.
+	oldestListedEnd uint64
+	lastListedEnd   uint64
+	wholeLife       bool
 	// sameLifeUntil is until when the runner is assumed not to have restarted since it sent its last
 	// listing; zero after a failed poll.
 	sameLifeUntil time.Time
@@ -217,13 +223,14 @@
 	if a.life != 0 {
 		a.log.Warn().Uint64("from", a.life).Uint64("to", startedAtMS).Int("runs", len(a.runs)).Msg("runner restarted")
 	}
+	a.wholeLife = a.life != 0
 	a.earlierRuns = a.sentRuns()
 	clear(a.sentStarts)
 	a.life = startedAtMS
 	a.reportedEmpty = false
 	a.runnerClockMS, a.answeredAfter, a.runnerClockReadAt = 0, time.Time{}, time.Time{}
 	a.runs, a.runEnds = nil, nil
-	a.lastReportedEnd, a.lastAckedEnd = 0, 0
+	a.lastReportedEnd, a.lastAckedEnd, a.oldestListedEnd, a.lastListedEnd = 0, 0, 0, 0
 	a.guard = guard{}
 }
 
--- a/internal/runneragent/lives_test.go
+++ b/internal/runneragent/lives_test.go
@@ -35,6 +35,15 @@
 	s.poll(t)
 }
 
+// listEnd makes the runner list a run end from then on, and the agent poll it.
+func (s *fixture) listEnd(t *testing.T, number uint64) {
+	t.Helper()
+	s.runner.mu.Lock()
+	s.runner.listing.RunEnds = []dispatch.RunEnd{{Number: number, Task: task, Run: 1, How: dispatch.OutcomeDone}}
+	s.runner.mu.Unlock()
+	s.poll(t)
+}
+
 // A start that was sent to an earlier life of the runner is pending in the report of the next life, and
 // is refused in that life once it is fenced and not before. A life is the time between two restarts.
 func TestNewLifeFencesUnresolvedStarts(t *testing.T) {
@@ -135,6 +144,7 @@
 // ID, renews no lease and acknowledges no run end.
 func TestPollOfUncertainLifeRenewsNothing(t *testing.T) {
 	s := newFixture(t)
+	s.listEnd(t, 4)
 	s.agent.mu.Lock()
 	s.agent.sameLifeUntil, s.agent.lastAckedEnd = time.Time{}, 4
 	s.agent.mu.Unlock()
@@ -200,6 +210,7 @@
 // numbered from the beginning.
 func TestAcknowledgementIsOnlyForTheSameLife(t *testing.T) {
 	s := newFixture(t)
+	s.listEnd(t, 57)
 	s.agent.handleAck(&peer.RunEndsAck{Life: 7, LastAckedEnd: 57})
 	last := func() uint64 {
 		s.runner.mu.Lock()
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -71,8 +71,10 @@
 		// and counts its clock from the beginning. Given the values of an earlier life, the
 		// runner would forget run ends that were never reported, and the run leases would
 		// exceed the worker lease.
-		request.LastAckedEnd, request.LeaseEndMS, request.MaxWait = a.lastAckedEnd, a.runLeaseEndMS(now), wait
-		request.SendBefore = a.sameLifeUntil
+		request.LeaseEndMS, request.MaxWait, request.SendBefore = a.runLeaseEndMS(now), wait, a.sameLifeUntil
+		if a.oldestListedEnd > 0 && a.oldestListedEnd <= a.lastAckedEnd {
+			request.LastAckedEnd = a.lastAckedEnd // without need it could only do harm: a call may be carried out late, in the next life
+		}
 	}
 	if request.LeaseEndMS > 0 {
 		a.extendLastRunLeaseEnd(now)
@@ -178,7 +180,9 @@
 	a.logVanishedRuns(l)
 	a.runs = l.Runs
 	a.runEnds = a.runEnds[:0]
+	a.oldestListedEnd = 0
 	for _, e := range l.RunEnds {
+		a.noteListedEnd(e.Number)
 		a.forgetStart(runKey{e.Task, e.Run})
 		if e.Number > a.lastAckedEnd {
 			a.runEnds = append(a.runEnds, e)
@@ -211,6 +215,22 @@
 	return t
 }
 
+// noteListedEnd records that the latest listing has a run end with the given number, and logs that the runner has
+// forgotten ends before it that the agent has never seen. The caller holds mu.
+func (a *Agent) noteListedEnd(number uint64) {
+	if a.oldestListedEnd == 0 || number < a.oldestListedEnd {
+		a.oldestListedEnd = number
+	}
+	if number <= a.lastListedEnd {
+		return
+	}
+	if a.wholeLife && number > a.lastListedEnd+1 {
+		a.count("run-ends-missed")
+		a.log.Warn().Uint64("life", a.life).Uint64("listed", number).Uint64("before", a.lastListedEnd).Uint64("acked", a.lastAckedEnd).Msg("runner forgot run ends without listing them")
+	}
+	a.lastListedEnd = number
+}
+
 // logVanishedRuns logs the runs of the last listing that l neither lists nor shows as ended: the runner has
 // forgotten their ends. The caller holds mu.
 func (a *Agent) logVanishedRuns(l *Listing) {
