Keep starts without an answer pending while their runner is gone

Callers could see two runs of a task at the same time.

Cause: once nothing listened at the runner's address, the agent reported an empty worker, and the dispatcher started all of its tasks elsewhere at once. A start that the runner had not answered may take effect seconds later, in the next life under the same name, before the agent sees that life and fences it.

Before (dispatch: with a function that adopts nothing):

--- FAIL: TestEmptyReportListsStartsWithoutAnswer (0.03s) unanswered_start_test.go:44: empty report: got life 0 and runs [], want life 0 and run 2 pending unanswered_start_test.go:44: first report: got life 0 and runs [], want life 0 and run 2 pending unanswered_start_test.go:59: refusals once the start cannot take effect: got [], want one of run 2 without a life --- FAIL: TestPendingStartAtAGoneRunnerIsNotRepeated (0.00s) pending_test.go:100: refused while the runner stays away: starts while the start is pending: got [{w2 1 a.0.0.0 2 false 0 0 lowest placement score false}], want none

Change: the empty report of a runner that is gone lists the starts without an answer as pending, as the report of a new life does. The dispatcher keeps them until they are refused: in the next life once they are fenced, and without one once they can no longer take effect. A start counts as without an answer from its sending on. A pending run is no contradiction to an end concluded before.

Price: a task whose start was under way when its runner ended for good starts again after up to 13 s instead of at once; with a next life, once that is fenced. All other tasks start elsewhere at once as before. The empty report of a runner that is silent until its leases have expired lists none, as before: that runner has not been seen to end.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -136,7 +136,8 @@
 	t.scheduler.ConfirmSent(r.Worker.Name, r.Sent)
 	if r.Worker.Life == 0 {
 		n := t.scheduler.RunnerGone(now, clock.WallMS(), r.Worker.Name, r.RunnerEnded)
-		c.log.Warn().Str("worker", r.Worker.Name).Int("runs", n).Msg("worker has no runner; its runs have ended")
+		t.scheduler.AdoptPending(now, r.Worker.Name, r.Runs)
+		c.log.Warn().Str("worker", r.Worker.Name).Int("runs", n).Int("pending", len(r.Runs)).Msg("worker has no runner; its runs have ended")
 		return
 	}
 	t.scheduler.ApplyReport(now, clock.WallMS(), &r.Worker, r.Runs, r.RunEnds)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -127,7 +127,8 @@
 // Report is the full state of a worker: its runs, and the ends of runs that the
 // dispatcher has not acknowledged.
 type Report struct {
-	Worker  dispatch.Worker      `cbor:"1,keyasint"`
+	Worker dispatch.Worker `cbor:"1,keyasint"`
+	// Runs are only pending ones in the report of a worker without a runner.
 	Runs    []dispatch.RunStatus `cbor:"2,keyasint,omitempty"`
 	RunEnds []dispatch.RunEnd    `cbor:"3,keyasint,omitempty"`
 	// Sent lists the runs that were sent to the life of the runner that has ended, listed or not.
--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -47,6 +47,8 @@
 	// maxStartDelay is how long after its call a start without an answer may still take effect:
 	// a runner may carry out a start up to 12 seconds late.
 	maxStartDelay = 13 * time.Second
+	// maxRunLease bounds the lease that a runner grants, whatever end it is asked for.
+	maxRunLease = 6 * time.Second
 	// trialReportDelay is how long after the start of a trial the agent reports whether the run is at
 	// work; the dispatcher asks for 250 ms.
 	trialReportDelay = 300 * time.Millisecond
@@ -138,9 +140,12 @@
 	sentStarts map[runKey]bool
 	// earlierRuns are the runs that the life before the present one had started.
 	earlierRuns []dispatch.SentRun
-	// unansweredStarts are starts that the runner did not answer, with the time on the agent's
+	// unansweredStarts are starts that the runner has not answered, with the time on the agent's
 	// clock until which they may take effect.
 	unansweredStarts map[runKey]time.Time
+	// pendingWhenEmpty are the starts that the last empty report listed as pending and that have not been refused
+	// since, with the time until which they may take effect.
+	pendingWhenEmpty map[runKey]time.Time
 	// successor is the peer address of the entry that a dispatcher has named as its successor, until
 	// the agent has tried it.
 	successor string
@@ -158,7 +163,7 @@
 	a := &Agent{
 		settings: s, runner: runner, store: storeClient, log: logger, registry: registry, wakePoll: make(chan struct{}, 1),
 		lastRunLeaseEnd: clock.Steady().Add(leadership.WorkerLeaseDuration), // an earlier agent process may have renewed run leases up to then
-		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), sentStarts: make(map[runKey]bool), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
+		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), pendingWhenEmpty: make(map[runKey]time.Time), sentStarts: make(map[runKey]bool), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
 	}
 	for _, e := range s.Entries {
 		a.entries[e] = true
@@ -228,6 +233,7 @@
 	clear(a.sentStarts)
 	a.life = startedAtMS
 	a.reportedEmpty = false
+	clear(a.pendingWhenEmpty)
 	a.runnerClockMS, a.answeredAfter, a.runnerClockReadAt = 0, time.Time{}, time.Time{}
 	a.runs, a.runEnds = nil, nil
 	a.lastReportedEnd, a.lastAckedEnd, a.oldestListedEnd, a.lastListedEnd = 0, 0, 0, 0
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -249,6 +249,7 @@
 		return
 	}
 	a.reportedEmpty = false
+	clear(a.pendingWhenEmpty)
 	a.sendReport()
 	a.ping(now)
 }
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -18,6 +18,7 @@
 	errSilentRunner    = errors.New("the runner does not answer")
 	errOtherLife       = errors.New("the order is for another life of the runner")
 	errReportedEmpty   = errors.New("the dispatcher was told that the worker runs nothing")
+	errRunnerGone      = errors.New("the runner is gone and the start can no longer take effect")
 	errNoPolicyService = errors.New("no policy service is configured")
 )
 
@@ -42,6 +43,7 @@
 		a.extendLastRunLeaseEnd(now)
 		a.unlistedStarts[key] = &s
 		a.sentStarts[key] = true
+		a.addUnanswered(now, key)
 		c, leaseEndMS := a.newCall(), a.runLeaseEndMS(now)
 		a.group.Go(func() { a.startRun(ctx, c, &s, leaseEndMS) })
 	}
@@ -91,19 +93,20 @@
 	switch {
 	case err == nil:
 		a.count("starts")
+		a.mu.Lock()
+		delete(a.unansweredStarts, key)
+		a.mu.Unlock()
 		if s.Trial {
 			a.reportTrial(ctx)
 		}
 	case errors.Is(err, ErrNotRun):
 		a.mu.Lock()
+		delete(a.unansweredStarts, key)
 		a.refuse(s.Life, key, err)
 		a.mu.Unlock()
 	default:
 		a.count("starts-unanswered")
 		a.log.Warn().Err(err).Str("task", key.task.String()).Uint64("run", key.run).Msg("start not answered")
-		a.mu.Lock()
-		a.addUnanswered(clock.Steady(), key)
-		a.mu.Unlock()
 		if a.pollForRun(ctx, key) {
 			return
 		}
@@ -196,7 +199,7 @@
 	return slices.Collect(maps.Keys(a.unlistedStarts))
 }
 
-// addUnanswered records a start without an answer, and removes recorded starts that are too
+// addUnanswered records a start that is sent now and not answered yet, and removes recorded starts that are too
 // old to take effect. The caller holds mu.
 func (a *Agent) addUnanswered(now time.Time, key runKey) {
 	maps.DeleteFunc(a.unansweredStarts, func(_ runKey, mayStartUntil time.Time) bool { return !now.Before(mayStartUntil) })
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -121,6 +121,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sameLifeUntil = time.Time{}
+	if a.reportedEmpty {
+		a.refuseOverdue(began, err)
+	}
 	if a.reportedEmpty || a.conn == nil || a.runnerClockReadAt.After(began) || !a.allRunsEnded(err) {
 		return
 	}
--- a/internal/runneragent/report.go
+++ b/internal/runneragent/report.go
@@ -29,14 +29,37 @@
 }
 
 // sendEmptyReport tells the dispatcher that the worker runs nothing, and pings it. Start orders that are under
-// way meanwhile are refused, since the dispatcher regards their runs as ended. The caller holds mu.
+// way meanwhile are refused, since the dispatcher regards their runs as ended. Starts that a runner which has ended did
+// not answer are listed as pending: they may still take effect in its next life. The caller holds mu.
 func (a *Agent) sendEmptyReport(now time.Time, state runnerState) {
 	a.reportedEmpty = true
-	a.conn.Send(&peer.Message{Report: &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}, Sent: a.sentRuns(), RunnerEnded: state == runnerEnded}})
+	r := &peer.Report{Worker: dispatch.Worker{Name: a.settings.Name}, Sent: a.sentRuns(), RunnerEnded: state == runnerEnded}
+	clear(a.pendingWhenEmpty)
+	for key, mayStartUntil := range a.unansweredStarts {
+		if r.RunnerEnded && now.Before(mayStartUntil) {
+			a.pendingWhenEmpty[key] = mayStartUntil
+			r.Runs = append(r.Runs, dispatch.RunStatus{Task: key.task, Run: key.run, Pending: true})
+		}
+	}
+	a.conn.Send(&peer.Message{Report: r})
 	a.ping(now)
 	a.emptyReportPing = a.pingSeq
 }
 
+// refuseOverdue refuses the starts of the last empty report that can no longer run, after a poll that began at the given
+// time has failed with err: they took no effect in time, and nothing listens or any lease has expired. The caller holds mu.
+func (a *Agent) refuseOverdue(began time.Time, err error) {
+	for key, mayStartUntil := range a.pendingWhenEmpty {
+		if !errors.Is(err, ErrNotListening) {
+			mayStartUntil = mayStartUntil.Add(maxRunLease + leaseSlack)
+		}
+		if !began.Before(mayStartUntil) {
+			delete(a.pendingWhenEmpty, key)
+			a.refuse(0, key, errRunnerGone)
+		}
+	}
+}
+
 // sentRuns returns the runs that the present life of the runner lists, and the starts that were sent to it
 // since: the dispatcher may know neither. The caller holds mu.
 func (a *Agent) sentRuns() []dispatch.SentRun {
@@ -62,6 +85,7 @@
 		return
 	}
 	a.reportedEmpty = false
+	clear(a.pendingWhenEmpty)
 	a.sendReport()
 }
 
--- /dev/null
+++ b/internal/runneragent/unanswered_start_test.go
@@ -0,0 +1,80 @@
+package runneragent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/peer"
+)
+
+// endRunner makes the runner refuse connections from then on.
+func (s *fixture) endRunner() {
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	s.runner.gone, s.runner.stopErr = true, ErrNotListening
+}
+
+// A start without an answer may take effect in the next life of a runner that is gone: it is pending in the empty report,
+// also in one to a later dispatcher, and refused once it can no longer take effect.
+func TestEmptyReportListsStartsWithoutAnswer(t *testing.T) {
+	s := newFixture(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.runner.startErr = ErrNoAnswer
+	s.runner.stopErr = ErrNoAnswer
+	s.agent.handleOrders(ctx, startOrders(3))
+	key := runKey{task, 2}
+	for s.unanswered(key).IsZero() {
+		clock.WaitForWake(ctx, nil, minPollInterval)
+	}
+	s.endRunner()
+	if err := s.agent.poll(ctx, 0); err == nil {
+		t.Fatal("poll: got no error, want one")
+	}
+	first := s.next(t, isReport).Report
+	s.agent.mu.Lock()
+	s.agent.sendFirstReport(clock.Steady(), runnerEnded)
+	s.agent.mu.Unlock()
+	for name, r := range map[string]*peer.Report{"empty report": first, "first report": s.next(t, isReport).Report} {
+		if r.Worker.Life != 0 || len(r.Runs) != 1 || r.Runs[0].Task != task || r.Runs[0].Run != 2 || !r.Runs[0].Pending {
+			t.Errorf("%s: got life %d and runs %v, want life 0 and run 2 pending", name, r.Worker.Life, r.Runs)
+		}
+	}
+	if got := s.sentSoFar(t, isRefusal); len(got) != 0 {
+		t.Errorf("refusals while the start may take effect: got %v, want none", got)
+	}
+	s.agent.mu.Lock()
+	s.agent.pendingWhenEmpty[key] = clock.Steady()
+	s.agent.mu.Unlock()
+	for range 2 {
+		if err := s.agent.poll(ctx, 0); err == nil {
+			t.Fatal("poll: got no error, want one")
+		}
+	}
+	if got := s.sentSoFar(t, isRefusal); len(got) != 1 || got[0].OrderRefused.Life != 0 || got[0].OrderRefused.Run != 2 {
+		t.Errorf("refusals once the start cannot take effect: got %v, want one of run 2 without a life", got)
+	}
+}
+
+// unanswered returns until when a start without an answer may take effect, or a zero time.
+func (s *fixture) unanswered(key runKey) time.Time {
+	s.agent.mu.Lock()
+	defer s.agent.mu.Unlock()
+	return s.agent.unansweredStarts[key]
+}
+
+// Starts that a runner answered before it ended have ended with it, and are not pending in the empty report.
+func TestEmptyReportDoesNotListAnsweredStarts(t *testing.T) {
+	s := newFixture(t)
+	s.agent.handleOrders(context.Background(), startOrders(3))
+	s.agent.group.Wait()
+	s.endRunner()
+	if err := s.agent.poll(context.Background(), 0); err == nil {
+		t.Fatal("poll: got no error, want one")
+	}
+	if r := s.next(t, isReport).Report; r.Worker.Life != 0 || len(r.Runs) != 0 {
+		t.Errorf("empty report: got life %d and runs %v, want none", r.Worker.Life, r.Runs)
+	}
+}
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -108,3 +108,16 @@
 		}
 	}
 }
+
+// AdoptPending records starts that may still take effect at a worker that has no runner, in the next life of its
+// runner. Their tasks are not started again before the worker refuses them.
+func (sc *Scheduler) AdoptPending(now time.Time, name string, pending []RunStatus) {
+	w := sc.workerState(name)
+	for i := range pending {
+		if sc.jobs[pending[i].Task.Job] == nil {
+			sc.holdRun(now, w, &pending[i])
+		} else {
+			sc.adoptRun(now, w, &pending[i])
+		}
+	}
+}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -224,7 +224,7 @@
 		return
 	}
 	s, t := sc.task(status.Task)
-	if t != nil {
+	if t != nil && !status.Pending {
 		sc.noteContradiction(w, t, status.Task, status.Run, 0)
 	}
 	if t == nil || t.done || s.occurrence.job.phase.Ended() || w.runs[status.Task] != nil || (len(t.runs) > 0 && !s.spec.Speculative) {
