Take no refused connection for the end of a runner that has answered a start since

Callers could see two runs of a task at the same time.

Cause: a poll that finds nothing listening proves the end of what was sent before it. The agent took it for the end of what was sent until it handled the error; a start that the next life had answered meanwhile was reported as ended, and its task started elsewhere.

Change: a poll that failed proves nothing if the runner has answered a start, and not only another poll, since the poll began. The next poll tells.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -146,6 +146,8 @@
 	// pendingWhenEmpty are the starts that the last empty report listed as pending and that have not been refused
 	// since, with the time until which they may take effect.
 	pendingWhenEmpty map[runKey]time.Time
+	// startAnsweredAt is when the runner last answered that it has carried out a start.
+	startAnsweredAt time.Time
 	// successor is the peer address of the entry that a dispatcher has named as its successor, until
 	// the agent has tried it.
 	successor string
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -95,6 +95,7 @@
 		a.count("starts")
 		a.mu.Lock()
 		delete(a.unansweredStarts, key)
+		a.startAnsweredAt = clock.Steady()
 		a.mu.Unlock()
 		if s.Trial {
 			a.reportTrial(ctx)
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -116,7 +116,7 @@
 
 // handlePollFailure handles the error of a poll that began at the given time. It reports an empty worker
 // to the dispatcher once it is certain that nothing runs any more, unless the runner has answered another
-// poll since then: it may be in its next life.
+// poll or a start since then: it may be in its next life.
 func (a *Agent) handlePollFailure(began time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -124,7 +124,7 @@
 	if a.reportedEmpty {
 		a.refuseOverdue(began, err)
 	}
-	if a.reportedEmpty || a.conn == nil || a.runnerClockReadAt.After(began) || !a.allRunsEnded(err) {
+	if a.reportedEmpty || a.conn == nil || a.runnerClockReadAt.After(began) || a.startAnsweredAt.After(began) || !a.allRunsEnded(err) {
 		return
 	}
 	a.count("runners-lost")
--- a/internal/runneragent/unanswered_start_test.go
+++ b/internal/runneragent/unanswered_start_test.go
@@ -7,6 +7,8 @@
 
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
 // endRunner makes the runner refuse connections from then on.
@@ -78,3 +80,22 @@
 		t.Errorf("empty report: got life %d and runs %v, want none", r.Worker.Life, r.Runs)
 	}
 }
+
+// A start that the runner has answered since a poll found nothing listening may run in the runner's next life.
+func TestPollThatFailedBeforeAnAnsweredStartDoesNotReportAnEmptyWorker(t *testing.T) {
+	s := newFixture(t)
+	other := workflow.TaskID{Job: "b"}
+	s.runner.mu.Lock()
+	s.runner.gone = true
+	s.runner.beforeFailure = func() {
+		s.agent.handleOrders(context.Background(), &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: 7, Task: other, Run: 1}}})
+		s.agent.group.Wait()
+	}
+	s.runner.mu.Unlock()
+	if err := s.agent.poll(context.Background(), 0); err == nil {
+		t.Fatal("poll: got no error, want one")
+	}
+	if got := s.sentSoFar(t, isReport); len(got) != 0 {
+		t.Errorf("reports: got %+v, want none", got[0].Report)
+	}
+}
