Do not begin a connection with an empty report if the runner has answered since

Callers could see two runs of a task at the same time.

Cause: the poll before the first report to a dispatcher concluded from a refused connection that nothing runs, although a poll alongside it had meanwhile listed the next life of the runner, in which a late start may run. The poll loop had the check, the first report did not.

--- FAIL: TestFirstReportIsNotEmptyIfTheRunnerHasAnsweredSince (0.00s) unanswered_start_test.go:124: first report: got life 0 and runs [], want life 8 and run 2

Change: both ask the same function.

--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -180,12 +180,13 @@
 // runs at the worker. ok is false if the connection or ctx ends before.
 func (a *Agent) firstPoll(ctx context.Context, conn *peer.Conn) (state runnerState, ok bool) {
 	for {
+		began := clock.Steady()
 		err := a.poll(ctx, 0)
 		if err == nil {
 			return runnerAnswers, true
 		}
 		a.mu.Lock()
-		ended := a.allRunsEnded(err)
+		ended := a.provesEmpty(began, err)
 		a.mu.Unlock()
 		if ended {
 			a.log.Warn().Err(err).Msg("no runner; reporting a worker without runs")
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -115,8 +115,7 @@
 }
 
 // handlePollFailure handles the error of a poll that began at the given time. It reports an empty worker
-// to the dispatcher once it is certain that nothing runs any more, unless the runner has answered another
-// poll or a start since then: it may be in its next life.
+// to the dispatcher once it is certain that nothing runs any more.
 func (a *Agent) handlePollFailure(began time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -124,7 +123,7 @@
 	if a.reportedEmpty {
 		a.refuseOverdue(began, err)
 	}
-	if a.reportedEmpty || a.conn == nil || a.runnerClockReadAt.After(began) || a.startAnsweredAt.After(began) || !a.allRunsEnded(err) {
+	if a.reportedEmpty || a.conn == nil || !a.provesEmpty(began, err) {
 		return
 	}
 	a.count("runners-lost")
@@ -132,6 +131,12 @@
 	a.sendEmptyReport(clock.Steady(), emptyStateOf(err))
 }
 
+// provesEmpty reports whether a poll that began at the given time and failed with err proves that nothing runs. It does
+// not if the runner has answered another poll or a start since then: it may be in its next life. The caller holds mu.
+func (a *Agent) provesEmpty(began time.Time, err error) bool {
+	return !a.runnerClockReadAt.After(began) && !a.startAnsweredAt.After(began) && a.allRunsEnded(err)
+}
+
 // allRunsEnded reports whether it is certain, after a poll that failed with err, that nothing
 // runs: no runner listens, or the last run lease has expired. The caller holds mu.
 func (a *Agent) allRunsEnded(err error) bool {
--- a/internal/runneragent/unanswered_start_test.go
+++ b/internal/runneragent/unanswered_start_test.go
@@ -99,3 +99,28 @@
 		t.Errorf("reports: got %+v, want none", got[0].Report)
 	}
 }
+
+// The first report on a connection is no empty one if the runner has answered since a poll found nothing listening.
+func TestFirstReportIsNotEmptyIfTheRunnerHasAnsweredSince(t *testing.T) {
+	s := newFixture(t)
+	s.runner.mu.Lock()
+	s.runner.gone = true
+	s.runner.beforeFailure = func() {
+		s.runner.mu.Lock()
+		s.runner.gone, s.runner.beforeFailure = false, nil
+		s.runner.listing = Listing{ClockMS: 1, StartedAtMS: 8, Runs: []dispatch.RunStatus{{Task: task, Run: 2}}}
+		s.runner.mu.Unlock()
+		s.poll(t)
+	}
+	s.runner.mu.Unlock()
+	s.agent.mu.Lock()
+	conn := s.agent.conn
+	s.agent.conn = nil
+	s.agent.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.agent.group.Go(func() { s.agent.serveTerm(ctx, conn) })
+	if r := s.next(t, isReport).Report; r.Worker.Life != 8 || len(r.Runs) != 1 {
+		t.Errorf("first report: got life %d and runs %v, want life 8 and run 2", r.Worker.Life, r.Runs)
+	}
+}
