Send a life that a heartbeat has announced nothing meant for the earlier one

Callers could see two runs of a task at the same time, or a task start again after its run had ended as done.

Cause: a call names the instance of the newest heartbeat, and none if that belongs to another life than the last listing. Between the first heartbeat of a next life and its first listing, starts, acknowledgements and leases of the earlier life went out without a name, and the next life carried them out.

--- FAIL: TestAnnouncedLifeGetsNothingMeantForTheEarlierOne (0.00s) next_life_test.go:20: runs: got [{{} 5c.0.1.0 2 0 0 false}], want none next_life_test.go:23: refusals: got [], want one of run 2 next_life_test.go:28: poll after the heartbeat: got acknowledgement 4 and lease end 5901, want neither

Change: once a later life is announced, starts for the earlier one are refused, and polls carry no acknowledgement and no lease until the later one is listed.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -242,6 +242,11 @@
 	a.guard = guard{}
 }
 
+// nextLifeAnnounced reports whether a heartbeat of a later life than the present one has arrived, so that the present one
+// has ended. Calls may reach the later life, since nothing names the instance of the present one any more. The caller
+// holds mu.
+func (a *Agent) nextLifeAnnounced() bool { return a.life != 0 && a.heartbeat.StartedAtMS > a.life }
+
 // newCall returns the fields common to all calls to the runner. The caller holds mu.
 func (a *Agent) newCall() Call {
 	c := Call{Term: a.term}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -59,7 +59,7 @@
 // checkStart returns why a start order must not be carried out, or nil. The caller holds mu.
 func (a *Agent) checkStart(now time.Time, s *dispatch.Start) error {
 	switch {
-	case s.Life != a.life:
+	case s.Life != a.life || a.nextLifeAnnounced():
 		return errOtherLife
 	case a.reportedEmpty:
 		return errReportedEmpty
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -66,7 +66,7 @@
 	defer a.mu.Unlock()
 	now := clock.Steady()
 	request := RenewRequest{Call: a.newCall()}
-	if now.Before(a.sameLifeUntil) {
+	if now.Before(a.sameLifeUntil) && !a.nextLifeAnnounced() {
 		// A restarted runner, perhaps with the same instance ID, numbers its run ends
 		// and counts its clock from the beginning. Given the values of an earlier life, the
 		// runner would forget run ends that were never reported, and the run leases would
