Poll a new life of the runner as soon as its heartbeat announces it

Callers could see two runs of a task at the same time.

Cause: the agent polled the next life only once its poll of the earlier one had failed, up to two seconds after that one had stopped answering, and after a retry delay.

--- FAIL: TestAnnouncedLifeIsPolledAtOnce (1.20s) next_life_test.go:66: report of the announced life: got it after 1.202258944s, want it within 500ms

Change: the first heartbeat of a later life has the agent poll at once, beside the poll that may still hang. One more call for each life.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -88,6 +88,8 @@
 	registry gometrics.Registry
 	group    sync.WaitGroup
 	wakePoll chan struct{}
+	// announced receives a value when a heartbeat announces a later life than the present one.
+	announced chan struct{}
 
 	// mu guards everything below. It is never held during I/O.
 	mu sync.Mutex
@@ -163,7 +165,7 @@
 // New returns an agent.
 func New(s Settings, runner Runner, storeClient store.Client, logger *log.Logger, registry gometrics.Registry) *Agent {
 	a := &Agent{
-		settings: s, runner: runner, store: storeClient, log: logger, registry: registry, wakePoll: make(chan struct{}, 1),
+		settings: s, runner: runner, store: storeClient, log: logger, registry: registry, wakePoll: make(chan struct{}, 1), announced: make(chan struct{}, 1),
 		lastRunLeaseEnd: clock.Steady().Add(leadership.WorkerLeaseDuration), // an earlier agent process may have renewed run leases up to then
 		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), pendingWhenEmpty: make(map[runKey]time.Time), sentStarts: make(map[runKey]bool), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
 	}
@@ -207,6 +209,12 @@
 	if changed && !first && a.conn != nil {
 		a.ping(clock.Steady())
 	}
+	if changed && a.nextLifeAnnounced() {
+		select {
+		case a.announced <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // HandleDeregistration marks the worker as draining after the runner has deregistered, since
--- a/internal/runneragent/next_life_test.go
+++ b/internal/runneragent/next_life_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"savoryhoist.example/savoryhoist/internal/peer"
 )
@@ -28,3 +29,40 @@
 		t.Errorf("poll after the heartbeat: got acknowledgement %d and lease end %d, want neither", last.LastAckedEnd, last.LeaseEndMS)
 	}
 }
+
+// An announced life is polled at once, although a poll of the earlier life is still without an answer: until then a late
+// start may run in it.
+func TestAnnouncedLifeIsPolledAtOnce(t *testing.T) {
+	s := newFixture(t)
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	hanging := make(chan struct{})
+	s.agent.runner.Renew = func(ctx context.Context, r RenewRequest) (*Listing, error) {
+		select {
+		case <-first:
+			close(hanging)
+			<-ctx.Done()
+			return nil, ErrNoAnswer
+		default:
+			return s.runner.renew(ctx, r)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.agent.mu.Lock()
+	s.agent.sameLifeUntil = time.Time{} // the poll asks for no delay, so that it fails after callTimeout
+	s.agent.mu.Unlock()
+	s.agent.group.Go(func() { s.agent.pollLoop(ctx) })
+	<-hanging
+	s.runner.mu.Lock()
+	s.runner.listing = Listing{ClockMS: 1, StartedAtMS: 8}
+	s.runner.mu.Unlock()
+	announced := time.Now()
+	s.agent.HandleHeartbeat(&Heartbeat{Instance: "i-1", StartedAtMS: 8, Seq: 1, Service: "bench"})
+	if r := s.next(t, isReport).Report; r.Worker.Life != 8 {
+		t.Errorf("report: got life %d, want 8", r.Worker.Life)
+	}
+	if got, limit := time.Since(announced), callTimeout/2; got > limit {
+		t.Errorf("report of the announced life: got it after %s, want it within %s", got, limit)
+	}
+}
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -10,8 +10,24 @@
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
 
+// pollAnnouncedLives polls the runner whenever a heartbeat announces a new life, although a poll of the earlier life may
+// still wait for its answer: starts that may take effect in the new life are fenced once that has been listed.
+func (a *Agent) pollAnnouncedLives(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.announced:
+		}
+		if err := a.poll(ctx, 0); err != nil {
+			a.log.Info().Err(err).Msg("polling an announced life of the runner failed; the poll loop goes on")
+		}
+	}
+}
+
 // pollLoop polls the runner again and again, once the agent knows a dispatcher.
 func (a *Agent) pollLoop(ctx context.Context) {
+	a.group.Go(func() { a.pollAnnouncedLives(ctx) })
 	failing := false
 	for ctx.Err() == nil {
 		a.mu.Lock()
