Report no run as forgotten by listings of one millisecond

An agent that polls alongside its poll loop may handle two listings with the same reading of the runner's clock in another order than they were sent. A run that only the first one showed was logged as forgotten by the runner. Only the log and the counter are concerned.

--- FAIL: TestListingsOfOneMillisecondShowNoForgottenRun (0.00s) late_renewal_test.go:90: forgotten runs: got 2, want 1

--- a/internal/runneragent/late_renewal_test.go
+++ b/internal/runneragent/late_renewal_test.go
@@ -76,3 +76,17 @@
 		}
 	}
 }
+
+// Listings of the same millisecond may be handled in another order than they were sent: a run that only the first one shows
+// was not forgotten.
+func TestListingsOfOneMillisecondShowNoForgottenRun(t *testing.T) {
+	a := newFixture(t).agent
+	runs := []dispatch.RunStatus{{Task: task, Run: 2}}
+	for _, l := range []Listing{{ClockMS: 2000, Runs: runs}, {ClockMS: 2000}, {ClockMS: 2001, Runs: runs}, {ClockMS: 2002}} {
+		l.StartedAtMS = 7
+		a.handleListing(t.Context(), clock.Steady(), &l)
+	}
+	if got, want := gometrics.GetOrRegisterCounter("runs-vanished", a.registry).Count(), int64(1); got != want {
+		t.Errorf("forgotten runs: got %d, want %d", got, want)
+	}
+}
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -200,8 +200,10 @@
 func (a *Agent) applyListing(now, sent time.Time, l *Listing) {
 	a.answeredAfter = a.earliestAnswer(now, sent, l)
 	a.sameLifeUntil = a.answeredAfter.Add(sameLifeFor)
+	if l.ClockMS > a.runnerClockMS { // listings of the same millisecond may be handled in any order
+		a.logVanishedRuns(l)
+	}
 	a.runnerClockMS, a.runnerClockReadAt = l.ClockMS, now
-	a.logVanishedRuns(l)
 	a.runs = l.Runs
 	a.runEnds = a.runEnds[:0]
 	a.oldestListedEnd = 0
