Count the time in which a start may take effect from the end of its call

Callers could see two runs of a task at the same time.

Cause: a process that is frozen in between sends the start long after its order was handled.

--- FAIL: TestUnansweredStartCountsFromTheEndOfItsCall (5.07s) unanswered_start_test.go:152: may take effect until 12.949720622s after the end of its call, want at least 13s

Change: the end of a call without an answer sets the time anew, also for a start that an empty report lists.

--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -108,6 +108,12 @@
 	default:
 		a.count("starts-unanswered")
 		a.log.Warn().Err(err).Str("task", key.task.String()).Uint64("run", key.run).Msg("start not answered")
+		a.mu.Lock()
+		a.addUnanswered(clock.Steady(), key) // the call may have left long after the order was handled
+		if _, pending := a.pendingWhenEmpty[key]; pending {
+			a.pendingWhenEmpty[key] = a.unansweredStarts[key]
+		}
+		a.mu.Unlock()
 		if a.pollForRun(ctx, key) {
 			return
 		}
@@ -200,7 +206,7 @@
 	return slices.Collect(maps.Keys(a.unlistedStarts))
 }
 
-// addUnanswered records a start that is sent now and not answered yet, and removes recorded starts that are too
+// addUnanswered records a start that may be sent now and is not answered yet, and removes recorded starts that are too
 // old to take effect. The caller holds mu.
 func (a *Agent) addUnanswered(now time.Time, key runKey) {
 	maps.DeleteFunc(a.unansweredStarts, func(_ runKey, mayStartUntil time.Time) bool { return !now.Before(mayStartUntil) })
--- a/internal/runneragent/unanswered_start_test.go
+++ b/internal/runneragent/unanswered_start_test.go
@@ -124,3 +124,37 @@
 		t.Errorf("first report: got life %d and runs %v, want life 8 and run 2", r.Worker.Life, r.Runs)
 	}
 }
+
+// A start may leave long after its order was handled, while the process was frozen: the time in which it may take effect
+// counts from the end of its call, also for one that an empty report lists already.
+func TestUnansweredStartCountsFromTheEndOfItsCall(t *testing.T) {
+	s := newFixture(t)
+	frozen, sent := make(chan struct{}), make(chan struct{})
+	s.agent.runner.Start = func(context.Context, Call, *dispatch.Start, int64) error {
+		close(sent)
+		<-frozen
+		return ErrNoAnswer
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.agent.handleOrders(ctx, startOrders(3))
+	<-sent
+	s.endRunner()
+	if err := s.agent.poll(ctx, 0); err == nil {
+		t.Fatal("poll: got no error, want one")
+	}
+	time.Sleep(50 * time.Millisecond)
+	left := clock.Steady()
+	close(frozen)
+	key := runKey{task, 2}
+	for began := clock.Steady(); s.unanswered(key).Before(left.Add(maxStartDelay)); clock.WaitForWake(ctx, nil, minPollInterval) {
+		if clock.Steady().Sub(began) > 5*time.Second {
+			t.Fatalf("may take effect until %s after the end of its call, want at least %s", s.unanswered(key).Sub(left), maxStartDelay)
+		}
+	}
+	s.agent.mu.Lock()
+	defer s.agent.mu.Unlock()
+	if got := s.agent.pendingWhenEmpty[key].Sub(left); got < maxStartDelay {
+		t.Errorf("pending in the empty report until %s after the end of its call, want at least %s", got, maxStartDelay)
+	}
+}
