Wait for every earlier dispatcher, not only for the newest claim

Cause: beginTerm watched the process of the claim before its own. That claim may never have become a term (an append without an answer, a claim given up), and then its process says nothing of the dispatcher before it; a claim of the own entry counted as stopped without a probe. Workers that had not reported were given up 5.3 s after the term began instead of 15.5 s.

Change: a dispatcher reads the claims before its own from the topic, in the background, and probes the process of each; the short wait counts from the last finding. Under its term it stores, with the next append, the term before which all dispatchers have stopped, once that is known or their leadership leases are over. Claims before it are not watched. Where claims are trimmed, cannot be decoded or belong to too many processes, there is no short wait.

Why it works: the fence of the new term ends all leadership leases within 10.4 s, and before that only a process that claimed since the stored term can hold one. That a dispatcher has stopped stays true, so that the record may be read late. No claim changes its form; without the record all claims from term 1 on are watched.

Measured: the tests of the packages touched and of the explorations pass with -race. The exploration of terms still watches the newest claim only.

--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -88,9 +88,9 @@
 		t.lastExpiry = now
 		expiredJobs = t.scheduler.DropExpired(clock.WallMS() - c.settings.JobRetention.Milliseconds())
 	}
-	interference := c.interferenceRecord(now, t)
+	extra := append(c.interferenceRecord(now, t), c.takeStoppedBefore(now, t)...)
 	c.mu.Unlock()
-	records := append(c.encodeProgress(change), interference...)
+	records := append(c.encodeProgress(change), extra...)
 	if c.appendProgress(ctx, t, records, idle) {
 		c.changeStored(t, change, records)
 	}
@@ -178,7 +178,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range records {
-		if r.Key == interferenceKey {
+		if r.Key == interferenceKey || r.Key == stoppedBeforeKey {
 			continue
 		}
 		if _, err := c.jobs.Apply(r); err != nil {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -86,6 +86,8 @@
 	// storedInterference is the value of the newest record of the interference that dispatchers
 	// have measured between images.
 	storedInterference []byte
+	// stoppedBefore is the newest term before which all dispatchers are stored as having stopped.
+	stoppedBefore uint64
 	// tails holds the read positions in jobTopics.
 	tails [len(jobTopics)]tail
 	// lastStoreSuccess is when the newest call that the store carried out or rejected ended.
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -235,9 +235,6 @@
 	now := clock.Steady()
 	if previous.Term != 0 {
 		t.predecessor.TermBegan(now)
-		if previous.Entry == c.settings.Name {
-			t.predecessor.NoteDead(now) // the predecessor was an earlier process of this entry, or an earlier term of this process
-		}
 	}
 	c.mu.Lock()
 	if c.candidate.Claim().Term != own.Term || c.draining {
@@ -247,13 +244,14 @@
 	}
 	t.loadScheduler(now, c, workers)
 	c.term = t
+	stoppedBefore := c.stoppedBefore
 	c.mu.Unlock()
 	c.count("terms-begun", 1)
 	c.gauge("term", int64(t.number))
 	c.log.Info().Uint64("term", t.number).Str("reason", reason).Str("before", previous.Entry).Uint64("previous-term", previous.Term).Int("workers", len(workers)).
 		Int("jobs", c.Status().Jobs).Dur("took", now.Sub(sent)).Msg("this entry is the dispatcher")
-	if previous.Term != 0 && previous.Entry != c.settings.Name {
-		c.group.Go(func() { c.watchPredecessor(ctx, t, previous) })
+	if previous.Term != 0 {
+		c.group.Go(func() { c.watchPredecessors(ctx, t, own, previous, stoppedBefore) })
 	}
 	return nil
 }
@@ -283,28 +281,6 @@
 	return out, nil
 }
 
-// watchPredecessor probes the dispatcher that made the claim previous until that dispatcher is
-// known to have stopped, t is over, or no run of an earlier term can be left.
-func (c *Coordinator) watchPredecessor(ctx context.Context, t *term, previous leadership.Claim) {
-	for ctx.Err() == nil {
-		c.mu.Lock()
-		current := c.term == t && !t.earlierRunsOver
-		c.mu.Unlock()
-		if !current {
-			return
-		}
-		stopped, why := c.hasStopped(ctx, previous)
-		if stopped {
-			c.mu.Lock()
-			t.predecessor.NoteDead(clock.Steady())
-			c.mu.Unlock()
-			c.log.Info().Uint64("term", previous.Term).Str("entry", previous.Entry).Str("reason", why).Msg("the earlier dispatcher has stopped")
-			return
-		}
-		clock.WaitForWake(ctx, nil, pingEvery)
-	}
-}
-
 // resign ends the term t in favour of the entry that chooseSuccessor returns, if any.
 func (c *Coordinator) resign(t *term, reason string) {
 	c.endTerm(t, reason, func(now time.Time) (name, address string) {
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -155,6 +155,10 @@
 			c.storedInterference = r.Value
 			continue
 		}
+		if r.Key == stoppedBeforeKey {
+			c.applyStoppedBefore(r.Value)
+			continue
+		}
 		id, err := c.jobs.Apply(r.Record)
 		if err != nil {
 			c.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("skipped a job record that cannot be applied")
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -43,6 +43,9 @@
 	// renewalDue is set if the store has to accept a write under the term before leases can be
 	// regarded as expired; see leasesExpired.
 	renewalDue bool
+	// stoppedBeforeTaken is set once the record that all dispatchers of earlier terms have stopped was
+	// taken to be stored.
+	stoppedBeforeTaken bool
 	// earlierRunsOver is set once nothing that an earlier term started can run any more.
 	earlierRunsOver bool
 	// pending is the number of jobs without a started task by queue, as counted at pendingCountedAt.
--- a/pkg/leadership/leadership.go
+++ b/pkg/leadership/leadership.go
@@ -181,33 +181,60 @@
 // Valid reports whether the dispatcher may still extend the leases of workers.
 func (l *LeaderLease) Valid(now time.Time) bool { return now.Sub(l.renewedAt) < LeaderLeaseDuration }
 
-// Predecessor computes when nothing that an earlier dispatcher ordered can run any more on
+// MayServe returns the earlier claims whose processes may still act as the dispatcher when the process
+// that made the claim own begins its term: one for each process, without those of its own entry, where
+// each process ends before the next one starts.
+func MayServe(earlier []Claim, own Claim) []Claim {
+	type process struct {
+		entry       string
+		incarnation uint64
+	}
+	seen := make(map[process]bool)
+	var out []Claim
+	for _, c := range earlier {
+		p := process{c.Entry, c.Incarnation}
+		if c.Term >= own.Term || c.Entry == own.Entry || seen[p] {
+			continue
+		}
+		seen[p] = true
+		out = append(out, c)
+	}
+	return out
+}
+
+// Predecessor computes when nothing that earlier dispatchers ordered can run any more on
 // workers that have not reported to the present one.
 type Predecessor struct {
-	// termBeganAt is when this process's term began; zero if no other process was dispatcher
-	// before.
+	// termBeganAt is when this process's term began; zero if there was no claim before.
 	termBeganAt time.Time
-	// deadSince is when the earlier dispatcher was first known to have stopped; zero if that is
+	// deadSince is when all earlier dispatchers were first known to have stopped; zero if that is
 	// not known.
 	deadSince time.Time
 }
 
-// TermBegan records that a term of this process, which follows the term of an earlier dispatcher,
-// began at now.
+// TermBegan records that a term of this process, which follows terms of earlier dispatchers,
+// began at now. The store must have rejected writes of earlier terms from now on.
 func (p *Predecessor) TermBegan(now time.Time) { p.termBeganAt, p.deadSince = now, time.Time{} }
 
-// NoteDead records that the earlier dispatcher is known to have stopped, so that it extends no
-// worker lease after now. Only the first call in a term counts.
+// NoteDead records that all earlier dispatchers are known to have stopped, so that none extends a
+// worker lease after now. The newest claim is not enough: it may never have become a term, while the
+// dispatcher before it still serves. Only the first call in a term counts.
 func (p *Predecessor) NoteDead(now time.Time) {
 	if p.deadSince.IsZero() {
 		p.deadSince = now
 	}
 }
 
-// Stopped reports whether the earlier dispatcher is known to have stopped.
+// Stopped reports whether all earlier dispatchers are known to have stopped.
 func (p *Predecessor) Stopped() bool { return !p.deadSince.IsZero() }
 
-// LeasesEndBy returns the time by which the worker leases that an earlier dispatcher extended have
+// LeadershipOver reports whether no earlier dispatcher can act any more: there was none, all have
+// stopped, or their leadership leases have expired.
+func (p *Predecessor) LeadershipOver(now time.Time) bool {
+	return p.termBeganAt.IsZero() || p.Stopped() || !now.Before(p.termBeganAt.Add(withMargin(LeaderLeaseDuration)))
+}
+
+// LeasesEndBy returns the time by which the worker leases that earlier dispatchers extended have
 // expired on workers that have not reported to the present one; zero if there was no earlier
 // dispatcher.
 func (p *Predecessor) LeasesEndBy() time.Time {
--- a/pkg/leadership/leadership_test.go
+++ b/pkg/leadership/leadership_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"slices"
 	"testing"
 	"time"
 )
@@ -134,3 +135,55 @@
 		t.Error("after the worker leases of a dead predecessor: got leases not expired, want expired")
 	}
 }
+
+func TestMayServe(t *testing.T) {
+	data, err := os.ReadFile("testdata/mayserve.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name string `json:"name"`
+		// Earlier holds, as entry and incarnation, the processes that made claims 1, 2 and so on.
+		Earlier []struct {
+			Entry       string `json:"entry"`
+			Incarnation uint64 `json:"incarnation"`
+		} `json:"earlier"`
+		Term  uint64   `json:"term"`
+		Terms []uint64 `json:"terms"`
+	}
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range cases {
+		t.Run(tc.Name, func(t *testing.T) {
+			var earlier []Claim
+			for i, e := range tc.Earlier {
+				earlier = append(earlier, Claim{Term: uint64(i + 1), Entry: e.Entry, Incarnation: e.Incarnation})
+			}
+			var got []uint64
+			for _, c := range MayServe(earlier, Claim{Term: tc.Term, Entry: "a", Incarnation: 2}) {
+				got = append(got, c.Term)
+			}
+			if want := tc.Terms; !slices.Equal(got, want) {
+				t.Errorf("terms: got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+func TestLeadershipOver(t *testing.T) {
+	var none, silent, dead Predecessor
+	silent.TermBegan(at(0))
+	dead.TermBegan(at(0))
+	dead.NoteDead(at(100))
+	for _, tc := range []struct {
+		name        string
+		predecessor *Predecessor
+		ms          int64
+		want        bool
+	}{{"no predecessor", &none, 0, true}, {"silent", &silent, 10100, false}, {"silent for its lease", &silent, 10400, true}, {"dead", &dead, 100, true}} {
+		if got := tc.predecessor.LeadershipOver(at(tc.ms)); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
