Begin no term after a later one was heard of

Cause: hasStopped takes the answer "not the dispatcher" for the end of an earlier term. A process between the fence of its claim and the beginning of its term answers so too. The Hello had told it of the later term, but only a dispatcher noted that, so that the earlier term began afterwards.

Change: a candidate remembers the newest term that it has heard of since it began to claim, and begins no earlier one. All messages and job records that name a term say so in one place, which also ends an earlier term that has begun; each answer to a probe is recorded. That a claim is given up before its term begins is logged.

Why it works: the probe's Hello names the term of the one that probes, later than that of the claim, and is handled under the lock under which a term begins. Terms heard of before a claim was sent are earlier than it, so they are forgotten then: a term that no one claimed blocks nothing for good.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -156,6 +156,7 @@
 		c.handleWelcome(now, cc, claim, m.Welcome)
 	case m.Pong != nil:
 		c.mu.Lock()
+		c.noteTerm(m.Pong.DispatcherTerm, claim.Entry)
 		if m.Pong.DispatcherTerm == claim.Term {
 			c.candidate.NoteContact(now, claim.Term)
 			c.pendingByQueue = m.Pong.PendingJobsByQueue
@@ -183,16 +184,13 @@
 func (c *Coordinator) handleWelcome(now time.Time, cc *callConn, claim leadership.Claim, w *peer.Welcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.addEntries(w.EntryAddresses, w.EntryStrengths)
+	c.observeWelcome(now, w)
 	switch {
 	case w.IsDispatcher && w.NewestTerm == claim.Term:
 		c.candidate.NoteContact(now, claim.Term)
 		c.dispatcherConn = cc
 		c.log.Info().Uint64("term", claim.Term).Str("dispatcher", claim.Entry).Msg("dispatcher connected")
 	case w.NewestTerm > claim.Term:
-		newer := w.NewestClaim
-		newer.Term = w.NewestTerm
-		c.candidate.ObserveClaim(now, newer)
 		cc.conn.Close()
 	case w.Incarnation != claim.Incarnation:
 		c.candidate.NoteResigned(now, claim.Term) // the process that claimed has ended, and another one runs at its address
@@ -202,6 +200,14 @@
 	}
 }
 
+// observeWelcome records the entries and the newest claim that another entry knows. The caller holds mu.
+func (c *Coordinator) observeWelcome(now time.Time, w *peer.Welcome) {
+	c.addEntries(w.EntryAddresses, w.EntryStrengths)
+	claim := w.NewestClaim
+	claim.Term = w.NewestTerm
+	c.candidate.ObserveClaim(now, claim)
+}
+
 // AddEntries adds peer addresses of entries.
 func (c *Coordinator) AddEntries(addresses []string) {
 	c.mu.Lock()
@@ -214,6 +220,7 @@
 func (c *Coordinator) handleResigned(r *peer.Resigned) {
 	c.mu.Lock()
 	now := clock.Steady()
+	c.noteTerm(r.Term, "a resignation")
 	c.candidate.NoteResigned(now, r.Term)
 	switch r.Successor {
 	case "":
@@ -227,7 +234,8 @@
 	notify(c.wakeLead)
 }
 
-// probe connects to another entry for one exchange of Hello and Welcome, and returns its Welcome.
+// probe connects to another entry for one exchange of Hello and Welcome, and returns its Welcome, whose
+// newest claim it records.
 func (c *Coordinator) probe(ctx context.Context, address string) (*peer.Welcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -246,11 +254,14 @@
 	if w == nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	c.observeWelcome(clock.Steady(), w)
+	c.mu.Unlock()
 	return w, nil
 }
 
 // probeForDispatcher probes all other entries and counts those that had contact with the
-// dispatcher lately, or know a claim newer than claim. It records newer claims.
+// dispatcher lately, or know a claim newer than claim.
 func (c *Coordinator) probeForDispatcher(ctx context.Context, claim leadership.Claim) int {
 	c.mu.Lock()
 	var addresses []string
@@ -269,17 +280,9 @@
 			if err != nil {
 				return // an entry that does not answer cannot confirm contact with the dispatcher
 			}
-			c.mu.Lock()
-			c.addEntries(w.EntryAddresses, w.EntryStrengths)
-			c.mu.Unlock()
 			mu.Lock()
 			defer mu.Unlock()
 			if w.NewestTerm > claim.Term {
-				newer := w.NewestClaim
-				newer.Term = w.NewestTerm
-				c.mu.Lock()
-				c.candidate.ObserveClaim(clock.Steady(), newer)
-				c.mu.Unlock()
 				withContact++
 			} else if w.NewestTerm == claim.Term && w.NewestTerm != 0 && !w.NoDispatcher && w.DispatcherContactAgeMS < leadership.ElectionTimeout.Milliseconds() {
 				withContact++
@@ -290,8 +293,9 @@
 	return withContact
 }
 
-// hasStopped probes the process that made a claim. It reports whether that process certainly
-// no longer acts as the dispatcher, and the reason for this certainty.
+// hasStopped probes the process that made a claim of an earlier term. It reports whether that process
+// certainly does not act as the dispatcher from now on, and the reason for this certainty: the Hello names
+// this entry's term, so that a process which is not the dispatcher begins no earlier one.
 func (c *Coordinator) hasStopped(ctx context.Context, claim leadership.Claim) (bool, string) {
 	w, err := c.probe(ctx, claim.Address)
 	var refusedBy *net.OpError
@@ -303,7 +307,7 @@
 	case w.Incarnation != claim.Incarnation:
 		return true, "another process runs at its address"
 	case !w.IsDispatcher:
-		return true, "it is no longer the dispatcher"
+		return true, "it is not the dispatcher"
 	}
 	return false, ""
 }
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -176,6 +176,7 @@
 		c.log.Info().Uint64("term", found.Term).Str("dispatcher", found.Entry).Msg("another entry is the dispatcher")
 		return nil
 	}
+	c.candidate.BeginClaim()
 	c.mu.Unlock()
 	own := leadership.Claim{Entry: c.settings.Name, Incarnation: c.settings.Incarnation, Address: c.settings.Listen}
 	record, err := store.ClaimRecord(&own)
@@ -237,9 +238,10 @@
 		t.predecessor.TermBegan(now)
 	}
 	c.mu.Lock()
-	if c.candidate.Claim().Term != own.Term || c.draining {
+	if mayBegin := c.candidate.MayBegin(own.Term); !mayBegin || c.draining {
 		c.candidate.NoteResigned(clock.Steady(), own.Term)
 		c.mu.Unlock()
+		c.log.Warn().Uint64("term", own.Term).Bool("superseded", !mayBegin).Msg("claim given up before its term began")
 		return nil
 	}
 	t.loadScheduler(now, c, workers)
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -84,7 +84,7 @@
 			c.links[h.PeerAddress] = &entryLink{conn: conn, name: h.Name, address: h.PeerAddress, connectedAt: now, lastContact: now, storeContactAge: time.Hour, calls: newCallConn(conn)}
 		}
 	}
-	c.endTermIfLater(h.NewestTerm, h.Name)
+	c.noteTerm(h.NewestTerm, h.Name)
 	w := &peer.Welcome{
 		Name: c.settings.Name, Incarnation: c.settings.Incarnation, NewestClaim: c.candidate.Claim(), NewestTerm: c.candidate.Claim().Term,
 		IsDispatcher: c.term != nil,
@@ -294,14 +294,15 @@
 	if p.ConfigVersion < pong.ConfigVersion {
 		conn.Send(&peer.Message{Config: &peer.Config{Version: pong.ConfigVersion, Data: c.rawConfig}})
 	}
-	c.endTermIfLater(p.NewestTerm, h.Name)
+	c.noteTerm(p.NewestTerm, h.Name)
 }
 
-// endTermIfLater ends this entry's term if knownTerm is later. namedBy is the peer or the record
-// that named knownTerm, for the log. The caller holds mu.
-func (c *Coordinator) endTermIfLater(knownTerm uint64, namedBy string) {
-	if c.term != nil && knownTerm > c.term.number {
-		c.log.Warn().Uint64("term", c.term.number).Uint64("later", knownTerm).Str("peer", namedBy).Msg("term ended: a later one has begun")
+// noteTerm records that namedBy, a peer or a record, has named a term, and ends this entry's own term if
+// that one is later. The caller holds mu.
+func (c *Coordinator) noteTerm(named uint64, namedBy string) {
+	c.candidate.HearOf(named)
+	if c.term != nil && named > c.term.number {
+		c.log.Warn().Uint64("term", c.term.number).Uint64("later", named).Str("peer", namedBy).Msg("term ended: a later one has begun")
 		c.candidate.NoteResigned(clock.Steady(), c.term.number)
 		c.term = nil
 	}
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -164,6 +164,9 @@
 			c.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("skipped a job record that cannot be applied")
 			continue
 		}
+		if j, ok := c.jobs.Job(id); ok && j.Submission() != nil {
+			c.noteTerm(j.Submission().Term, "the record of job "+id) // a later one ends this term
+		}
 		if c.term != nil {
 			changed = c.term.syncJob(now, c, id) || changed
 		}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -77,17 +77,12 @@
 }
 
 // syncJob passes a job of the job table to the scheduler, and reports whether the scheduler's
-// state has changed. A job that was submitted under a later term ends this term. The caller
-// holds mu.
+// state has changed. The caller holds mu.
 func (t *term) syncJob(now time.Time, c *Coordinator, id string) bool {
 	e, ok := c.jobs.Job(id)
 	if !ok || e.Submission() == nil {
 		return false
 	}
-	if submitted := e.Submission().Term; submitted > t.number {
-		c.endTermIfLater(submitted, "the record of job "+id)
-		return false
-	}
 	changed := !t.scheduler.HasJob(id)
 	if changed {
 		// If the submitting entry did not know this term yet, an earlier dispatcher may have
--- a/pkg/leadership/leadership.go
+++ b/pkg/leadership/leadership.go
@@ -70,6 +70,8 @@
 	// resignedAt is when that became known.
 	resigned   bool
 	resignedAt time.Time
+	// heardOf is the newest term that was heard of since this process last began to claim.
+	heardOf uint64
 }
 
 // Standing is the place of an entry among those that may claim leadership.
@@ -125,6 +127,18 @@
 	}
 }
 
+// BeginClaim records that this process is about to send a claim, whose term will be later than all that
+// were heard of before.
+func (c *Candidate) BeginClaim() { c.heardOf = 0 }
+
+// HearOf records that a peer or a record has named a term.
+func (c *Candidate) HearOf(term uint64) { c.heardOf = max(c.heardOf, term) }
+
+// MayBegin reports whether this process may begin a term that it has claimed. A process that has heard of
+// a later term never does: a later dispatcher that names its term in a probe, and is answered that this
+// process is not the dispatcher, concludes that it will not become one.
+func (c *Candidate) MayBegin(term uint64) bool { return c.claim.Term == term && c.heardOf <= term }
+
 // NoDispatcher reports whether no claim is known, or the newest dispatcher has resigned or is known
 // to be dead.
 func (c *Candidate) NoDispatcher() bool { return c.claim.Term == 0 || c.resigned }
