Count the leadership lease from the first attempt of an append

Cause: appendProgress renewed the lease with the time at which the attempt was sent that was answered. The store answers the repetition of one of the last five appends with its first response; that the append was carried out then is all that the response says, and a later term may have written between the two attempts. The lease, and ConfirmsEnd with it, took it for a sign that none had.

Change: an append with records counts from its first attempt; an empty one, which has no repetition, from each attempt. The stand-in of the store answers repetitions first and checks the term after that, and keeps the last five appends over changes of term.

Why it works: no later term had written before the first attempt was sent, or else the append would not have been carried out.

--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -134,14 +134,19 @@
 // appendProgress appends records under the term and reports whether they are
 // stored. It retries until the append succeeds, a later term has written or this
 // term has ended. Without records it makes a call only if renew is set, since each
-// successful append, also an empty one, renews the leadership lease.
+// successful append, also an empty one, renews the leadership lease. The store answers the
+// repetition of an append that it has carried out even if a later term has written since, so that the lease
+// counts from the first attempt; an empty append is no repetition.
 func (c *Coordinator) appendProgress(ctx context.Context, t *term, records []store.Record, renew bool) bool {
 	if len(records) == 0 && !renew {
 		return true
 	}
 	seq := t.appendSeq + 1
+	sent := clock.Steady()
 	for {
-		sent := clock.Steady()
+		if len(records) == 0 {
+			sent = clock.Steady()
+		}
 		a := store.AppendRequest{Topic: store.TopicProgress, Records: records, Term: t.number, Seq: seq}
 		_, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) { return c.store.Append(ctx, a) })
 		var wrong *store.SequenceError
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -36,10 +36,13 @@
 	// term is the newest term of an append, and seq the newest sequence number under it.
 	term uint64
 	seq  uint64
-	// endOffsets holds the end offset after each append of the term, by sequence number.
-	endOffsets map[uint64]uint64
+	// answered holds the newest appends of records under a term, up to repeatableAppends.
+	answered []answeredAppend
 }
 
+// answeredAppend is an append under a term that was carried out; end is the end offset after it.
+type answeredAppend struct{ term, seq, end uint64 }
+
 // Client returns a client of the store.
 func (s *Store) Client() store.Client {
 	return store.Client{Append: s.append, Read: s.read, ReadNewest: s.readNewest}
@@ -90,7 +93,7 @@
 		if end, repeated, err := t.checkSequence(&a); repeated || err != nil {
 			return end, s.faultOr(err)
 		}
-		defer func() { t.endOffsets[a.Seq] = t.endOffset }()
+		defer t.noteAnswer(&a)
 	}
 	for _, r := range a.Records {
 		stored := store.StoredRecord{Record: r, Offset: t.endOffset}
@@ -113,19 +116,24 @@
 	return err
 }
 
-// repeatableAppends is the number of newest appends of a term whose repetition
-// gets the first response again.
+// repeatableAppends is the number of newest appends whose repetition gets the first response again,
+// also after an append of a later term.
 const repeatableAppends = 5
 
 // checkSequence checks and records the term and the sequence number of an append.
 // repeated means that the append was carried out before; end is then the topic's end
 // offset after it.
 func (t *keyedTopic) checkSequence(a *store.AppendRequest) (end uint64, repeated bool, err error) {
+	for _, old := range t.answered {
+		if len(a.Records) > 0 && old.term == a.Term && old.seq == a.Seq {
+			return old.end, true, nil
+		}
+	}
 	switch {
 	case a.Term < t.term:
 		return 0, false, store.ErrFenced
 	case a.Term > t.term:
-		t.term, t.seq, t.endOffsets = a.Term, 0, make(map[uint64]uint64)
+		t.term, t.seq = a.Term, 0
 		if len(a.Records) > 0 {
 			t.seq = a.Seq
 		}
@@ -133,14 +141,20 @@
 	case t.seq == 0 || a.Seq == t.seq+1:
 		t.seq = a.Seq
 	default:
-		if end, ok := t.endOffsets[a.Seq]; ok && a.Seq <= t.seq && a.Seq+repeatableAppends > t.seq {
-			return end, true, nil
-		}
 		return 0, false, &store.SequenceError{Want: t.seq + 1}
 	}
 	return 0, false, nil
 }
 
+// noteAnswer records an append that was carried out.
+func (t *keyedTopic) noteAnswer(a *store.AppendRequest) {
+	if len(a.Records) == 0 {
+		return
+	}
+	t.answered = append(t.answered, answeredAppend{a.Term, a.Seq, t.endOffset})
+	t.answered = t.answered[max(0, len(t.answered)-repeatableAppends):]
+}
+
 // read returns the records of a topic from an offset on.
 func (s *Store) read(_ context.Context, topic store.Topic, offset uint64, _ time.Duration) (*store.Page, error) {
 	s.mu.Lock()
