--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -65,7 +65,7 @@
 	}
 	for _, x := range t.scheduler.TakeContradictions() {
 		c.count("contradictions", 1)
-		c.log.Warn().Str("task", x.Task.String()).Uint64("run", x.Run).Str("worker", x.Worker).Str("how", listedAs(x.How)).Str("concluded", string(x.Conclusion)).
+		c.log.Warn().Str("task", x.Task.String()).Uint64("run", x.Run).Str("worker", x.Worker).Str("how", listedAs(&x)).Str("concluded", string(x.Conclusion)).
 			Bool("restarted", x.Restarted).Uint64("term", t.number).Msg("worker lists a run that was taken for ended")
 	}
 	for _, a := range t.scheduler.TakeAbandonedTasks() {
@@ -125,12 +125,15 @@
 	line.Msg("start ordered")
 }
 
-// listedAs returns the name of an outcome, or "running" if there is none yet.
-func listedAs(how dispatch.Outcome) string {
-	if how == 0 {
-		return "running"
+// listedAs says how a worker lists a run that was taken for ended: as running, pending, or with an outcome.
+func listedAs(x *dispatch.Contradiction) string {
+	switch {
+	case x.How != 0:
+		return x.How.String()
+	case x.Pending:
+		return "pending"
 	}
-	return how.String()
+	return "running"
 }
 
 // considerClaim claims leadership if neither this entry nor any other one has had contact
--- a/pkg/dispatch/contradiction.go
+++ b/pkg/dispatch/contradiction.go
@@ -41,8 +41,9 @@
 	Task   workflow.TaskID
 	Run    uint64
 	Worker string
-	// How is how the run ended according to the worker; 0 if it is at work.
+	// How is how the run ended according to the worker; 0 if it is at work or, if Pending is set, may still start.
 	How        Outcome
+	Pending    bool
 	Conclusion Conclusion
 	// Restarted is set if the task has been started again since.
 	Restarted bool
@@ -56,16 +57,16 @@
 	t.concluded = append(t.concluded, concludedRun{r.number, r.worker.name, c})
 }
 
-// noteContradiction records a run that a worker lists, if the scheduler had concluded that it has ended. how is
-// how it ended, 0 if it is at work.
-func (sc *Scheduler) noteContradiction(w *workerState, t *taskState, id workflow.TaskID, number uint64, how Outcome) {
-	c := Contradiction{Task: id, Run: number, Worker: w.name, How: how, Restarted: len(t.runs) > 0 || t.lastRunNumber > number}
+// noteContradiction records c, the run of a task that a worker lists, if the scheduler had concluded that it
+// has ended.
+func (sc *Scheduler) noteContradiction(t *taskState, c Contradiction) {
+	c.Restarted = len(t.runs) > 0 || t.lastRunNumber > c.Run
 	for _, old := range t.concluded {
-		if old.number == number && old.worker == w.name {
+		if old.number == c.Run && old.worker == c.Worker {
 			c.Conclusion = old.conclusion
 		}
 	}
-	if c.Conclusion == "" && number <= sc.runNumberBase && t.lastRunNumber > sc.runNumberBase {
+	if c.Conclusion == "" && c.Run <= sc.runNumberBase && t.lastRunNumber > sc.runNumberBase {
 		c.Conclusion = ConclusionTermOver
 	}
 	if c.Conclusion != "" {
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -225,7 +225,7 @@
 	}
 	s, t := sc.task(status.Task)
 	if t != nil {
-		sc.noteContradiction(w, t, status.Task, status.Run, 0)
+		sc.noteContradiction(t, Contradiction{Task: status.Task, Run: status.Run, Worker: w.name, Pending: status.Pending})
 	}
 	if t == nil || t.done || s.occurrence.job.phase.Ended() || w.runs[status.Task] != nil || (len(t.runs) > 0 && !s.spec.Speculative) {
 		sc.stopUnwanted(w, s, status)
@@ -316,7 +316,7 @@
 	case current && e.How == OutcomeRefused:
 		t.conclude(r, ConclusionRefused)
 	case !current && e.How < OutcomeRefused && !t.done:
-		sc.noteContradiction(w, t, e.Task, e.Run, e.How)
+		sc.noteContradiction(t, Contradiction{Task: e.Task, Run: e.Run, Worker: w.name, How: e.How})
 	}
 	if current {
 		t.previous = PreviousRun{Run: e.Run, Worker: w.name, How: e.How}
