--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -37,6 +37,8 @@
 	// Runs are the runs that a worker lists: "task run percent reading", the last two as in
 	// RunStatus.
 	Runs []string `json:"runs"`
+	// Pending are runs that a worker reports because their start may still take effect: "task run".
+	Pending []string `json:"pending"`
 	// Ends are the run ends that a worker lists: "end task run outcome checkpoint", where end and
 	// run are the numbers of the run end and of the run; the checkpoint may be missing.
 	Ends []string `json:"ends"`
@@ -225,7 +227,12 @@
 	}
 	switch e.Do {
 	case "report":
-		sc.ApplyReport(now, wallMS, w, runsOf(t, e.Runs), endsOf(t, e.Ends))
+		runs := runsOf(t, e.Runs)
+		for _, r := range runsOf(t, e.Pending) {
+			r.Pending = true
+			runs = append(runs, r)
+		}
+		sc.ApplyReport(now, wallMS, w, runs, endsOf(t, e.Ends))
 	case "describe":
 		sc.ApplyPing(now, w, runsOf(t, e.Runs))
 	case "ended":
