Start a task again only once its unwanted runs have ended

Cause: a run that a worker lists while another run of its task is known was ordered to stop, but was no run of the task from then on. If the other run ended first, as a start does that an agent refuses, the task was started again at once: while the listed run was being stopped, or after it had ended as done, which the dispatcher acknowledged when it heard of it. After a change of dispatcher the reports of two workers come to this: one lists a start of an earlier term that may still take effect in the new life of its runner, the other the run that replaced it. The run at work was the one to be stopped whenever its report came second.

Change: a task does not start while an unwanted run of it may be at work, as the room of such a run was already kept; and a run at work displaces one that may still start, which is stopped in its place.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -232,7 +232,7 @@
 	var c *candidates
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+		if !t.mayStart(now) {
 			continue
 		}
 		if t.crashes.suspicious() {
@@ -256,6 +256,11 @@
 	}
 }
 
+// mayStart reports whether the task waits for a start and no run of it can be left.
+func (t *taskState) mayStart(now time.Time) bool {
+	return !t.done && len(t.runs) == 0 && t.unwantedRuns == 0 && !now.Before(t.notBefore)
+}
+
 // orderStart adds an order to start the task with the given index in its step at a worker, under a
 // run number.
 func (sc *Scheduler) orderStart(now time.Time, s *stepState, index int, w *workerState, runNumber uint64, reason string, o *Orders) {
@@ -340,7 +345,7 @@
 	saved := ""
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+		if !t.mayStart(now) {
 			return
 		}
 		number = max(number, t.lastRunNumber)
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -155,7 +155,7 @@
 func (sc *Scheduler) workerState(name string) *workerState {
 	w := sc.workers[name]
 	if w == nil {
-		w = &workerState{name: name, runs: make(map[workflow.TaskID]*run), servingTasksByImage: make(map[string]int), unwanted: make(map[unwantedRun]worker.Resources)}
+		w = &workerState{name: name, runs: make(map[workflow.TaskID]*run), servingTasksByImage: make(map[string]int), unwanted: make(map[unwantedRun]unwantedState)}
 		sc.addWorker(w)
 	}
 	return w
@@ -201,7 +201,7 @@
 	if r.phase == runStartOrdered {
 		r.phase = runRunning
 	}
-	r.sent = true
+	r.sent, r.reportedPending = true, false
 	if now.Sub(r.orderedAt) >= provenStartAfter {
 		sc.proveStart(r)
 	}
@@ -217,7 +217,8 @@
 }
 
 // adoptRun takes in the status of a run from a report. The run may have been ordered in an
-// earlier term. It is ordered to stop if its task is not known or needs no further run.
+// earlier term. It is ordered to stop if its task is not known or needs no further run. A run at work
+// is needed more than one that may still start.
 func (sc *Scheduler) adoptRun(now time.Time, w *workerState, status *RunStatus) {
 	if r := w.runs[status.Task]; r != nil && r.number == status.Run {
 		sc.updateRun(now, r, status)
@@ -227,12 +228,16 @@
 	if t != nil {
 		sc.noteContradiction(t, Contradiction{Task: status.Task, Run: status.Run, Worker: w.name, Pending: status.Pending})
 	}
-	if t == nil || t.done || s.occurrence.job.phase.Ended() || w.runs[status.Task] != nil || (len(t.runs) > 0 && !s.spec.Speculative) {
-		sc.stopUnwanted(w, s, status)
+	needed := t != nil && !t.done && !s.occurrence.job.phase.Ended()
+	if needed && !status.Pending && !s.spec.Speculative {
+		sc.displacePending(now, s, t)
+	}
+	if !needed || w.runs[status.Task] != nil || (len(t.runs) > 0 && !s.spec.Speculative) {
+		sc.stopUnwanted(w, s, t, status)
 		return
 	}
 	r := sc.addRun(now, s, t, status.Task, w, status.Run)
-	r.phase = runStartOrdered
+	r.phase, r.reportedPending = runStartOrdered, true
 	sc.updateRun(now, r, status)
 	s.occurrence.job.started = true
 }
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -225,6 +225,8 @@
 	// lastRunNumber is the highest run number known.
 	lastRunNumber uint64
 	runs          []*run
+	// unwantedRuns counts the unwanted runs of the task at all workers.
+	unwantedRuns int
 	// notBefore is the earliest time at which the task may be started again.
 	notBefore time.Time
 	// waitingSince is the time since which the task has had no run.
@@ -268,9 +270,11 @@
 	// thousandths of a processor in use for another task.
 	reading float64
 	// checkpoint is the newest checkpoint that the worker reported for the run, or "".
-	checkpoint    string
-	stopOrderedAt time.Time
-	stopReason    string
+	checkpoint string
+	// reportedPending is set while a worker has reported the run only as one that may still start.
+	reportedPending bool
+	stopOrderedAt   time.Time
+	stopReason      string
 	// sent is set once the run is known to have been sent to the runner, proven once it has been at work
 	// for provenStartAfter.
 	sent, proven bool
@@ -352,8 +356,8 @@
 	// on the worker.
 	leaseExpired bool
 	runs         map[workflow.TaskID]*run
-	// unwanted holds what the unwanted runs at the worker reserve.
-	unwanted map[unwantedRun]worker.Resources
+	// unwanted holds the unwanted runs at the worker.
+	unwanted map[unwantedRun]unwantedState
 	// allocated is what runs and unwanted runs reserve.
 	allocated worker.Resources
 	// bestEffortMilliCPU is the processor time that best-effort tasks request.
--- a/pkg/dispatch/unwanted.go
+++ b/pkg/dispatch/unwanted.go
@@ -1,35 +1,60 @@
 package dispatch
 
-import "savoryhoist.example/savoryhoist/pkg/workflow"
+import (
+	"slices"
+	"time"
 
-// unwantedRun names a run that a worker lists and whose task needs no such run. It is ordered to stop, and
-// takes up room until it has ended.
+	"savoryhoist.example/savoryhoist/pkg/worker"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
+)
+
+// unwantedRun names a run that a worker lists and whose task needs no such run. It is ordered to stop. Until it has
+// ended, it takes up room and its task is not started.
 type unwantedRun struct {
 	task   workflow.TaskID
 	number uint64
 }
 
-// stopUnwanted orders an unwanted run to stop. Its room is not counted if its step, s, is nil: nothing tells
-// its size.
-func (sc *Scheduler) stopUnwanted(w *workerState, s *stepState, status *RunStatus) {
+// unwantedState is what the scheduler keeps of an unwanted run.
+type unwantedState struct {
+	reserved worker.Resources
+	task     *taskState
+}
+
+// stopUnwanted orders an unwanted run to stop. Its room is not counted if its step, s, and its task, t, are nil:
+// nothing tells its size.
+func (sc *Scheduler) stopUnwanted(w *workerState, s *stepState, t *taskState, status *RunStatus) {
 	sc.pendingStops = append(sc.pendingStops, Stop{Worker: w.name, Life: w.life, Task: status.Task, Run: status.Run, Reason: "the run is unknown or no longer needed"})
 	r := unwantedRun{status.Task, status.Run}
 	if _, counted := w.unwanted[r]; counted || s == nil {
 		return
 	}
-	w.unwanted[r] = s.spec.Reserved()
-	w.allocated = w.allocated.Plus(w.unwanted[r])
+	w.unwanted[r] = unwantedState{s.spec.Reserved(), t}
+	t.unwantedRuns++
+	w.allocated = w.allocated.Plus(w.unwanted[r].reserved)
 	sc.rooms.update(w)
 }
 
-// forgetUnwanted frees the room of an unwanted run, if r is one.
+// displacePending makes the runs of a task unwanted that may still start, in favour of one that is at work.
+func (sc *Scheduler) displacePending(now time.Time, s *stepState, t *taskState) {
+	for _, r := range slices.Clone(t.runs) {
+		if !r.reportedPending {
+			continue
+		}
+		sc.removeRun(now, r)
+		sc.stopUnwanted(r.worker, s, t, &RunStatus{Task: r.id, Run: r.number})
+	}
+}
+
+// forgetUnwanted frees the room of an unwanted run and its task, if r is one.
 func (sc *Scheduler) forgetUnwanted(w *workerState, r unwantedRun) {
-	reserved, counted := w.unwanted[r]
+	u, counted := w.unwanted[r]
 	if !counted {
 		return
 	}
 	delete(w.unwanted, r)
-	w.allocated = w.allocated.Minus(reserved)
+	u.task.unwantedRuns--
+	w.allocated = w.allocated.Minus(u.reserved)
 	sc.rooms.update(w)
 	sc.noteChange(w)
 }
