Keep the newest record of a job's progress, whatever the order of reads

What callers could see: a job that was shown as completed is shown as running again, and after a change of term at the same entry, tasks that were done and acknowledged run again.

Cause: two goroutines of an entry read job records, tailJobs and, at the beginning of a term, lead; changeStored applies the dispatcher's own records as well. The job table took whatever was applied last. A page that was read first and applied last took progress back, and since the read position had moved on, the newer record was never read again. In the same way a late page brought back a deleted job, without its progress, and older interference.

Change: the table keeps the offset of the progress and the submission that it holds. Progress and deletions count only if they are newer; of submissions the lowest offset counts, as before in the order of the log. Deletions are remembered until no read is under way that may return older records. Records that this entry stored have the offsets that end where the append's answer says; a repeated append is answered with its first end, so this holds for it too. The interference record has a check of its own.

Why not one read at a time: a term would begin only after the tail's read under way, which may take 1.2 s for each page of a slow store, and the dispatcher's own records would still pass by it.

JobTable.Apply takes the offset now.

--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -143,12 +143,12 @@
 	for {
 		sent := clock.Steady()
 		a := store.AppendRequest{Topic: store.TopicProgress, Records: records, Term: t.number, Seq: seq}
-		_, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) { return c.store.Append(ctx, a) })
+		end, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) { return c.store.Append(ctx, a) })
 		var wrong *store.SequenceError
 		switch {
 		case err == nil:
 			if len(records) > 0 {
-				t.appendSeq = seq
+				t.appendSeq, t.appendEnd = seq, end
 			}
 			c.mu.Lock()
 			t.leaderLease.Renew(sent)
@@ -172,16 +172,21 @@
 	}
 }
 
-// changeStored applies stored records to the job table, where callers see the end
-// of a job, and acknowledges the run ends among them to their workers.
+// changeStored applies the records of the last append to the job table, where callers see the
+// end of a job, and acknowledges the run ends among them to their workers.
 func (c *Coordinator) changeStored(t *term, change *dispatch.Change, records []store.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range records {
+	if n := uint64(len(records)); n > t.appendEnd {
+		c.log.Error().Uint64("end", t.appendEnd).Uint64("records", n).Msg("store answered an append with an impossible end; its records count once they are read")
+		records = nil
+	}
+	offset := t.appendEnd - uint64(len(records)) // a repeated append is answered with the end after its first attempt
+	for i, r := range records {
 		if r.Key == interferenceKey {
 			continue
 		}
-		if _, err := c.jobs.Apply(r); err != nil {
+		if _, err := c.jobs.Apply(r, offset+uint64(i)); err != nil {
 			c.log.Error().Err(err).Msg("applying a record written by this entry failed")
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -84,10 +84,13 @@
 	rawConfig []byte
 	jobs      workflow.JobTable
 	// storedInterference is the value of the newest record of the interference that dispatchers
-	// have measured between images.
+	// have measured between images, and interferenceOffset the offset of that record.
 	storedInterference []byte
+	interferenceOffset uint64
 	// tails holds the read positions in jobTopics.
 	tails [len(jobTopics)]tail
+	// jobReads is the number of calls of catchUp that have not returned.
+	jobReads int
 	// lastStoreSuccess is when the newest call that the store carried out or rejected ended.
 	lastStoreSuccess time.Time
 	// storeFailures counts the consecutive calls up to now that the store refused or did not
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -56,8 +56,11 @@
 // storeRetryEvery is how often job records are read while calls to the store fail.
 const storeRetryEvery = 200 * time.Millisecond
 
-// catchUp applies the job records up to the end of their topics.
+// catchUp applies the job records up to the end of their topics. It may run in several goroutines
+// at once, so that records may be applied after later ones.
 func (c *Coordinator) catchUp(ctx context.Context) error {
+	c.beginJobRead()
+	defer c.endJobRead()
 	for i := range jobTopics {
 		if err := c.catchUpTopic(ctx, jobTopics[i], &c.tails[i]); err != nil {
 			return err
@@ -71,6 +74,21 @@
 	return nil
 }
 
+func (c *Coordinator) beginJobRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobReads++
+}
+
+// endJobRead has the job table forget deletions when no read is left that may return older records.
+func (c *Coordinator) endJobRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.jobReads--; c.jobReads == 0 {
+		c.jobs.ForgetDeleted()
+	}
+}
+
 // jobsCaughtUpAt returns the time before which every stored job record is in the job
 // table: the earliest caughtUpAt of all topics. The caller holds mu.
 func (c *Coordinator) jobsCaughtUpAt() time.Time {
@@ -152,10 +170,12 @@
 	for i := range records {
 		r := &records[i]
 		if r.Key == interferenceKey {
-			c.storedInterference = r.Value
+			if r.Offset >= c.interferenceOffset {
+				c.storedInterference, c.interferenceOffset = r.Value, r.Offset
+			}
 			continue
 		}
-		id, err := c.jobs.Apply(r.Record)
+		id, err := c.jobs.Apply(r.Record, r.Offset)
 		if err != nil {
 			c.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("skipped a job record that cannot be applied")
 			continue
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -26,6 +26,8 @@
 	unregistered map[string]*peer.Report
 	// appendSeq is the sequence number of the last append under the term that the store accepted.
 	appendSeq uint64
+	// appendEnd is the end offset of store.TopicProgress after that append.
+	appendEnd uint64
 	// lastFlush is when changes were last taken from the scheduler to be stored.
 	lastFlush time.Time
 	// lastExpiry is when jobs whose retention has expired were last dropped.
--- a/internal/explore/term/entry.go
+++ b/internal/explore/term/entry.go
@@ -211,7 +211,7 @@
 			return nil, err
 		}
 		for _, r := range records {
-			if _, err := jobTable.Apply(r.Record); err != nil {
+			if _, err := jobTable.Apply(r.Record, r.Offset); err != nil {
 				return nil, err
 			}
 		}
--- a/internal/explore/term/term.go
+++ b/internal/explore/term/term.go
@@ -228,7 +228,7 @@
 	}
 	var jobTable workflow.JobTable
 	for _, r := range records {
-		if _, err := jobTable.Apply(r.Record); err != nil {
+		if _, err := jobTable.Apply(r.Record, r.Offset); err != nil {
 			return err
 		}
 	}
--- a/pkg/workflow/job_table.go
+++ b/pkg/workflow/job_table.go
@@ -54,6 +54,8 @@
 	progress    Progress
 	cancelled   bool
 	hasProgress bool
+	// submissionOffset and progressOffset are the offsets of the records of submission and progress.
+	submissionOffset, progressOffset uint64
 }
 
 // Submission returns the job's submission, or nil if it has not been read.
@@ -78,8 +80,12 @@
 }
 
 // JobTable is the table of all jobs known from the records of the store. The zero value is empty.
+// Records may be applied in any order: of each key the newest one counts by its offset, and of
+// submissions the first one since the job was last deleted.
 type JobTable struct {
 	jobs map[string]*Job
+	// deleted holds the offsets of the newest deletions, by key.
+	deleted map[string]uint64
 }
 
 // Len returns the number of jobs.
@@ -99,25 +105,32 @@
 }
 
 // Clear removes all jobs, so that the records can be read again from the start.
-func (t *JobTable) Clear() { t.jobs = nil }
+func (t *JobTable) Clear() { t.jobs, t.deleted = nil, nil }
 
-// Apply applies a record and returns the ID of its job. A record that cannot be decoded changes
-// nothing; the error is marked with ErrUnreadableRecord.
-func (t *JobTable) Apply(r Record) (id string, err error) {
+// ForgetDeleted forgets which keys were deleted. The caller must have no records left to apply that
+// are older than a deletion applied before.
+func (t *JobTable) ForgetDeleted() { t.deleted = nil }
+
+// Apply applies the record at an offset of its topic and returns the ID of its job. A record that cannot
+// be decoded changes nothing; the error is marked with ErrUnreadableRecord.
+func (t *JobTable) Apply(r Record, offset uint64) (id string, err error) {
 	prefix, id, ok := strings.Cut(r.Key, "/")
 	prefix += "/"
 	if !ok || id == "" || (prefix != prefixSubmission && prefix != prefixProgress && prefix != prefixCancellation) {
 		return "", errors.Mark(errors.Newf("unknown key %q of a job record", r.Key), ErrUnreadableRecord)
 	}
+	if deletion, ok := t.deleted[r.Key]; ok && offset < deletion {
+		return id, nil
+	}
 	if len(r.Value) == 0 {
-		t.remove(prefix, id)
+		t.remove(prefix, id, offset)
 		return id, nil
 	}
 	j := t.jobs[id]
 	if j == nil {
 		j = &Job{}
 	}
-	if err := j.apply(prefix, id, r.Value); err != nil {
+	if err := j.apply(prefix, id, r.Value, offset); err != nil {
 		return "", err
 	}
 	if t.jobs == nil {
@@ -127,8 +140,8 @@
 	return id, nil
 }
 
-// apply applies a record with a value. Only the first submission counts; progress is replaced.
-func (j *Job) apply(prefix, id string, value []byte) error {
+// apply applies a record with a value. Only the first submission and the newest progress count.
+func (j *Job) apply(prefix, id string, value []byte, offset uint64) error {
 	switch prefix {
 	case prefixSubmission:
 		s := new(Submission)
@@ -141,8 +154,8 @@
 		if err := s.Spec.Validate(); err != nil {
 			return errors.Mark(errors.Wrapf(err, "submission of job %s", id), ErrUnreadableRecord)
 		}
-		if j.submission == nil {
-			j.submission = s
+		if j.submission == nil || offset < j.submissionOffset {
+			j.submission, j.submissionOffset = s, offset
 		}
 	case prefixProgress:
 		var p Progress
@@ -152,7 +165,9 @@
 		if !p.Phase.Known() {
 			return errors.Mark(errors.Newf("progress of job %s: unknown phase %d", id, p.Phase), ErrUnreadableRecord)
 		}
-		j.progress, j.hasProgress = p, true
+		if !j.hasProgress || offset >= j.progressOffset {
+			j.progress, j.hasProgress, j.progressOffset = p, true, offset
+		}
 	case prefixCancellation:
 		j.cancelled = true
 	}
@@ -160,9 +175,15 @@
 }
 
 // remove removes a job when the record of its submission is deleted; the deletion of another
-// record changes nothing.
-func (t *JobTable) remove(prefix, id string) {
-	if prefix == prefixSubmission {
-		delete(t.jobs, id)
+// record only makes older records of its key count no more.
+func (t *JobTable) remove(prefix, id string, offset uint64) {
+	if t.deleted == nil {
+		t.deleted = make(map[string]uint64)
+	}
+	t.deleted[prefix+id] = offset
+	j := t.jobs[id]
+	if prefix != prefixSubmission || j == nil || j.submission != nil && offset < j.submissionOffset {
+		return
 	}
+	delete(t.jobs, id)
 }
--- a/pkg/workflow/workflow_test.go
+++ b/pkg/workflow/workflow_test.go
@@ -77,12 +77,12 @@
 	must := mustRecord(t)
 	sub := &Submission{ID: "a", Queue: "q", Spec: *validSpec()}
 	var table JobTable
-	for _, r := range []Record{
+	for i, r := range []Record{
 		must(ProgressRecord("a", &Progress{Phase: PhaseRunning})), // may be read before the submission
 		must(SubmissionRecord(sub)),
 		must(SubmissionRecord(&Submission{ID: "a", Queue: "other", Spec: *validSpec()})),
 	} {
-		if _, err := table.Apply(r); err != nil {
+		if _, err := table.Apply(r, uint64(i)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -90,15 +90,15 @@
 	if !ok || job.Submission().Queue != "q" || job.Phase() != PhaseRunning {
 		t.Fatalf("got %+v, want the first submission and phase running", job)
 	}
-	if _, err := table.Apply(CancellationRecord("a")); err != nil || job.Phase() != PhaseCancelled {
+	if _, err := table.Apply(CancellationRecord("a"), 3); err != nil || job.Phase() != PhaseCancelled {
 		t.Errorf("phase after the cancellation: got %v %v, want %v", job.Phase(), err, PhaseCancelled)
 	}
-	if _, err := table.Apply(must(ProgressRecord("a", &Progress{Phase: PhaseCompleted}))); err != nil || job.Phase() != PhaseCompleted {
+	if _, err := table.Apply(must(ProgressRecord("a", &Progress{Phase: PhaseCompleted})), 4); err != nil || job.Phase() != PhaseCompleted {
 		t.Errorf("phase after a cancellation and a stored end: got %v %v, want %v", job.Phase(), err, PhaseCompleted)
 	}
 	progress, intake := TombstoneRecords("a")
 	for _, r := range append(progress, intake...) {
-		if _, err := table.Apply(r); err != nil {
+		if _, err := table.Apply(r, 5); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -111,7 +111,7 @@
 func TestJobTableSkipsInvalidRecords(t *testing.T) {
 	must := mustRecord(t)
 	var table JobTable
-	if _, err := table.Apply(must(SubmissionRecord(&Submission{ID: "a", Queue: "q", Spec: *validSpec()}))); err != nil {
+	if _, err := table.Apply(must(SubmissionRecord(&Submission{ID: "a", Queue: "q", Spec: *validSpec()})), 0); err != nil {
 		t.Fatal(err)
 	}
 	for _, r := range []Record{
@@ -126,7 +126,7 @@
 		must(SubmissionRecord(&Submission{ID: "f", Spec: Spec{Steps: []Step{{Count: -1}}}})),
 		must(SubmissionRecord(&Submission{ID: "g", Spec: Spec{Steps: []Step{{Count: 1, After: []int{3}}}}})),
 	} {
-		if _, err := table.Apply(r); !errors.Is(err, ErrUnreadableRecord) {
+		if _, err := table.Apply(r, 1); !errors.Is(err, ErrUnreadableRecord) {
 			t.Errorf("%q: got %v, want %v", r.Key, err, ErrUnreadableRecord)
 		}
 	}
