Let the term of a submission count also when the dispatcher is told of it

What callers could see: a task that runs twice at once, after a change of dispatcher: a dispatcher started a job at once, although an earlier one that did not know that it was superseded might have started it at a worker that had not reported yet; or a dispatcher that was superseded started a job that named the later term.

Cause: an entry reads its newest term before it stores a submission, which may take seconds. A dispatcher that read the record compared that term with its own; one that was told of the record by the entry, or stored it itself, took the job for a new one of its term.

Evidence, before the fix:

Change: one function admits both. It ends the term if the submission names a later one, counts the job as one of an earlier term if it names an earlier one, and takes progress and cancellation from the job table, as for a job that was read. A dispatcher that was told before it had read a job's progress could not be shown: what it reads at the beginning of its term includes them.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -198,7 +198,11 @@
 	c.mu.Lock()
 	if c.term != nil {
 		c.term.backlog.add(now)
-		c.term.scheduler.Admit(now, clock.WallMS(), &s.Submission, nil, false)
+		e, ok := c.jobs.Job(s.Submission.ID)
+		if !ok {
+			e = new(workflow.Job)
+		}
+		c.term.syncSubmission(now, c, &s.Submission, e)
 	}
 	c.mu.Unlock()
 	notify(c.wakeLead)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -76,22 +76,28 @@
 }
 
 // syncJob passes a job of the job table to the scheduler, and reports whether the scheduler's
-// state has changed. A job that was submitted under a later term ends this term. The caller
-// holds mu.
+// state has changed. The caller holds mu.
 func (t *term) syncJob(now time.Time, c *Coordinator, id string) bool {
 	e, ok := c.jobs.Job(id)
 	if !ok || e.Submission() == nil {
 		return false
 	}
-	if submitted := e.Submission().Term; submitted > t.number {
-		c.endTermIfLater(submitted, "the record of job "+id)
+	return t.syncSubmission(now, c, e.Submission(), e)
+}
+
+// syncSubmission is syncJob for a job whose submission s may not be in its entry e of the job table yet. A job that
+// was submitted under a later term ends this term. The caller holds mu.
+func (t *term) syncSubmission(now time.Time, c *Coordinator, s *workflow.Submission, e *workflow.Job) bool {
+	id := s.ID
+	if s.Term > t.number {
+		c.endTermIfLater(s.Term, "the submission of job "+id)
 		return false
 	}
 	changed := !t.scheduler.HasJob(id)
 	if changed {
 		// If the submitting entry did not know this term yet, an earlier dispatcher may have
 		// read and started the job.
-		t.scheduler.Admit(now, clock.WallMS(), e.Submission(), e.Progress(), e.Submission().Term < t.number)
+		t.scheduler.Admit(now, clock.WallMS(), s, e.Progress(), s.Term < t.number)
 	}
 	if e.Cancelled() {
 		if phase, _ := t.scheduler.Phase(id); !phase.Ended() {
