Have the first of a job's submissions decide whether an earlier dispatcher may have started it

What callers could see: a job that is handed in twice, at entries that know of different terms, runs twice at once while two entries take themselves for the dispatcher.

Cause: a dispatcher that is told of the second submission, or reads only the newest record of each key, does not see that the first one names an earlier term. It does not wait for the workers that have not reported, at which the earlier dispatcher may have started the job.

Evidence, before the fix, TestJobHandedInTwice, starts before all workers have reported:

told of the second record: got 1, want 0 told of the second record, then reads: got 1, want 0 reads only the newest record of each key: got 1, want 0

Change: until all workers have reported, a job counts as new only once the topic has been read without a gap up to its first record, and that one names this term. The dispatcher reads at once when it is told of a job then, at most every 20 ms; until then the job is queued as one of an earlier term, so that it can be queried and cancelled, and also starts once all workers have reported. Once they have, nothing changes: it starts when the dispatcher is told.

Weighed: the offset of the record in the message saves the read if nothing else was stored meanwhile, and would need it from entries that store through others, too.

What is left is written down: if the record with the later term is stored first, the earlier dispatcher may be told of the other one and start the job too. It would have to read every hand-in before it starts it.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -198,11 +198,7 @@
 	c.mu.Lock()
 	if c.term != nil {
 		c.term.backlog.add(now)
-		e, ok := c.jobs.Job(s.Submission.ID)
-		if !ok {
-			e = new(workflow.Job)
-		}
-		c.term.syncSubmission(now, c, &s.Submission, e)
+		c.term.admitTold(now, c, &s.Submission)
 	}
 	c.mu.Unlock()
 	notify(c.wakeLead)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -71,9 +71,10 @@
 	registry gometrics.Registry
 	listener net.Listener
 	group    sync.WaitGroup
-	// wakeLead wakes lead, wakeWriter wakes writeChanges.
+	// wakeLead wakes lead, wakeWriter wakes writeChanges, wakeTail wakes tailJobs.
 	wakeLead   chan struct{}
 	wakeWriter chan struct{}
+	wakeTail   chan struct{}
 	// intake holds callers' records that wait to be stored.
 	intake chan *intakeItem
 
@@ -132,7 +133,7 @@
 	}
 	c := &Coordinator{
 		settings: s, store: storeClient, log: logger, registry: registry, listener: ln,
-		wakeLead: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), intake: make(chan *intakeItem, intakeQueueLength), entries: make(map[string]entryInfo), links: make(map[string]*entryLink),
+		wakeLead: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), wakeTail: make(chan struct{}, 1), intake: make(chan *intakeItem, intakeQueueLength), entries: make(map[string]entryInfo), links: make(map[string]*entryLink),
 	}
 	for _, a := range s.Entries {
 		c.noteEntry(a, "", 0)
--- a/internal/coordinator/intake_terms_test.go
+++ b/internal/coordinator/intake_terms_test.go
@@ -10,6 +10,7 @@
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/leadership"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
 // tellSubmission has another entry tell c of a submission that it has stored.
@@ -41,6 +42,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			s := &standin.Store{}
 			c, current := newDispatcher(t, s)
+			mustCatchUp(t, c)
 			sub := submission("a")
 			sub.Term = tc.term
 			mustAppend(t, s, store.AppendRequest{Topic: store.TopicIntake, Records: []store.Record{mustSubmissionRecord(t, sub)}})
@@ -48,9 +50,7 @@
 			if got := c.term != nil; got != tc.dispatches {
 				t.Errorf("dispatches: got %v, want %v", got, tc.dispatches)
 			}
-			if err := c.catchUp(context.Background()); err != nil {
-				t.Fatal(err)
-			}
+			mustCatchUp(t, c)
 			if got := startsWith(c, current, "w1"); got != tc.starts {
 				t.Errorf("starts: got %d, want %d", got, tc.starts)
 			}
@@ -80,9 +80,7 @@
 		t.Fatal(err)
 	}
 	<-stored
-	if err := c.catchUp(context.Background()); err != nil {
-		t.Fatal(err)
-	}
+	mustCatchUp(t, c)
 	for _, step := range []struct {
 		worker string
 		starts int
@@ -92,3 +90,103 @@
 		}
 	}
 }
+
+// A job that was handed in twice counts by its first record: as long as a worker has not reported, the dispatcher
+// must not take it for a new one by the second record.
+func TestJobHandedInTwice(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// learn lets c know the second record, which another entry has stored.
+		learn func(t *testing.T, c *Coordinator, s *standin.Store, second *workflow.Submission)
+	}{
+		{"told of the second record", func(t *testing.T, c *Coordinator, _ *standin.Store, second *workflow.Submission) {
+			t.Helper()
+			tellSubmission(t, c, &peer.SubmissionStored{Submission: *second})
+		}},
+		{"told of the second record, then reads", func(t *testing.T, c *Coordinator, _ *standin.Store, second *workflow.Submission) {
+			t.Helper()
+			tellSubmission(t, c, &peer.SubmissionStored{Submission: *second})
+			mustCatchUp(t, c)
+		}},
+		{"reads both", func(t *testing.T, c *Coordinator, _ *standin.Store, _ *workflow.Submission) {
+			t.Helper()
+			mustCatchUp(t, c)
+		}},
+		{"reads only the newest record of each key", func(t *testing.T, c *Coordinator, s *standin.Store, _ *workflow.Submission) {
+			t.Helper()
+			s.Trim()
+			mustCatchUp(t, c)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &standin.Store{}
+			c, current := newDispatcher(t, s)
+			mustCatchUp(t, c)
+			first, second := submission("a"), submission("a")
+			first.Term, second.Term = ownTerm-1, ownTerm
+			for _, sub := range []*workflow.Submission{first, second} {
+				mustAppend(t, s, store.AppendRequest{Topic: store.TopicIntake, Records: []store.Record{mustSubmissionRecord(t, sub)}})
+			}
+			tc.learn(t, c, s, second)
+			if got, want := startsWith(c, current, "w1"), 0; got != want {
+				t.Errorf("starts before all workers have reported: got %d, want %d", got, want)
+			}
+			mustCatchUp(t, c)
+			if got, want := startsWith(c, current, "unheard"), 1; got != want {
+				t.Errorf("starts once all workers have reported: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+func mustCatchUp(t *testing.T, c *Coordinator) {
+	t.Helper()
+	if err := c.catchUp(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A job of which the dispatcher is told before all workers have reported starts as soon as its record is read, which
+// is done at once, or nothing of an earlier term can run any more.
+func TestToldJobWaitsForRead(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		next func(t *testing.T, c *Coordinator, current *term)
+		// starts is the number of starts after next; there is none before.
+		starts int
+	}{
+		{"the record is read", func(t *testing.T, c *Coordinator, _ *term) { t.Helper(); mustCatchUp(t, c) }, 1},
+		{"nothing of an earlier term can run", func(t *testing.T, c *Coordinator, current *term) {
+			t.Helper()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			current.scheduler.ExpireEarlierTerms()
+		}, 1},
+		{"neither", func(t *testing.T, _ *Coordinator, _ *term) { t.Helper() }, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &standin.Store{}
+			c, current := newDispatcher(t, s)
+			mustCatchUp(t, c)
+			sub := submission("a")
+			sub.Term = ownTerm
+			mustAppend(t, s, store.AppendRequest{Topic: store.TopicIntake, Records: []store.Record{mustSubmissionRecord(t, sub)}})
+			tellSubmission(t, c, &peer.SubmissionStored{Submission: *sub})
+			if got, err := c.Phase(context.Background(), "a"); err != nil || got != workflow.PhaseQueued {
+				t.Errorf("phase: got %s, %v, want %s", got, err, workflow.PhaseQueued)
+			}
+			select {
+			case <-c.wakeTail:
+			default:
+				t.Error("read of job records: got none requested, want one")
+			}
+			if got := startsWith(c, current, "w1"); got != 0 {
+				t.Errorf("starts before: got %d, want 0", got)
+			}
+			tc.next(t, c, current)
+			if got := startsWith(c, current, "w1"); got != tc.starts {
+				t.Errorf("starts after: got %d, want %d", got, tc.starts)
+			}
+		})
+	}
+}
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -35,10 +35,11 @@
 
 // tailJobs keeps the job table up to date.
 func (c *Coordinator) tailJobs(ctx context.Context) {
-	for clock.WaitForWake(ctx, nil, c.tailDelay()) {
+	for clock.WaitForWake(ctx, c.wakeTail, c.tailDelay()) {
 		if err := c.catchUp(ctx); err != nil {
 			c.log.Warn().Err(err).Msg("reading jobs from the store failed")
 		}
+		clock.WaitForWake(ctx, nil, minTailInterval)
 	}
 }
 
@@ -53,8 +54,13 @@
 	return tailEvery
 }
 
-// storeRetryEvery is how often job records are read while calls to the store fail.
-const storeRetryEvery = 200 * time.Millisecond
+const (
+	// storeRetryEvery is how often job records are read while calls to the store fail.
+	storeRetryEvery = 200 * time.Millisecond
+	// minTailInterval is the minimum time between two reads of job records, so that one read covers
+	// all records that this entry is told of together.
+	minTailInterval = 20 * time.Millisecond
+)
 
 // catchUp applies the job records up to the end of their topics. It may run in several goroutines
 // at once, so that records may be applied after later ones.
@@ -151,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	c.applyRecords(got.records)
+	c.applyNewest(got.records)
 	c.mu.Lock()
 	t.nextOffset = max(t.nextOffset, got.end) // got.end is the end at the first page: later pages may hold newer records, and still miss some written meanwhile
 	t.caughtUpAt = began
@@ -160,9 +166,15 @@
 	return nil
 }
 
-// applyRecords applies records to the job table, and passes changed jobs to the scheduler if
-// this entry is the dispatcher.
-func (c *Coordinator) applyRecords(records []store.StoredRecord) {
+// applyRecords applies records that follow without a gap on those applied before.
+func (c *Coordinator) applyRecords(records []store.StoredRecord) { c.apply(records, true) }
+
+// applyNewest applies the newest records of all keys, older ones of which may never have been read.
+func (c *Coordinator) applyNewest(records []store.StoredRecord) { c.apply(records, false) }
+
+// apply applies records to the job table, and passes changed jobs to the scheduler if this entry is
+// the dispatcher.
+func (c *Coordinator) apply(records []store.StoredRecord, gapless bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Steady()
@@ -181,7 +193,7 @@
 			continue
 		}
 		if c.term != nil {
-			changed = c.term.syncJob(now, c, id) || changed
+			changed = c.term.syncJob(now, c, id, gapless) || changed
 		}
 	}
 	if changed {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -24,6 +24,8 @@
 	registered map[string]bool
 	// unregistered holds the first reports of workers whose names are not stored yet.
 	unregistered map[string]*peer.Report
+	// told holds the jobs that this entry was told of before all workers had reported, and has not read.
+	told map[string]struct{}
 	// appendSeq is the sequence number of the last append under the term that the store accepted.
 	appendSeq uint64
 	// appendEnd is the end offset of store.TopicProgress after that append.
@@ -76,18 +78,44 @@
 }
 
 // syncJob passes a job of the job table to the scheduler, and reports whether the scheduler's
-// state has changed. The caller holds mu.
-func (t *term) syncJob(now time.Time, c *Coordinator, id string) bool {
+// state has changed. gapless is set if no record of the job can have been left out so far. The caller holds mu.
+func (t *term) syncJob(now time.Time, c *Coordinator, id string, gapless bool) bool {
 	e, ok := c.jobs.Job(id)
 	if !ok || e.Submission() == nil {
 		return false
 	}
-	return t.syncSubmission(now, c, e.Submission(), e)
+	changed := t.syncSubmission(now, c, e.Submission(), e, gapless)
+	if _, told := t.told[id]; told {
+		delete(t.told, id)
+		if gapless && e.Submission().Term == t.number {
+			changed = t.scheduler.ConfirmNew(id) || changed
+		}
+	}
+	return changed
+}
+
+// admitTold passes a stored submission to the scheduler that this entry has not read. Until all workers
+// have reported, a job may have been handed in before, to an entry that did not know this term yet: it counts
+// as new only once it has been read, which admitTold requests. The caller holds mu.
+func (t *term) admitTold(now time.Time, c *Coordinator, s *workflow.Submission) {
+	e, ok := c.jobs.Job(s.ID)
+	if !ok {
+		e = new(workflow.Job)
+	}
+	known := t.scheduler.HasJob(s.ID)
+	if t.syncSubmission(now, c, s, e, false) && !known && t.scheduler.UnreportedWorkers() > 0 {
+		if t.told == nil {
+			t.told = make(map[string]struct{})
+		}
+		t.told[s.ID] = struct{}{}
+		notify(c.wakeTail)
+	}
 }
 
 // syncSubmission is syncJob for a job whose submission s may not be in its entry e of the job table yet. A job that
-// was submitted under a later term ends this term. The caller holds mu.
-func (t *term) syncSubmission(now time.Time, c *Coordinator, s *workflow.Submission, e *workflow.Job) bool {
+// was submitted under a later term ends this term. first is set if s is certainly the job's first submission. The
+// caller holds mu.
+func (t *term) syncSubmission(now time.Time, c *Coordinator, s *workflow.Submission, e *workflow.Job, first bool) bool {
 	id := s.ID
 	if s.Term > t.number {
 		c.endTermIfLater(s.Term, "the submission of job "+id)
@@ -95,9 +123,9 @@
 	}
 	changed := !t.scheduler.HasJob(id)
 	if changed {
-		// If the submitting entry did not know this term yet, an earlier dispatcher may have
-		// read and started the job.
-		t.scheduler.Admit(now, clock.WallMS(), s, e.Progress(), s.Term < t.number)
+		// If the first entry that submitted the job did not know this term yet, an earlier
+		// dispatcher may have read and started the job.
+		t.scheduler.Admit(now, clock.WallMS(), s, e.Progress(), !first || s.Term < t.number)
 	}
 	if e.Cancelled() {
 		if phase, _ := t.scheduler.Phase(id); !phase.Ended() {
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -32,6 +32,17 @@
 	sc.applyHeld(now, wallMS, submission.ID)
 }
 
+// ConfirmNew records that no earlier dispatcher can have started a job, and reports whether the job was
+// taken for one of an earlier term.
+func (sc *Scheduler) ConfirmNew(id string) bool {
+	j := sc.jobs[id]
+	if j == nil || !j.fromEarlierTerm {
+		return false
+	}
+	j.fromEarlierTerm = false
+	return true
+}
+
 // Cancel ends a job: the job's runs are ordered to stop and none of its tasks starts again.
 func (sc *Scheduler) Cancel(now time.Time, wallMS int64, id string) {
 	j := sc.jobs[id]
