--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -198,7 +198,7 @@
 	c.mu.Lock()
 	if c.term != nil {
 		c.term.backlog.add(now)
-		c.term.scheduler.Admit(now, clock.WallMS(), &s.Submission, nil, false)
+		c.term.admitTold(now, c, &s.Submission)
 	}
 	c.mu.Unlock()
 	notify(c.wakeLead)
