Let a submission told by a peer name a later term while a claim is pending

Cause: the term of a submission that a peer tells counted only for an entry whose term had begun.

Change: the term of a told submission is noted like that of a record, before the scheduler gets it; syncSubmission no longer does that itself.

Measured: the tests of the coordinator pass twice with -race.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -196,6 +196,7 @@
 // admitStored passes a stored submission to the scheduler if this entry is the dispatcher.
 func (c *Coordinator) admitStored(now time.Time, s *peer.SubmissionStored) {
 	c.mu.Lock()
+	c.noteTerm(s.Submission.Term, "the submission of job "+s.Submission.ID)
 	if c.term != nil {
 		c.term.backlog.add(now)
 		c.term.admitTold(now, c, &s.Submission)
--- a/internal/coordinator/later_test.go
+++ b/internal/coordinator/later_test.go
@@ -63,6 +63,12 @@
 		}
 		c.applyRecords([]store.StoredRecord{{Record: r}})
 	}},
+	{"a job that a peer has stored", func(t *testing.T, c *Coordinator, term uint64) {
+		t.Helper()
+		sub := submission("a")
+		sub.Term = term
+		c.handleEntryMessage(context.Background(), pipeConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b"}, &peer.Message{SubmissionStored: &peer.SubmissionStored{Submission: *sub}})
+	}},
 }
 
 // pipeConn returns a connection whose other end reads nothing.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -87,7 +87,7 @@
 	if !ok || e.Submission() == nil {
 		return false
 	}
-	changed := t.syncSubmission(now, c, e.Submission(), e, gapless)
+	changed := t.syncSubmission(now, e.Submission(), e, gapless)
 	if _, told := t.told[id]; told {
 		delete(t.told, id)
 		if gapless && e.Submission().Term == t.number {
@@ -106,7 +106,7 @@
 		e = new(workflow.Job)
 	}
 	known := t.scheduler.HasJob(s.ID)
-	if t.syncSubmission(now, c, s, e, false) && !known && t.scheduler.UnreportedWorkers() > 0 {
+	if t.syncSubmission(now, s, e, false) && !known && t.scheduler.UnreportedWorkers() > 0 {
 		if t.told == nil {
 			t.told = make(map[string]struct{})
 		}
@@ -115,15 +115,10 @@
 	}
 }
 
-// syncSubmission is syncJob for a job whose submission s may not be in its entry e of the job table yet. A job that
-// was submitted under a later term ends this term. first is set if s is certainly the job's first submission. The
-// caller holds mu.
-func (t *term) syncSubmission(now time.Time, c *Coordinator, s *workflow.Submission, e *workflow.Job, first bool) bool {
+// syncSubmission is syncJob for a job whose submission s may not be in its entry e of the job table yet. first is
+// set if s is certainly the job's first submission. The caller holds mu and has noted the term of s, see noteTerm.
+func (t *term) syncSubmission(now time.Time, s *workflow.Submission, e *workflow.Job, first bool) bool {
 	id := s.ID
-	if s.Term > t.number {
-		c.noteTerm(s.Term, "the submission of job "+id)
-		return false
-	}
 	changed := !t.scheduler.HasJob(id)
 	if changed {
 		// If the first entry that submitted the job did not know this term yet, an earlier
