Take in runs and ends of occurrences that are not due here yet

Callers could see: a task of a repeating job ran again after its run had ended as done, or was stopped and started anew.

Cause: a dispatcher creates an occurrence when its own wall clock says that it is due, and at a decision. The one before it may have a clock that is ahead, so a worker may list runs of an occurrence that does not exist here. The end of such a run was dropped and yet acknowledged, so that the runner forgot it; a run at work was stopped as unwanted. The occurrence was created later and the task started.

Evidence, before the fix (testdata/not-due.json):

an end of an occurrence that is not due here yet counts: event 1: phase of a: got running, want completed event 2 (wait): starts: got ["a.1.0.0 1001 w1 "], want [] a run of an occurrence that is not due here yet goes on: event 1 (report): stops: got ["a.1.0.0 1 w1"], want [] event 2 (describe): starts: got ["a.1.0.0 1001 w1 "], want [] an occurrence that began elsewhere goes on once it is due here: event 3 (wait): starts: got ["a.1.0.0 1001 w1 " "a.1.0.1 1001 w1 "], want ["a.1.0.1 1001 w1"] the next step of an occurrence that began elsewhere waits until it is due here: event 2 (wait): starts: got ["a.0.0.0 1001 w1 "], want ["a.0.1.0 1001 w1"]

Change: a run or an end that a worker lists creates its occurrence, if the job has it. Its steps open only once it is due by this dispatcher's clock. Weighed: to hold runs and ends as for unknown jobs leaves the run out of the worker's load and the end unacknowledged for as long as the clocks differ; to let the whole occurrence begin starts its other tasks before their time here.

Why it works: every run and end of a known job that has not ended now finds its task, or names none that the job has.

Tests of pkg/dispatch, internal/coordinator and internal/explore pass with -race.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -128,6 +128,9 @@
 // appendStepsToAsk appends the steps of a job that need permissions now or soon.
 func (sc *Scheduler) appendStepsToAsk(now time.Time, j *jobState, q *Queue, steps []*stepState) []*stepState {
 	for _, o := range j.occurrences {
+		if !o.begun {
+			continue
+		}
 		for _, s := range o.steps {
 			if !s.closed && !s.permissions.questionOpen && !now.Before(s.permissions.nextQuestionAt) && s.placesSoon(now, q) && sc.questionHelps(now, s, q) {
 				steps = append(steps, s)
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -95,24 +95,55 @@
 	return false
 }
 
-// createDueOccurrences creates the occurrences of a job that are due.
+// createDueOccurrences creates the occurrences of a job that are due, unless they have been created
+// already, and lets their tasks start.
 func (sc *Scheduler) createDueOccurrences(now time.Time, wallMS int64, j *jobState) {
 	for j.nextOccurrence < j.submission.Spec.Occurrences() && wallMS >= j.submission.Spec.DueMS(j.nextOccurrence) {
-		sc.createOccurrence(now, wallMS, j, j.nextOccurrence)
+		index := j.nextOccurrence
 		j.nextOccurrence++
+		sc.createOccurrence(now, wallMS, j, index)
 		if j.phase.Ended() {
 			return
 		}
+		sc.beginOccurrence(now, j.occurrences[index])
 	}
 }
 
-// createOccurrence creates an occurrence from the job's specification and stored progress.
+// beginOccurrence lets the tasks of an occurrence start.
+func (sc *Scheduler) beginOccurrence(now time.Time, o *occurrence) {
+	o.begun, o.startedAt = true, now
+	if o.job.submission.Spec.RepeatCount == 0 {
+		o.startedAt = o.job.acceptedAt
+	}
+	for _, s := range o.steps {
+		for i := range s.tasks {
+			s.tasks[i].waitingSince = now
+		}
+	}
+	sc.openSteps(o)
+}
+
+// createListedOccurrence creates the occurrence of a task that a worker lists if it is not due here yet: the
+// wall clock of the dispatcher that started the task is ahead. Its tasks start only once it is due.
+func (sc *Scheduler) createListedOccurrence(now time.Time, wallMS int64, id workflow.TaskID) {
+	j := sc.jobs[id.Job]
+	if j == nil || j.phase.Ended() || id.Occurrence < 0 || id.Occurrence >= j.submission.Spec.Occurrences() {
+		return
+	}
+	if steps := j.submission.Spec.Steps; id.Step < 0 || id.Step >= len(steps) || id.Index < 0 || id.Index >= steps[id.Step].Count {
+		return
+	}
+	sc.createOccurrence(now, wallMS, j, id.Occurrence)
+}
+
+// createOccurrence creates an occurrence from the job's specification and stored progress, unless it exists.
 func (sc *Scheduler) createOccurrence(now time.Time, wallMS int64, j *jobState, index int) {
-	o := &occurrence{job: j, index: index, startedAt: now}
-	if index == 0 && j.submission.Spec.RepeatCount == 0 {
-		o.startedAt = j.acceptedAt
+	if j.occurrences[index] != nil {
+		return
 	}
+	o := &occurrence{job: j, index: index, startedAt: now}
 	j.occurrences[index] = o
+	j.endOccurrence = max(j.endOccurrence, index+1)
 	for i := range j.submission.Spec.Steps {
 		spec := &j.submission.Spec.Steps[i]
 		s := &stepState{occurrence: o, index: i, spec: spec, tasks: make([]taskState, spec.Count), waitingTasks: spec.Count}
@@ -133,7 +164,6 @@
 			o.doneSteps++
 		}
 	}
-	sc.openSteps(o)
 	sc.checkOccurrence(now, wallMS, o)
 }
 
@@ -190,8 +220,11 @@
 	}
 }
 
-// openSteps opens the steps of an occurrence whose dependencies are all done.
+// openSteps opens the steps of an occurrence whose dependencies are all done, if its tasks may start.
 func (sc *Scheduler) openSteps(o *occurrence) {
+	if !o.begun {
+		return
+	}
 	for _, s := range o.steps {
 		if s.open {
 			continue
@@ -253,7 +286,7 @@
 	if j.phase.Ended() {
 		return p
 	}
-	for index := range j.nextOccurrence {
+	for index := range j.endOccurrence {
 		o := j.occurrences[index]
 		if o == nil {
 			continue
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -126,7 +126,7 @@
 			sc.holdRun(now, w, &runs[i])
 			continue
 		}
-		sc.adoptRun(now, w, &runs[i])
+		sc.adoptRun(now, wallMS, w, &runs[i])
 	}
 	for id, r := range w.runs {
 		if listed[id] != r.number && r.phase != runStopping {
@@ -218,11 +218,12 @@
 
 // adoptRun takes in the status of a run from a report. The run may have been ordered in an
 // earlier term. It is ordered to stop if its task is not known or needs no further run.
-func (sc *Scheduler) adoptRun(now time.Time, w *workerState, status *RunStatus) {
+func (sc *Scheduler) adoptRun(now time.Time, wallMS int64, w *workerState, status *RunStatus) {
 	if r := w.runs[status.Task]; r != nil && r.number == status.Run {
 		sc.updateRun(now, r, status)
 		return
 	}
+	sc.createListedOccurrence(now, wallMS, status.Task)
 	s, t := sc.task(status.Task)
 	if t != nil {
 		sc.noteContradiction(w, t, status.Task, status.Run, 0)
@@ -279,6 +280,7 @@
 			sc.holdEnd(now, w, e)
 			continue
 		}
+		sc.createListedOccurrence(now, wallMS, e.Task)
 		if _, t := sc.task(e.Task); t == nil {
 			ignored++
 		}
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -36,7 +36,7 @@
 	// fleet holds the same workers, sorted by name.
 	fleet []*workerState
 	jobs  map[string]*jobState
-	// repeatingJobs are jobs with occurrences that are still to be created.
+	// repeatingJobs are jobs with occurrences that are not due yet.
 	repeatingJobs map[*jobState]struct{}
 	// runNumberBase is added to run numbers, so that they increase from term to term.
 	runNumberBase uint64
@@ -174,8 +174,10 @@
 	// dispatcher may have started it.
 	fromEarlierTerm bool
 	occurrences     map[int]*occurrence
-	// nextOccurrence is the first occurrence that has not been created yet.
+	// nextOccurrence is the first occurrence that is not due yet, endOccurrence is above all that have
+	// been created.
 	nextOccurrence  int
+	endOccurrence   int
 	doneOccurrences int
 	// storedProgress is progress from the store that is applied when an occurrence is created.
 	storedProgress *workflow.Progress
@@ -185,6 +187,8 @@
 	job       *jobState
 	index     int
 	startedAt time.Time
+	// begun is set once the occurrence is due, so that its tasks may start.
+	begun     bool
 	steps     []*stepState
 	doneSteps int
 	// criticalPathMS is the estimated time of the longest chain of steps, in milliseconds.
--- a/pkg/dispatch/unknown.go
+++ b/pkg/dispatch/unknown.go
@@ -71,6 +71,7 @@
 		w.unknownJobs = unknownJobReport{lastListedAt: u.lastListedAt}
 		for i := range u.ends {
 			if u.ends[i].Task.Job == job {
+				sc.createListedOccurrence(now, wallMS, u.ends[i].Task)
 				sc.endRun(now, wallMS, w, &u.ends[i])
 			} else {
 				w.unknownJobs.ends = append(w.unknownJobs.ends, u.ends[i])
@@ -78,7 +79,7 @@
 		}
 		for i := range u.runs {
 			if u.runs[i].Task.Job == job {
-				sc.adoptRun(now, w, &u.runs[i])
+				sc.adoptRun(now, wallMS, w, &u.runs[i])
 			} else {
 				w.unknownJobs.runs = append(w.unknownJobs.runs, u.runs[i])
 			}
@@ -107,7 +108,7 @@
 		runs := w.unknownJobs.runs
 		w.unknownJobs = unknownJobReport{}
 		for i := range runs {
-			sc.adoptRun(now, w, &runs[i])
+			sc.adoptRun(now, 0, w, &runs[i])
 		}
 		sc.afterHeldChange(w)
 	}
