Keep the held ends of a worker whose lease has expired

Callers could see: a task ran again after its run had ended as done.

Cause: the ends of runs of jobs that have not been read are held, and not acknowledged until they have been. When the worker's lease expired, they were dropped with everything else that was held, although the life of the runner and its connection may go on. The next end on that connection was acknowledged past them.

Evidence, before the fix (testdata/unknown.json):

an end of an unknown job outlives its worker's lease: event 2 (ended): acknowledged ends: got ["w1 1 "], want [] event 3: phase of a: got queued, want completed

Change: with the lease only held runs are dropped. A report, also of another life, replaces held ends as before: it lists those that are not acknowledged.

Tests of pkg/dispatch and internal/coordinator pass.

--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -10,8 +10,10 @@
 // endAllRuns ends every run at a worker and records the runs as lost. crashed is set if the worker's runner has
 // ended without having announced it, c is from what the ends are concluded.
 func (sc *Scheduler) endAllRuns(now time.Time, wallMS int64, w *workerState, crashed bool, c Conclusion) {
-	w.unknownJobs = unknownJobReport{}
-	delete(sc.workersWithUnknownJobs, w)
+	w.unknownJobs.runs = nil // ends stay held: what they say remains true, and later ones must not be acknowledged past them
+	if w.unknownJobs.empty() {
+		delete(sc.workersWithUnknownJobs, w)
+	}
 	sc.forgetAllUnwanted(w)
 	var abandoned []*run
 	for _, r := range slices.Clone(sc.runsInOrder(w)) {
