Keep the held report of a worker up to date with what arrives after it

Callers could see: a task of a new worker whose start was refused was neither running nor started again until its agent reconnected; the end of a run cost a second report; a job waited for a run that had ended with the worker's lease.

Cause: the first report of a worker waits until the worker's name is stored. Refusals and ends that arrived meanwhile were checked against the scheduler, which does not know the life of the runner yet, and were dropped. Later the report was applied as it had arrived: runs that had ended or were known never to start were taken over as running. When the lease expired meanwhile, the report was still applied, and nothing ended its runs.

Evidence, before the fix:

TestHeldReportFollowsWhatArrivesMeanwhile/the_run_ends_as_done: phase: got running, want completed .../the_run_is_refused: starts: got 0, want 1 TestHeldReportIsDroppedWithTheLease: starts of the task whose run has ended with its lease: got 0, want 1

Change: ends and refusals change the held report. It is dropped with the worker's lease, and when ends do not follow on it; the agent then reports again. A ping updates the description, but not the number up to which the report shows ends.

Tests of internal/coordinator pass with -race.

--- a/internal/coordinator/held_report_test.go
+++ b/internal/coordinator/held_report_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
@@ -57,3 +58,70 @@
 		t.Errorf("with job a in phase %s: got ends up to %d acknowledged, want none", phase, got)
 	}
 }
+
+// startsAfter returns the tasks that the scheduler starts, given that no run of an earlier term is left.
+func startsAfter(current *term) []workflow.TaskID {
+	current.scheduler.ExpireEarlierTerms()
+	var out []workflow.TaskID
+	for _, s := range current.scheduler.Decide(clock.Steady(), clock.WallMS()).Starts() {
+		out = append(out, s.Task)
+	}
+	return out
+}
+
+func TestHeldReportFollowsWhatArrivesMeanwhile(t *testing.T) {
+	task := workflow.TaskID{Job: "a"}
+	for _, tc := range []struct {
+		name    string
+		arrives *peer.Message
+		// starts is the number of starts of the task, phase that of its job afterwards.
+		starts int
+		phase  workflow.Phase
+	}{
+		{"nothing", &peer.Message{Ping: &peer.Ping{Seq: 1}}, 0, workflow.PhaseRunning},
+		{"the run ends as done", done(0, task), 0, workflow.PhaseCompleted},
+		{"the run is refused", &peer.Message{OrderRefused: &peer.OrderRefused{Life: 1, Task: task, Run: 1}}, 1, workflow.PhaseRunning},
+		{"a run of another life is refused", &peer.Message{OrderRefused: &peer.OrderRefused{Life: 2, Task: task, Run: 1}}, 0, workflow.PhaseRunning},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, current := newDispatcher(t, &standin.Store{})
+			admitSingle(current, "a")
+			conn, hello := pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "w1"}
+			r := reportOf("w1")
+			r.Runs = []dispatch.RunStatus{{Task: task, Run: 1}}
+			c.handleAgentMessage(conn, hello, &peer.Message{Report: r})
+			c.handleAgentMessage(conn, hello, tc.arrives)
+			c.registerWorkers(context.Background(), current)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if got := len(startsAfter(current)); got != tc.starts {
+				t.Errorf("starts: got %d, want %d", got, tc.starts)
+			}
+			if got, _ := current.scheduler.Phase("a"); got != tc.phase {
+				t.Errorf("phase: got %s, want %s", got, tc.phase)
+			}
+		})
+	}
+}
+
+func TestHeldReportIsDroppedWithTheLease(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	task := admitSingle(current, "a")
+	conn, hello := pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "w1"}
+	r := reportOf("w1")
+	r.Runs = []dispatch.RunStatus{{Task: task, Run: 1}}
+	c.handleAgentMessage(conn, hello, &peer.Message{Report: r})
+	c.mu.Lock()
+	now := clock.Steady()
+	current.agents["w1"].lastContact = now.Add(-time.Minute)
+	current.leaderLease.Renew(now)
+	current.checkWorkers(now, c)
+	c.mu.Unlock()
+	c.registerWorkers(context.Background(), current)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current.applyReport(now, c, reportOf("w2"))
+	if got, want := len(startsAfter(current)), 1; got != want {
+		t.Errorf("starts of the task whose run has ended with its lease: got %d, want %d", got, want)
+	}
+}
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -174,6 +174,7 @@
 		if m.OrderRefused.TicketRejected {
 			t.scheduler.TicketRefused(h.Name, m.OrderRefused.Task)
 		}
+		t.removeHeldRun(h.Name, m.OrderRefused)
 		t.scheduler.OrderRefused(now, clock.WallMS(), h.Name, m.OrderRefused.Life, m.OrderRefused.Task, m.OrderRefused.Run)
 	case m.PolicyAnswer != nil:
 		c.handlePolicyAnswer(now, t, h.Name, m.PolicyAnswer)
@@ -181,10 +182,15 @@
 	notify(c.wakeLead)
 }
 
-// applyRunEnds passes run ends of a worker to the scheduler. It closes the connection if ends before them are
+// applyRunEnds passes run ends of a worker to the scheduler, or adds them to the worker's held report. It closes the connection if ends before them are
 // missing, so that the agent reports all ends that are not acknowledged. The caller holds mu.
 func (c *Coordinator) applyRunEnds(now time.Time, t *term, conn *peer.Conn, name string, r *peer.RunEnds) {
-	ignored, complete := t.scheduler.ApplyEnds(now, clock.WallMS(), name, r.Life, r.After, r.Ends)
+	ignored, complete := 0, false
+	if held := t.unregistered[name]; held != nil {
+		complete = t.addHeldEnds(held, r)
+	} else {
+		ignored, complete = t.scheduler.ApplyEnds(now, clock.WallMS(), name, r.Life, r.After, r.Ends)
+	}
 	if ignored > 0 {
 		c.count("run-ends-ignored", ignored)
 		c.log.Warn().Str("worker", name).Uint64("life", r.Life).Int("ends", ignored).Msg("ignored run ends of unknown tasks")
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -147,15 +147,6 @@
 		Uint64("term", t.number).Msg("worker reported")
 }
 
-// updateHeldReport replaces the description of a worker in its held report, if the life of its runner is the
-// same: the name may take long to be stored, and the worker may have shrunk or begun to drain since. The
-// caller holds mu.
-func (t *term) updateHeldReport(w *dispatch.Worker) {
-	if held := t.unregistered[w.Name]; held != nil && held.Worker.Life == w.Life {
-		held.Worker = *w
-	}
-}
-
 // checkWorkers marks workers that are silent, and has the scheduler count the runs of workers
 // whose leases have expired as ended. The caller holds mu.
 func (t *term) checkWorkers(now time.Time, c *Coordinator) {
@@ -169,6 +160,7 @@
 		}
 		if t.leasesExpired(now, c, leadership.WorkerLeaseEndsBy(a.lastContact)) {
 			a.leaseExpired = true
+			delete(t.unregistered, a.name) // the runs that it shows have ended
 			c.count("workers-lost", 1)
 			n := t.scheduler.WorkerLeaseExpired(now, a.name)
 			c.log.Warn().Str("worker", a.name).Dur("silent", silence).Int("runs", n).Msg("worker lost; the leases of its runs have expired")
