Hold the report of an agent that knows no term until a write confirms the term

Callers could see: a dispatcher that is cut off from the store and the other entries starts a task that the later dispatcher has finished, or takes a run for ended that has ended as done under the later one.

Cause: an agent and its runner refuse what an earlier term orders, once they have heard of a later one. If both restart, neither knows: the new agent process joins the old dispatcher, which may act for up to 10 s after the store last took a write of it.

Evidence, before the fix:

TestSupersededDispatcherStartsNothingAtAWorkerThatForgotTheLaterTerm /a_new_process,_with_a_later_term_in_the_store: starts: got 1, want 0 /..._that_is_out_of_reach: starts: got 1, want 0 TestReconnectedProcessStaysHeldUntilAWriteIsAccepted: starts before a write: got 1, want 0 TestRunsAreNotTakenForEndedOnTheWordOfANewProcess: starts before a write: got 1, want 0

Change: the report of an agent process that knew no term when it connected is held, as that of a worker whose name is not stored, until the store has accepted a write under the term that was sent after the process first reported. Such a write costs one empty append for all reports that wait.

Why it works: with that write accepted, a later term begins after the process has heard of this one. A process that knows an earlier term has been there since before this term began. It has not served a later dispatcher, or it would know that term; so the later one has no report of this worker and starts nothing that this one may start until the leases that this one may extend are over.

No write is needed, and agents are served as before while the store is away, if the process knows an earlier term or this one, or if the runner is in the life that it had in this term: a runner that a later dispatcher has used rejects the calls of this term.

Open: a process that joined a superseded dispatcher of one term, and was held there, names that term to another superseded dispatcher of a later term, and is served. That takes two superseded dispatchers with valid leases at once.

--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -37,35 +37,39 @@
 }
 
 // registerWorkers stores the names of new workers before they get their first task, so
-// that a later dispatcher waits for their reports or the end of their leases.
+// that a later dispatcher waits for their reports or the end of their leases. It then applies the held reports,
+// once the store has accepted a write under the term.
 func (c *Coordinator) registerWorkers(ctx context.Context, t *term) {
 	c.mu.Lock()
 	var records []store.Record
 	for w := range t.unregistered {
-		records = append(records, store.Record{Key: w, Value: []byte{1}})
+		if !t.registered[w] {
+			records = append(records, store.Record{Key: w, Value: []byte{1}})
+		}
 	}
+	held := len(t.unregistered)
 	c.mu.Unlock()
-	if len(records) == 0 {
+	if held == 0 {
 		return
 	}
-	_, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) {
-		return c.store.Append(ctx, store.AppendRequest{Topic: store.TopicWorkers, Records: records})
-	})
-	if err != nil {
-		c.log.Warn().Err(err).Int("workers", len(records)).Msg("storing the names of workers failed")
-		return
+	if len(records) > 0 {
+		_, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) {
+			return c.store.Append(ctx, store.AppendRequest{Topic: store.TopicWorkers, Records: records})
+		})
+		if err != nil {
+			c.log.Warn().Err(err).Int("workers", len(records)).Msg("storing the names of workers failed")
+			return
+		}
 	}
 	if !c.appendProgress(ctx, t, nil, true) {
 		return // a later dispatcher may have read the names before these were stored
 	}
 	c.mu.Lock()
-	now := clock.Steady()
 	for _, r := range records {
 		t.registered[r.Key] = true
-		if report := t.unregistered[r.Key]; report != nil && c.term == t {
-			t.applyReport(now, c, report)
-		}
-		delete(t.unregistered, r.Key)
+	}
+	if c.term == t {
+		t.releaseReports(clock.Steady(), c)
 	}
 	c.mu.Unlock()
 	notify(c.wakeLead)
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -119,7 +119,8 @@
 }
 
 // handleAgentMessage handles a message from an agent. The first message after the Hello must
-// be a report. The agent of a new worker gets orders only once the worker's name is stored.
+// be a report. The agent of a new worker gets orders only once the worker's name is stored, a new agent process
+// only once the store has accepted a write under the term.
 func (c *Coordinator) handleAgentMessage(conn *peer.Conn, h *peer.Hello, m *peer.Message) {
 	now := clock.Steady()
 	c.mu.Lock()
@@ -150,11 +151,13 @@
 		}
 		a.lastContact, a.leaseExpired = now, false
 		m.Report.Worker.Name = h.Name
-		if !t.registered[h.Name] {
+		a.noteProcess(now, h)
+		if t.mustHold(a, m.Report) {
 			t.unregistered[h.Name] = m.Report
 			notify(c.wakeWriter)
 			return
 		}
+		delete(t.unregistered, h.Name)
 		t.applyReport(now, c, m.Report)
 	case a.conn != conn:
 		return // the agent has not sent a report on this connection in this term
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -22,7 +22,8 @@
 	agents map[string]*agentLink
 	// registered holds the workers whose names are stored, so that a later dispatcher waits for them.
 	registered map[string]bool
-	// unregistered holds the first reports of workers whose names are not stored yet.
+	// unregistered holds the reports of workers whose names are not stored yet, or whose agents are new
+	// processes; see mustHold.
 	unregistered map[string]*peer.Report
 	// appendSeq is the sequence number of the last append under the term that the store accepted.
 	appendSeq uint64
@@ -71,6 +72,10 @@
 	sentEntries uint64
 	// leaseExpired is set once the leases of all runs at the worker have expired.
 	leaseExpired bool
+	// newProcess is the incarnation of an agent process that knew no term when its first report arrived, at
+	// newProcessSince; that time is zero if the process knew a term.
+	newProcess      uint64
+	newProcessSince time.Time
 }
 
 // syncJob passes a job of the job table to the scheduler, and reports whether the scheduler's
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -155,6 +155,14 @@
 	sc.learnInterference(now, w)
 }
 
+// RunnerLife returns the life of a worker's runner; 0 if none is known.
+func (sc *Scheduler) RunnerLife(name string) uint64 {
+	if w := sc.workers[name]; w != nil {
+		return w.life
+	}
+	return 0
+}
+
 // workerState returns the state of a worker, which it creates if the worker is not known.
 func (sc *Scheduler) workerState(name string) *workerState {
 	w := sc.workers[name]
