Conclude nothing from a listing that may leave out run ends

Callers could see: a task ran again although its run had ended as done, with that end acknowledged later.

Cause: a runner lists at most 500 ends. With more that are not acknowledged, a run may be in neither list. The dispatcher then ordered it to stop; the agent stopped it, found it not listed and refused it, and the task started again. A dispatcher of a new term took such a worker for one that has reported everything, and started the task at once.

Change: a listing with the maximum number of ends says that there may be more, and so does a report made from it. Such a report stops no run, and tasks of earlier terms go on waiting for the worker. The agent refuses no run meanwhile, and reports again once its listing is complete. Ends that are listed are taken in and acknowledged as ever, so that the runner lists the next ones.

Why it works: all conclusions from a run that is not listed now come from a listing that holds every end. It is assumed that a runner lists the oldest ends first.

Tests of pkg/dispatch, internal/coordinator, internal/runneragent (with -race) and platform pass.

--- a/internal/coordinator/held_report.go
+++ b/internal/coordinator/held_report.go
@@ -53,9 +53,9 @@
 // caller holds mu.
 func (t *term) updateHeldReport(w *dispatch.Worker) {
 	if held := t.unregistered[w.Name]; held != nil && held.Worker.Life == w.Life {
-		last := held.Worker.LastSentEnd
+		last, more := held.Worker.LastSentEnd, held.Worker.MoreEnds
 		held.Worker = *w
-		held.Worker.LastSentEnd = last // the report covers no more ends than before
+		held.Worker.LastSentEnd, held.Worker.MoreEnds = last, more // the report covers no more ends than before
 	}
 }
 
--- a/internal/coordinator/held_report_test.go
+++ b/internal/coordinator/held_report_test.go
@@ -125,3 +125,24 @@
 		t.Errorf("starts of the task whose run has ended with its lease: got %d, want %d", got, want)
 	}
 }
+
+// A ping describes the worker as it is now, not what the held report shows.
+func TestPingAddsNoEndsToAHeldReport(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	a, b := admitSingle(current, "a"), admitSingle(current, "b")
+	conn, hello := pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "w1"}
+	r := reportOf("w1")
+	r.Worker.MoreEnds = true
+	r.Runs = []dispatch.RunStatus{{Task: a, Run: 1}}
+	c.handleAgentMessage(conn, hello, &peer.Message{Report: r})
+	w := reportOf("w1").Worker
+	w.LastSentEnd = 1
+	c.handleAgentMessage(conn, hello, &peer.Message{Ping: &peer.Ping{Seq: 1, Worker: &w}})
+	c.registerWorkers(context.Background(), current)
+	c.handleAgentMessage(conn, hello, done(1, b))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if got := acknowledgedEnd(current, "w1"); got != 0 {
+		t.Errorf("acknowledged after a gap: got %d, want 0", got)
+	}
+}
--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -116,6 +116,9 @@
 	// runs and runEnds are from the latest listing; runEnds leaves out acknowledged run ends.
 	runs    []dispatch.RunStatus
 	runEnds []dispatch.RunEnd
+	// moreEnds is Listing.MoreEnds of the latest listing, reportedMoreEnds that of the last report.
+	moreEnds         bool
+	reportedMoreEnds bool
 	// lastReportedEnd is the number of the last run end sent to the dispatcher, lastAckedEnd the
 	// number of the last run end that the dispatcher has stored.
 	lastReportedEnd uint64
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -153,7 +153,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := a.runner.Stop(callCtx, c, key.task, key.run)
 		cancel()
-		if err == nil && a.poll(ctx, 0) == nil {
+		if err == nil && a.poll(ctx, 0) == nil && !a.mayHaveEnded(key) {
 			break
 		}
 		clock.WaitForWake(ctx, nil, retryDelay)
@@ -166,6 +166,13 @@
 	a.refuse(life, key, errors.New(reason))
 }
 
+// mayHaveEnded reports whether the latest listing leaves open if run key has ended.
+func (a *Agent) mayHaveEnded(key runKey) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.moreEnds && !a.isListed(key)
+}
+
 // isListed reports whether the latest listing shows run key as running, or as ended and
 // not acknowledged. The caller holds mu.
 func (a *Agent) isListed(key runKey) bool {
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -156,7 +156,7 @@
 	a.runnerClockMS, a.runnerClockReadAt = l.ClockMS, now
 	a.sameLifeUntil = now.Add(sameLifeFor)
 	a.logVanishedRuns(l)
-	a.runs = l.Runs
+	a.runs, a.moreEnds = l.Runs, l.MoreEnds
 	a.runEnds = a.runEnds[:0]
 	for _, e := range l.RunEnds {
 		a.forgetStart(runKey{e.Task, e.Run})
@@ -175,6 +175,9 @@
 // logVanishedRuns logs the runs of the last listing that l neither lists nor shows as ended: the runner has
 // forgotten their ends. The caller holds mu.
 func (a *Agent) logVanishedRuns(l *Listing) {
+	if l.MoreEnds {
+		return
+	}
 	listed := make(map[runKey]bool, len(l.Runs)+len(l.RunEnds))
 	for i := range l.Runs {
 		listed[runKey{l.Runs[i].Task, l.Runs[i].Run}] = true
--- a/internal/runneragent/report.go
+++ b/internal/runneragent/report.go
@@ -78,17 +78,22 @@
 // sendReport sends a report of the worker's whole state to the dispatcher, if
 // connected. The caller holds mu.
 func (a *Agent) sendReport() {
-	a.lastReportedEnd = a.lastEndNumber()
+	a.lastReportedEnd, a.reportedMoreEnds = a.lastEndNumber(), a.moreEnds
 	if a.conn != nil {
 		a.conn.Send(&peer.Message{Report: a.newReport()})
 	}
 }
 
-// sendNewEnds sends the run ends that have not been sent to the dispatcher yet. The caller holds mu.
+// sendNewEnds sends the run ends that have not been sent to the dispatcher yet, or a full report if the last one
+// could not show which runs have ended and the present listing does. The caller holds mu.
 func (a *Agent) sendNewEnds() {
 	if a.conn == nil {
 		return
 	}
+	if a.reportedMoreEnds && !a.moreEnds {
+		a.sendReport()
+		return
+	}
 	var unsent []dispatch.RunEnd
 	for _, e := range a.runEnds {
 		if e.Number > a.lastReportedEnd {
@@ -111,7 +116,7 @@
 
 // describeWorker returns what the agent knows of its worker. The caller holds mu.
 func (a *Agent) describeWorker() dispatch.Worker {
-	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, PacePercent: a.guard.pacer.PacePercent(), LastSentEnd: a.lastReportedEnd}
+	w := dispatch.Worker{Name: a.settings.Name, Life: a.life, Draining: true, PacePercent: a.guard.pacer.PacePercent(), LastSentEnd: a.lastReportedEnd, MoreEnds: a.moreEnds}
 	if b := &a.heartbeat; b.StartedAtMS == a.life {
 		w.Service, w.Capacity, w.Labels, w.Draining, w.Instance = b.Service, b.Capacity, b.Labels, b.Draining, b.Instance
 		w.EndAnnounced = b.Draining
--- a/internal/runneragent/runner.go
+++ b/internal/runneragent/runner.go
@@ -56,6 +56,8 @@
 	Runs        []dispatch.RunStatus
 	// RunEnds are the run ends that have not been acknowledged to the runner.
 	RunEnds []dispatch.RunEnd
+	// MoreEnds is set if there may be further such run ends, with higher numbers.
+	MoreEnds bool
 }
 
 // Runner holds the functions that call the runner of the agent's worker.
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -43,6 +43,8 @@
 	// LastEnd is the last run end that a report covers, After the last one sent before Ends.
 	LastEnd uint64 `json:"last-end"`
 	After   uint64 `json:"after"`
+	// MoreEnds is set in a report if the runner may have ended more runs than it lists.
+	MoreEnds bool `json:"more-ends"`
 	// Job, Queue and Steps describe a job; FromEarlierTerm means that the job was accepted in an
 	// earlier term. The job runs RepeatCount times, first at FirstDueMS (Unix milliseconds), then
 	// every IntervalMS; if RepeatCount is 0, it runs once, immediately.
@@ -222,7 +224,7 @@
 // applyEvent calls the method of the scheduler that an event stands for.
 func applyEvent(t *testing.T, sc *Scheduler, now time.Time, wallMS int64, e *event) {
 	t.Helper()
-	w := &Worker{Name: e.Worker, Life: e.Life, Service: "bench", Capacity: worker.Resources{MilliCPU: e.MilliCPU, MemoryMB: e.MemMB}, Labels: e.Labels, Draining: e.Draining, EndAnnounced: e.Draining, PacePercent: 100, Instance: fmt.Sprintf("%s/%d", e.Worker, e.Life), LastSentEnd: e.LastEnd}
+	w := &Worker{Name: e.Worker, Life: e.Life, Service: "bench", Capacity: worker.Resources{MilliCPU: e.MilliCPU, MemoryMB: e.MemMB}, Labels: e.Labels, Draining: e.Draining, EndAnnounced: e.Draining, PacePercent: 100, Instance: fmt.Sprintf("%s/%d", e.Worker, e.Life), LastSentEnd: e.LastEnd, MoreEnds: e.MoreEnds}
 	if e.MilliCPU == 0 {
 		w.Capacity = worker.Resources{MilliCPU: 16000, MemoryMB: 64000}
 	}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -102,11 +102,13 @@
 	// LastSentEnd is the number of the last run end that the agent has sent: a report and the messages after it
 	// have shown all ends up to it that are not acknowledged.
 	LastSentEnd uint64 `cbor:"10,keyasint,omitempty"`
+	// MoreEnds is set if further runs may have ended whose ends the runner does not list yet.
+	MoreEnds bool `cbor:"11,keyasint,omitempty"`
 }
 
 // ApplyReport takes in the full state of a worker: its runs and the run ends that it lists. Runs
 // that the scheduler knows at the worker and the worker does not list are ordered to stop, so that
-// they can never start there.
+// they can never start there. A report of a worker that may list more ends later proves nothing about them.
 func (sc *Scheduler) ApplyReport(now time.Time, wallMS int64, info *Worker, runs []RunStatus, ends []RunEnd) {
 	w := sc.workerState(info.Name)
 	if w.life != info.Life {
@@ -132,6 +134,9 @@
 		}
 		sc.adoptRun(now, wallMS, w, &runs[i])
 	}
+	if w.moreEnds = info.MoreEnds; w.moreEnds {
+		return
+	}
 	for id, r := range w.runs {
 		if listed[id] != r.number && r.phase != runStopping {
 			sc.orderStop(now, r, "the worker does not report the run")
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -159,8 +159,14 @@
 func (sc *Scheduler) UnreportedWorkers() int { return len(sc.unreported) }
 
 // ExpireEarlierTerms records that no run started in an earlier term can still be running on a worker
-// that has not reported.
-func (sc *Scheduler) ExpireEarlierTerms() { clear(sc.unreported) }
+// that has not reported. A worker that has reported, but may list more ends, is still waited for.
+func (sc *Scheduler) ExpireEarlierTerms() {
+	for name := range sc.unreported {
+		if w := sc.workers[name]; w == nil || !w.moreEnds {
+			delete(sc.unreported, name)
+		}
+	}
+}
 
 type jobState struct {
 	submission *workflow.Submission
@@ -380,7 +386,9 @@
 	// lastEndNumber is the number up to which all run ends of the present life have been taken in or were
 	// acknowledged before.
 	lastEndNumber uint64
-	unknownJobs   unknownJobReport
+	// moreEnds is set while the last report said that the runner may list more ends.
+	moreEnds    bool
+	unknownJobs unknownJobReport
 }
 
 // free returns the resources that no task at the worker reserves.
