--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -119,7 +119,8 @@
 }
 
 // handleAgentMessage handles a message from an agent. The first message after the Hello must
-// be a report. The agent of a new worker gets orders only once the worker's name is stored.
+// be a report. The agent of a new worker gets orders only once the worker's name is stored, a new agent process
+// only once the store has accepted a write under the term.
 func (c *Coordinator) handleAgentMessage(conn *peer.Conn, h *peer.Hello, m *peer.Message) {
 	now := clock.Steady()
 	c.mu.Lock()
@@ -150,11 +151,13 @@
 		}
 		a.lastContact, a.leaseExpired = now, false
 		m.Report.Worker.Name = h.Name
-		if !t.registered[h.Name] {
+		a.noteProcess(now, h)
+		if t.mustHold(a, m.Report) {
 			t.unregistered[h.Name] = m.Report
 			notify(c.wakeWriter)
 			return
 		}
+		delete(t.unregistered, h.Name)
 		t.applyReport(now, c, m.Report)
 	case a.conn != conn:
 		return // the agent has not sent a report on this connection in this term
@@ -167,16 +170,14 @@
 			c.count("runs-"+e.How.String(), 1)
 			c.log.Info().Str("task", e.Task.String()).Uint64("run", e.Run).Str("worker", h.Name).Str("how", e.How.String()).Msg("run ended")
 		}
-		if n := t.scheduler.ApplyEnds(now, clock.WallMS(), h.Name, m.RunEnds.Life, m.RunEnds.Ends); n > 0 {
-			c.count("run-ends-ignored", n)
-			c.log.Warn().Str("worker", h.Name).Uint64("life", m.RunEnds.Life).Int("ends", n).Msg("ignored run ends of another life or of unknown tasks")
-		}
+		c.applyRunEnds(now, t, conn, h.Name, m.RunEnds)
 	case m.OrderRefused != nil:
 		c.count("orders-refused", 1)
 		c.log.Info().Str("task", m.OrderRefused.Task.String()).Uint64("run", m.OrderRefused.Run).Str("worker", h.Name).Str("reason", m.OrderRefused.Reason).Msg("agent refused an order")
 		if m.OrderRefused.TicketRejected {
 			t.scheduler.TicketRefused(h.Name, m.OrderRefused.Task)
 		}
+		t.removeHeldRun(h.Name, m.OrderRefused)
 		t.scheduler.OrderRefused(now, clock.WallMS(), h.Name, m.OrderRefused.Life, m.OrderRefused.Task, m.OrderRefused.Run)
 	case m.PolicyAnswer != nil:
 		c.handlePolicyAnswer(now, t, h.Name, m.PolicyAnswer)
@@ -184,6 +185,27 @@
 	notify(c.wakeLead)
 }
 
+// applyRunEnds passes run ends of a worker to the scheduler, or adds them to the worker's held report. It closes the connection if ends before them are
+// missing, so that the agent reports all ends that are not acknowledged. The caller holds mu.
+func (c *Coordinator) applyRunEnds(now time.Time, t *term, conn *peer.Conn, name string, r *peer.RunEnds) {
+	ignored, complete := 0, false
+	if held := t.unregistered[name]; held != nil {
+		complete = t.addHeldEnds(held, r)
+	} else {
+		ignored, complete = t.scheduler.ApplyEnds(now, clock.WallMS(), name, r.Life, r.After, r.Ends)
+	}
+	if ignored > 0 {
+		c.count("run-ends-ignored", ignored)
+		c.log.Warn().Str("worker", name).Uint64("life", r.Life).Int("ends", ignored).Msg("ignored run ends of unknown tasks")
+	}
+	if !complete {
+		c.count("run-ends-incomplete", len(r.Ends))
+		c.log.Warn().Str("worker", name).Uint64("life", r.Life).Uint64("after", r.After).Int("ends", len(r.Ends)).
+			Msg("run ends of another life or after a gap; closing the connection so that the agent sends a new report")
+		conn.Close()
+	}
+}
+
 // checkAgentMessage returns an error that names the first value of a message that this version does not
 // know.
 func checkAgentMessage(m *peer.Message) error {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -22,7 +22,8 @@
 	agents map[string]*agentLink
 	// registered holds the workers whose names are stored, so that a later dispatcher waits for them.
 	registered map[string]bool
-	// unregistered holds the first reports of workers whose names are not stored yet.
+	// unregistered holds the reports of workers whose names are not stored yet, or whose agents are new
+	// processes; see mustHold.
 	unregistered map[string]*peer.Report
 	// told holds the jobs that this entry was told of before all workers had reported, and has not read.
 	told map[string]struct{}
@@ -75,6 +76,10 @@
 	sentEntries uint64
 	// leaseExpired is set once the leases of all runs at the worker have expired.
 	leaseExpired bool
+	// newProcess is the incarnation of an agent process that knew no term when its first report arrived, at
+	// newProcessSince; that time is zero if the process knew a term.
+	newProcess      uint64
+	newProcessSince time.Time
 }
 
 // syncJob passes a job of the job table to the scheduler, and reports whether the scheduler's
@@ -183,15 +188,6 @@
 		Uint64("term", t.number).Msg("worker reported")
 }
 
-// updateHeldReport replaces the description of a worker in its held report, if the life of its runner is the
-// same: the name may take long to be stored, and the worker may have shrunk or begun to drain since. The
-// caller holds mu.
-func (t *term) updateHeldReport(w *dispatch.Worker) {
-	if held := t.unregistered[w.Name]; held != nil && held.Worker.Life == w.Life {
-		held.Worker = *w
-	}
-}
-
 // checkWorkers marks workers that are silent, and has the scheduler count the runs of workers
 // whose leases have expired as ended. The caller holds mu.
 func (t *term) checkWorkers(now time.Time, c *Coordinator) {
@@ -205,6 +201,7 @@
 		}
 		if t.leasesExpired(now, c, leadership.WorkerLeaseEndsBy(a.lastContact)) {
 			a.leaseExpired = true
+			delete(t.unregistered, a.name) // the runs that it shows have ended
 			c.count("workers-lost", 1)
 			n := t.scheduler.WorkerLeaseExpired(now, a.name)
 			c.log.Warn().Str("worker", a.name).Dur("silent", silence).Int("runs", n).Msg("worker lost; the leases of its runs have expired")
--- a/pkg/dispatch/contradiction_test.go
+++ b/pkg/dispatch/contradiction_test.go
@@ -50,7 +50,7 @@
 	sc.ApplyReport(now, 0, &Worker{Name: "w1", Life: 1, Service: "bench", Capacity: worker.Resources{MilliCPU: 1000}, PacePercent: 100}, nil, nil)
 	sc.Admit(now, 0, &workflow.Submission{ID: "a", Queue: "q", Spec: workflow.Spec{Steps: []workflow.Step{{Count: 1}}}}, nil, false)
 	sc.Decide(now, 0)
-	sc.ApplyEnds(now, 0, "w1", 1, []RunEnd{{Number: 1, Task: workflow.TaskID{Job: "a"}, Run: 1, How: OutcomeLapsed}})
+	sc.ApplyEnds(now, 0, "w1", 1, 0, []RunEnd{{Number: 1, Task: workflow.TaskID{Job: "a"}, Run: 1, How: OutcomeLapsed}})
 	got, _ := sc.PreviousRun(workflow.TaskID{Job: "a"})
 	if want := (PreviousRun{Run: 1, Worker: "w1", How: OutcomeLapsed}); got != want {
 		t.Errorf("previous run: got %+v, want %+v", got, want)
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -36,7 +36,7 @@
 	// fleet holds the same workers, sorted by name.
 	fleet []*workerState
 	jobs  map[string]*jobState
-	// repeatingJobs are jobs with occurrences that are still to be created.
+	// repeatingJobs are jobs with occurrences that are not due yet.
 	repeatingJobs map[*jobState]struct{}
 	// runNumberBase is added to run numbers, so that they increase from term to term.
 	runNumberBase uint64
@@ -159,8 +159,14 @@
 func (sc *Scheduler) UnreportedWorkers() int { return len(sc.unreported) }
 
 // ExpireEarlierTerms records that no run started in an earlier term can still be running on a worker
-// that has not reported.
-func (sc *Scheduler) ExpireEarlierTerms() { clear(sc.unreported) }
+// that has not reported. A worker that has reported, but may list more ends, is still waited for.
+func (sc *Scheduler) ExpireEarlierTerms() {
+	for name := range sc.unreported {
+		if w := sc.workers[name]; w == nil || !w.moreEnds {
+			delete(sc.unreported, name)
+		}
+	}
+}
 
 type jobState struct {
 	submission *workflow.Submission
@@ -174,8 +180,10 @@
 	// dispatcher may have started it.
 	fromEarlierTerm bool
 	occurrences     map[int]*occurrence
-	// nextOccurrence is the first occurrence that has not been created yet.
+	// nextOccurrence is the first occurrence that is not due yet, endOccurrence is above all that have
+	// been created.
 	nextOccurrence  int
+	endOccurrence   int
 	doneOccurrences int
 	// storedProgress is progress from the store that is applied when an occurrence is created.
 	storedProgress *workflow.Progress
@@ -185,6 +193,8 @@
 	job       *jobState
 	index     int
 	startedAt time.Time
+	// begun is set once the occurrence is due, so that its tasks may start.
+	begun     bool
 	steps     []*stepState
 	doneSteps int
 	// criticalPathMS is the estimated time of the longest chain of steps, in milliseconds.
@@ -377,9 +387,12 @@
 	// gets no further question before nextQuestionAt.
 	openQuestionCount int
 	nextQuestionAt    time.Time
-	// lastEndNumber is the highest number of a run end that the worker has listed.
+	// lastEndNumber is the number up to which all run ends of the present life have been taken in or were
+	// acknowledged before.
 	lastEndNumber uint64
-	unknownJobs   unknownJobReport
+	// moreEnds is set while the last report said that the runner may list more ends.
+	moreEnds    bool
+	unknownJobs unknownJobReport
 }
 
 // free returns the resources that no task at the worker reserves.
