--- a/internal/coordinator/later_test.go
+++ b/internal/coordinator/later_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
@@ -23,20 +22,20 @@
 }{
 	{"the Hello of a probe", func(t *testing.T, c *Coordinator, term uint64) {
 		t.Helper()
-		c.handleHello(pipeConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b", NewestTerm: term})
+		c.handleHello(pipedConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b", NewestTerm: term})
 	}},
 	{"the ping of an entry", func(t *testing.T, c *Coordinator, term uint64) {
 		t.Helper()
-		c.handleEntryPing(clock.Steady(), pipeConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b"}, &peer.Ping{NewestTerm: term})
+		c.handleEntryPing(clock.Steady(), pipedConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b"}, &peer.Ping{NewestTerm: term})
 	}},
 	{"a dispatcher's answer to a ping", func(t *testing.T, c *Coordinator, term uint64) {
 		t.Helper()
-		cc := newCallConn(pipeConn(t))
+		cc := newCallConn(pipedConn(t))
 		c.handleDispatcherMessage(context.Background(), cc, leadership.Claim{Term: 1, Entry: "entry-b"}, &peer.Message{Pong: &peer.Pong{DispatcherTerm: term}})
 	}},
 	{"the Welcome of a dispatcher", func(t *testing.T, c *Coordinator, term uint64) {
 		t.Helper()
-		c.handleWelcome(clock.Steady(), newCallConn(pipeConn(t)), leadership.Claim{Term: 1, Entry: "entry-b"}, &peer.Welcome{NewestTerm: term, IsDispatcher: true})
+		c.handleWelcome(clock.Steady(), newCallConn(pipedConn(t)), leadership.Claim{Term: 1, Entry: "entry-b"}, &peer.Welcome{NewestTerm: term, IsDispatcher: true})
 	}},
 	{"the answer to a probe", func(t *testing.T, c *Coordinator, term uint64) {
 		t.Helper()
@@ -67,18 +66,10 @@
 		t.Helper()
 		sub := submission("a")
 		sub.Term = term
-		c.handleEntryMessage(context.Background(), pipeConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b"}, &peer.Message{SubmissionStored: &peer.SubmissionStored{Submission: *sub}})
+		c.handleEntryMessage(context.Background(), pipedConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b"}, &peer.Message{SubmissionStored: &peer.SubmissionStored{Submission: *sub}})
 	}},
 }
 
-// pipeConn returns a connection whose other end reads nothing.
-func pipeConn(t *testing.T) *peer.Conn {
-	t.Helper()
-	here, there := net.Pipe()
-	t.Cleanup(func() { _ = here.Close(); _ = there.Close() })
-	return peer.NewConn(here)
-}
-
 // claimWhileHearing has an entry claim term 3 and calls hear between the fence and the beginning of the term.
 // It reports whether the term begins.
 func claimWhileHearing(t *testing.T, c *Coordinator, s *standin.Store, hear func()) bool {
@@ -125,7 +116,7 @@
 func TestTermNamedBeforeClaimDoesNotCount(t *testing.T) {
 	s := &standin.Store{}
 	c := newTestEntry(t, "entry-a", s)
-	c.handleHello(pipeConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b", NewestTerm: laterTerm})
+	c.handleHello(pipedConn(t), &peer.Hello{Role: peer.RoleEntry, Name: "entry-b", NewestTerm: laterTerm})
 	if got := claimWhileHearing(t, c, s, func() {}); !got {
 		t.Errorf("begins its term: got %v, want true", got)
 	}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -99,11 +99,16 @@
 	Instance string `cbor:"8,keyasint,omitempty"`
 	// EndAnnounced is set if this life of the runner has said that it is about to end.
 	EndAnnounced bool `cbor:"9,keyasint,omitempty"`
+	// LastSentEnd is the number of the last run end that the agent has sent: a report and the messages after it
+	// have shown all ends up to it that are not acknowledged.
+	LastSentEnd uint64 `cbor:"10,keyasint,omitempty"`
+	// MoreEnds is set if further runs may have ended whose ends the runner does not list yet.
+	MoreEnds bool `cbor:"11,keyasint,omitempty"`
 }
 
 // ApplyReport takes in the full state of a worker: its runs and the run ends that it lists. Runs
 // that the scheduler knows at the worker and the worker does not list are ordered to stop, so that
-// they can never start there.
+// they can never start there. A report of a worker that may list more ends later proves nothing about them.
 func (sc *Scheduler) ApplyReport(now time.Time, wallMS int64, info *Worker, runs []RunStatus, ends []RunEnd) {
 	w := sc.workerState(info.Name)
 	if w.life != info.Life {
@@ -118,7 +123,8 @@
 	delete(sc.workersWithUnknownJobs, w)
 	sc.setWorkerInfo(now, w, info)
 	sc.forgetAllUnwanted(w)
-	sc.ApplyEnds(now, wallMS, info.Name, info.Life, ends)
+	sc.applyEnds(now, wallMS, w, ends)
+	w.lastEndNumber = max(w.lastEndNumber, info.LastSentEnd)
 	listed := make(map[workflow.TaskID]uint64, len(runs))
 	for i := range runs {
 		listed[runs[i].Task] = runs[i].Run
@@ -126,7 +132,10 @@
 			sc.holdRun(now, w, &runs[i])
 			continue
 		}
-		sc.adoptRun(now, w, &runs[i])
+		sc.adoptRun(now, wallMS, w, &runs[i])
+	}
+	if w.moreEnds = info.MoreEnds; w.moreEnds {
+		return
 	}
 	for id, r := range w.runs {
 		if listed[id] != r.number && r.phase != runStopping {
@@ -151,6 +160,14 @@
 	sc.learnInterference(now, w)
 }
 
+// RunnerLife returns the life of a worker's runner; 0 if none is known.
+func (sc *Scheduler) RunnerLife(name string) uint64 {
+	if w := sc.workers[name]; w != nil {
+		return w.life
+	}
+	return 0
+}
+
 // workerState returns the state of a worker, which it creates if the worker is not known.
 func (sc *Scheduler) workerState(name string) *workerState {
 	w := sc.workers[name]
@@ -219,11 +236,12 @@
 // adoptRun takes in the status of a run from a report. The run may have been ordered in an
 // earlier term. It is ordered to stop if its task is not known or needs no further run. A run at work
 // is needed more than one that may still start.
-func (sc *Scheduler) adoptRun(now time.Time, w *workerState, status *RunStatus) {
+func (sc *Scheduler) adoptRun(now time.Time, wallMS int64, w *workerState, status *RunStatus) {
 	if r := w.runs[status.Task]; r != nil && r.number == status.Run {
 		sc.updateRun(now, r, status)
 		return
 	}
+	sc.createListedOccurrence(now, wallMS, status.Task)
 	s, t := sc.task(status.Task)
 	if t != nil {
 		sc.noteContradiction(t, Contradiction{Task: status.Task, Run: status.Run, Worker: w.name, Pending: status.Pending})
@@ -269,13 +287,20 @@
 	}
 }
 
-// ApplyEnds takes in the run ends that a worker lists in one life of its runner; those of another
-// life are ignored. It returns the number of ends that are ignored.
-func (sc *Scheduler) ApplyEnds(now time.Time, wallMS int64, name string, life uint64, ends []RunEnd) (ignored int) {
+// ApplyEnds takes in the run ends that a worker lists in one life of its runner after the end with the number
+// after. complete is false, and nothing is taken in, if the life is not the known one or an end in between has
+// not been taken in: the worker has to report again. ignored is the number of ends that belong to no task.
+func (sc *Scheduler) ApplyEnds(now time.Time, wallMS int64, name string, life, after uint64, ends []RunEnd) (ignored int, complete bool) {
 	w := sc.workerState(name)
-	if w.life != life {
-		return len(ends)
+	if w.life != life || after > w.lastEndNumber {
+		return 0, false
 	}
+	return sc.applyEnds(now, wallMS, w, ends), true
+}
+
+// applyEnds takes in the next run ends in the present life of a worker's runner, and returns how many of them belong
+// to no task.
+func (sc *Scheduler) applyEnds(now time.Time, wallMS int64, w *workerState, ends []RunEnd) (ignored int) {
 	for i := range ends {
 		e := &ends[i]
 		w.lastEndNumber = max(w.lastEndNumber, e.Number)
@@ -284,6 +309,7 @@
 			sc.holdEnd(now, w, e)
 			continue
 		}
+		sc.createListedOccurrence(now, wallMS, e.Task)
 		if _, t := sc.task(e.Task); t == nil {
 			ignored++
 		}
