--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -89,6 +89,8 @@
 	// have measured between images, and interferenceOffset the offset of that record.
 	storedInterference []byte
 	interferenceOffset uint64
+	// stoppedBefore is the newest term before which all dispatchers are stored as having stopped.
+	stoppedBefore uint64
 	// tails holds the read positions in jobTopics.
 	tails [len(jobTopics)]tail
 	// jobReads is the number of calls of catchUp that have not returned.
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -187,11 +187,18 @@
 			}
 			continue
 		}
+		if r.Key == stoppedBeforeKey {
+			c.applyStoppedBefore(r.Value)
+			continue
+		}
 		id, err := c.jobs.Apply(r.Record, r.Offset)
 		if err != nil {
 			c.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("skipped a job record that cannot be applied")
 			continue
 		}
+		if j, ok := c.jobs.Job(id); ok && j.Submission() != nil {
+			c.noteTerm(j.Submission().Term, "the record of job "+id) // a later one ends this term
+		}
 		if c.term != nil {
 			changed = c.term.syncJob(now, c, id, gapless) || changed
 		}
