Number an agent's connections, so that an earlier one never replaces the next

Cause: once the newer connection had ended it was forgotten, and a report on the one before counted again; and a Hello that was read after that of the next connection closed the next one.

Change: Hello carries the number of the connection among those that the agent process has opened. The numbers of two processes are not compared, since the clock that tells them apart may be set back.

--- /dev/null
+++ b/internal/coordinator/agent_conn.go
@@ -0,0 +1,38 @@
+package coordinator
+
+import "savoryhoist.example/savoryhoist/internal/peer"
+
+// agentConn is the newest connection of an agent, which has one at a time. What the agent sent on an earlier one
+// may arrive later.
+type agentConn struct {
+	// conn is nil once the connection has ended.
+	conn *peer.Conn
+	// incarnation identifies the agent process, number the connection among those that it has opened.
+	incarnation, number uint64
+}
+
+// noteAgentConn records the connection on which an agent said h, and reports whether it is the agent's newest one.
+// The caller holds mu.
+func (c *Coordinator) noteAgentConn(conn *peer.Conn, h *peer.Hello) bool {
+	if last, known := c.agentConns[h.Name]; known && last.incarnation == h.Incarnation && h.Connection < last.number {
+		return false
+	}
+	c.agentConns[h.Name] = agentConn{conn: conn, incarnation: h.Incarnation, number: h.Connection}
+	return true
+}
+
+// agentConnEnded records that a connection of an agent has ended. The caller holds mu.
+func (c *Coordinator) agentConnEnded(conn *peer.Conn, name string) {
+	if n, known := c.agentConns[name]; known && n.conn == conn {
+		n.conn = nil
+		c.agentConns[name] = n
+	}
+}
+
+// skipReason returns why a message of an agent must not count, or "". The caller holds mu.
+func (c *Coordinator) skipReason(conn *peer.Conn, name string) string {
+	if n, known := c.agentConns[name]; known && n.conn != conn {
+		return "the agent has opened another connection"
+	}
+	return ""
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -16,7 +16,6 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
-	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/leadership"
 	"savoryhoist.example/savoryhoist/pkg/workflow"
@@ -111,7 +110,7 @@
 	// links holds the connections that other entries opened to this one, by their peer address.
 	links map[string]*entryLink
 	// agentConns holds the newest connection of each agent, by the name of its worker.
-	agentConns map[string]*peer.Conn
+	agentConns map[string]agentConn
 	// draining is set once this entry shuts down.
 	draining bool
 	// dispatcherConn is the connection to the dispatcher; nil if there is none, or if this entry
@@ -138,7 +137,7 @@
 	}
 	c := &Coordinator{
 		settings: s, store: storeClient, log: logger, registry: registry, listener: ln,
-		wakeLead: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), wakeTail: make(chan struct{}, 1), intake: make(chan *intakeItem, intakeQueueLength), entries: make(map[string]entryInfo), links: make(map[string]*entryLink), agentConns: make(map[string]*peer.Conn),
+		wakeLead: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), wakeTail: make(chan struct{}, 1), intake: make(chan *intakeItem, intakeQueueLength), entries: make(map[string]entryInfo), links: make(map[string]*entryLink), agentConns: make(map[string]agentConn),
 	}
 	for _, a := range s.Entries {
 		c.noteEntry(a, "", 0)
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -84,10 +84,11 @@
 			c.links[h.PeerAddress] = &entryLink{conn: conn, name: h.Name, address: h.PeerAddress, connectedAt: now, lastContact: now, storeContactAge: time.Hour, calls: newCallConn(conn)}
 		}
 	}
-	if h.Role == peer.RoleAgent {
-		c.agentConns[h.Name] = conn
-	}
 	c.noteTerm(h.NewestTerm, h.Name)
+	if h.Role == peer.RoleAgent && !c.noteAgentConn(conn, h) {
+		conn.Close()
+		return
+	}
 	w := &peer.Welcome{
 		Name: c.settings.Name, Incarnation: c.settings.Incarnation, NewestClaim: c.candidate.Claim(), NewestTerm: c.candidate.Claim().Term,
 		IsDispatcher: c.term != nil,
@@ -111,9 +112,7 @@
 		}
 		return
 	}
-	if c.agentConns[h.Name] == conn {
-		delete(c.agentConns, h.Name)
-	}
+	c.agentConnEnded(conn, h.Name)
 	if c.term == nil {
 		return
 	}
@@ -137,17 +136,16 @@
 		conn.Close()
 		return
 	}
-	if newest := c.agentConns[h.Name]; newest != nil && newest != conn {
-		// An agent has one connection at a time; what it sent before it opened the next one may arrive later.
-		c.log.Info().Str("worker", h.Name).Msg("skipped a message on a connection that its agent has abandoned")
-		conn.Close()
-		return
-	}
 	t := c.term
 	if t == nil {
 		conn.Send(&peer.Message{Pong: &peer.Pong{}}) // the agent looks for the dispatcher then
 		return
 	}
+	if reason := c.skipReason(conn, h.Name); reason != "" {
+		c.log.Info().Str("worker", h.Name).Uint64("term", t.number).Str("reason", reason).Msg("skipped a message of an agent and closed its connection")
+		conn.Close()
+		return
+	}
 	a := t.agents[h.Name]
 	if a == nil {
 		a = &agentLink{name: h.Name}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -60,6 +60,8 @@
 	NewestTerm uint64 `cbor:"7,keyasint,omitempty"`
 	// Strength is what an entry's VM can do for the dispatcher, in thousandths of a processor.
 	Strength int `cbor:"8,keyasint,omitempty"`
+	// Connection numbers the connections that an agent process has opened.
+	Connection uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Welcome is the answer of an entry to a Hello.
--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -111,6 +111,8 @@
 	// term is the leadership term of the dispatcher that the agent serves or served last; 0
 	// before the first.
 	term uint64
+	// connections counts the connections that the agent has opened to entries.
+	connections uint64
 	// conn is the connection to the dispatcher; nil until the agent has reported on it.
 	conn *peer.Conn
 	// runs and runEnds are from the latest listing; runEnds leaves out acknowledged run ends.
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -118,10 +118,11 @@
 	detach := context.AfterFunc(ctx, conn.Close)
 	defer detach()
 	a.mu.Lock()
-	term := a.term
+	a.connections++
+	term, number := a.term, a.connections
 	a.mu.Unlock()
 	conn.Send(&peer.Message{Hello: &peer.Hello{
-		Role: peer.RoleAgent, Name: a.settings.Name, Incarnation: a.settings.Incarnation, Zone: a.settings.Zone, Persistent: true, NewestTerm: term,
+		Role: peer.RoleAgent, Name: a.settings.Name, Incarnation: a.settings.Incarnation, Zone: a.settings.Zone, Persistent: true, NewestTerm: term, Connection: number,
 	}})
 	err = conn.Run(&a.group, func(m *peer.Message) {
 		switch {
