Count an agent's messages only in the term that welcomed it

Cause: an entry that resigned and led again later took a report on a connection of its earlier term for one in the present term. The worker no longer counted as unreported, although its agent still served the earlier term and could then join a superseded dispatcher of a term in between.

Evidence: TestReportOfAnAgentOfAnEarlierTermOfThisEntryDoesNotCount failed: 'unreported workers: got 0, want 1'.

Change: the entry keeps the term in which it welcomed an agent, and closes the connection in any other one. The agent connects again and learns the present term before it reports.

--- a/internal/coordinator/agent_conn.go
+++ b/internal/coordinator/agent_conn.go
@@ -9,6 +9,8 @@
 	conn *peer.Conn
 	// incarnation identifies the agent process, number the connection among those that it has opened.
 	incarnation, number uint64
+	// term is the term of this entry when the connection began; 0 if it was not the dispatcher.
+	term uint64
 }
 
 // noteAgentConn records the connection on which an agent said h, and reports whether it is the agent's newest one.
@@ -17,7 +19,11 @@
 	if last, known := c.agentConns[h.Name]; known && last.incarnation == h.Incarnation && h.Connection < last.number {
 		return false
 	}
-	c.agentConns[h.Name] = agentConn{conn: conn, incarnation: h.Incarnation, number: h.Connection}
+	n := agentConn{conn: conn, incarnation: h.Incarnation, number: h.Connection}
+	if c.term != nil {
+		n.term = c.term.number
+	}
+	c.agentConns[h.Name] = n
 	return true
 }
 
@@ -29,10 +35,17 @@
 	}
 }
 
-// skipReason returns why a message of an agent must not count, or "". The caller holds mu.
-func (c *Coordinator) skipReason(conn *peer.Conn, name string) string {
-	if n, known := c.agentConns[name]; known && n.conn != conn {
+// skipReason returns why a message of an agent must not count in the term t, or "". An agent that was welcomed in
+// another term serves that one. The caller holds mu.
+func (c *Coordinator) skipReason(t *term, conn *peer.Conn, name string) string {
+	n, known := c.agentConns[name]
+	switch {
+	case !known:
+		return ""
+	case n.conn != conn:
 		return "the agent has opened another connection"
+	case n.term != t.number:
+		return "the connection began in another term"
 	}
 	return ""
 }
--- a/internal/coordinator/late_report_test.go
+++ b/internal/coordinator/late_report_test.go
@@ -6,6 +6,7 @@
 
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/internal/standin"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
 
 // helloConn returns a connection on which c has handled the Hello of the agent of worker w1.
@@ -86,3 +87,22 @@
 		})
 	}
 }
+
+func TestReportOfAnAgentOfAnEarlierTermOfThisEntryDoesNotCount(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	current.registered["w1"] = true
+	conn, hello := helloConn(t, c, 1, 1)
+	later := &term{number: ownTerm + 2, agents: make(map[string]*agentLink), registered: map[string]bool{"w1": true}, unregistered: make(map[string]*peer.Report)}
+	later.scheduler.SetQueues(map[string]dispatch.Queue{"plans": {Service: "bench"}})
+	later.scheduler.BeginTerm(later.number, []string{"w1"})
+	c.mu.Lock()
+	c.term = later
+	c.mu.Unlock()
+	c.handleAgentMessage(conn, hello, &peer.Message{Report: reportOf("w1")})
+	if got, want := later.scheduler.UnreportedWorkers(), 1; got != want {
+		t.Errorf("unreported workers: got %d, want %d", got, want)
+	}
+	if !isClosed(conn) {
+		t.Error("connection: got open, want closed")
+	}
+}
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -141,7 +141,7 @@
 		conn.Send(&peer.Message{Pong: &peer.Pong{}}) // the agent looks for the dispatcher then
 		return
 	}
-	if reason := c.skipReason(conn, h.Name); reason != "" {
+	if reason := c.skipReason(t, conn, h.Name); reason != "" {
 		c.log.Info().Str("worker", h.Name).Uint64("term", t.number).Str("reason", reason).Msg("skipped a message of an agent and closed its connection")
 		conn.Close()
 		return
