--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -196,9 +196,10 @@
 // admitStored passes a stored submission to the scheduler if this entry is the dispatcher.
 func (c *Coordinator) admitStored(now time.Time, s *peer.SubmissionStored) {
 	c.mu.Lock()
+	c.noteTerm(s.Submission.Term, "the submission of job "+s.Submission.ID)
 	if c.term != nil {
 		c.term.backlog.add(now)
-		c.term.scheduler.Admit(now, clock.WallMS(), &s.Submission, nil, false)
+		c.term.admitTold(now, c, &s.Submission)
 	}
 	c.mu.Unlock()
 	notify(c.wakeLead)
--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -37,35 +37,39 @@
 }
 
 // registerWorkers stores the names of new workers before they get their first task, so
-// that a later dispatcher waits for their reports or the end of their leases.
+// that a later dispatcher waits for their reports or the end of their leases. It then applies the held reports,
+// once the store has accepted a write under the term.
 func (c *Coordinator) registerWorkers(ctx context.Context, t *term) {
 	c.mu.Lock()
 	var records []store.Record
 	for w := range t.unregistered {
-		records = append(records, store.Record{Key: w, Value: []byte{1}})
+		if !t.registered[w] {
+			records = append(records, store.Record{Key: w, Value: []byte{1}})
+		}
 	}
+	held := len(t.unregistered)
 	c.mu.Unlock()
-	if len(records) == 0 {
+	if held == 0 {
 		return
 	}
-	_, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) {
-		return c.store.Append(ctx, store.AppendRequest{Topic: store.TopicWorkers, Records: records})
-	})
-	if err != nil {
-		c.log.Warn().Err(err).Int("workers", len(records)).Msg("storing the names of workers failed")
-		return
+	if len(records) > 0 {
+		_, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) {
+			return c.store.Append(ctx, store.AppendRequest{Topic: store.TopicWorkers, Records: records})
+		})
+		if err != nil {
+			c.log.Warn().Err(err).Int("workers", len(records)).Msg("storing the names of workers failed")
+			return
+		}
 	}
 	if !c.appendProgress(ctx, t, nil, true) {
 		return // a later dispatcher may have read the names before these were stored
 	}
 	c.mu.Lock()
-	now := clock.Steady()
 	for _, r := range records {
 		t.registered[r.Key] = true
-		if report := t.unregistered[r.Key]; report != nil && c.term == t {
-			t.applyReport(now, c, report)
-		}
-		delete(t.unregistered, r.Key)
+	}
+	if c.term == t {
+		t.releaseReports(clock.Steady(), c)
 	}
 	c.mu.Unlock()
 	notify(c.wakeLead)
@@ -88,9 +92,9 @@
 		t.lastExpiry = now
 		expiredJobs = t.scheduler.DropExpired(clock.WallMS() - c.settings.JobRetention.Milliseconds())
 	}
-	interference := c.interferenceRecord(now, t)
+	extra := append(c.interferenceRecord(now, t), c.takeStoppedBefore(now, t)...)
 	c.mu.Unlock()
-	records := append(c.encodeProgress(change), interference...)
+	records := append(c.encodeProgress(change), extra...)
 	if c.appendProgress(ctx, t, records, idle) {
 		c.changeStored(t, change, records)
 	}
@@ -134,21 +138,26 @@
 // appendProgress appends records under the term and reports whether they are
 // stored. It retries until the append succeeds, a later term has written or this
 // term has ended. Without records it makes a call only if renew is set, since each
-// successful append, also an empty one, renews the leadership lease.
+// successful append, also an empty one, renews the leadership lease. The store answers the
+// repetition of an append that it has carried out even if a later term has written since, so that the lease
+// counts from the first attempt; an empty append is no repetition.
 func (c *Coordinator) appendProgress(ctx context.Context, t *term, records []store.Record, renew bool) bool {
 	if len(records) == 0 && !renew {
 		return true
 	}
 	seq := t.appendSeq + 1
+	sent := clock.Steady()
 	for {
-		sent := clock.Steady()
+		if len(records) == 0 {
+			sent = clock.Steady()
+		}
 		a := store.AppendRequest{Topic: store.TopicProgress, Records: records, Term: t.number, Seq: seq}
-		_, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) { return c.store.Append(ctx, a) })
+		end, err := callStore(ctx, c, 0, func(ctx context.Context) (uint64, error) { return c.store.Append(ctx, a) })
 		var wrong *store.SequenceError
 		switch {
 		case err == nil:
 			if len(records) > 0 {
-				t.appendSeq = seq
+				t.appendSeq, t.appendEnd = seq, end
 			}
 			c.mu.Lock()
 			t.leaderLease.Renew(sent)
@@ -172,16 +181,21 @@
 	}
 }
 
-// changeStored applies stored records to the job table, where callers see the end
-// of a job, and acknowledges the run ends among them to their workers.
+// changeStored applies the records of the last append to the job table, where callers see the
+// end of a job, and acknowledges the run ends among them to their workers.
 func (c *Coordinator) changeStored(t *term, change *dispatch.Change, records []store.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range records {
-		if r.Key == interferenceKey {
+	if n := uint64(len(records)); n > t.appendEnd {
+		c.log.Error().Uint64("end", t.appendEnd).Uint64("records", n).Msg("store answered an append with an impossible end; its records count once they are read")
+		records = nil
+	}
+	offset := t.appendEnd - uint64(len(records)) // a repeated append is answered with the end after its first attempt
+	for i, r := range records {
+		if r.Key == interferenceKey || r.Key == stoppedBeforeKey {
 			continue
 		}
-		if _, err := c.jobs.Apply(r); err != nil {
+		if _, err := c.jobs.Apply(r, offset+uint64(i)); err != nil {
 			c.log.Error().Err(err).Msg("applying a record written by this entry failed")
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -71,9 +71,10 @@
 	registry gometrics.Registry
 	listener net.Listener
 	group    sync.WaitGroup
-	// wakeLead wakes lead, wakeWriter wakes writeChanges.
+	// wakeLead wakes lead, wakeWriter wakes writeChanges, wakeTail wakes tailJobs.
 	wakeLead   chan struct{}
 	wakeWriter chan struct{}
+	wakeTail   chan struct{}
 	// intake holds callers' records that wait to be stored.
 	intake chan *intakeItem
 
@@ -84,10 +85,15 @@
 	rawConfig []byte
 	jobs      workflow.JobTable
 	// storedInterference is the value of the newest record of the interference that dispatchers
-	// have measured between images.
+	// have measured between images, and interferenceOffset the offset of that record.
 	storedInterference []byte
+	interferenceOffset uint64
+	// stoppedBefore is the newest term before which all dispatchers are stored as having stopped.
+	stoppedBefore uint64
 	// tails holds the read positions in jobTopics.
 	tails [len(jobTopics)]tail
+	// jobReads is the number of calls of catchUp that have not returned.
+	jobReads int
 	// lastStoreSuccess is when the newest call that the store carried out or rejected ended.
 	lastStoreSuccess time.Time
 	// storeFailures counts the consecutive calls up to now that the store refused or did not
@@ -103,6 +109,8 @@
 	entriesVersion uint64
 	// links holds the connections that other entries opened to this one, by their peer address.
 	links map[string]*entryLink
+	// agentConns holds the newest connection of each agent, by the name of its worker.
+	agentConns map[string]agentConn
 	// draining is set once this entry shuts down.
 	draining bool
 	// dispatcherConn is the connection to the dispatcher; nil if there is none, or if this entry
@@ -129,7 +137,7 @@
 	}
 	c := &Coordinator{
 		settings: s, store: storeClient, log: logger, registry: registry, listener: ln,
-		wakeLead: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), intake: make(chan *intakeItem, intakeQueueLength), entries: make(map[string]entryInfo), links: make(map[string]*entryLink),
+		wakeLead: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), wakeTail: make(chan struct{}, 1), intake: make(chan *intakeItem, intakeQueueLength), entries: make(map[string]entryInfo), links: make(map[string]*entryLink), agentConns: make(map[string]agentConn),
 	}
 	for _, a := range s.Entries {
 		c.noteEntry(a, "", 0)
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -65,7 +65,7 @@
 	}
 	for _, x := range t.scheduler.TakeContradictions() {
 		c.count("contradictions", 1)
-		c.log.Warn().Str("task", x.Task.String()).Uint64("run", x.Run).Str("worker", x.Worker).Str("how", listedAs(x.How)).Str("concluded", string(x.Conclusion)).
+		c.log.Warn().Str("task", x.Task.String()).Uint64("run", x.Run).Str("worker", x.Worker).Str("how", listedAs(&x)).Str("concluded", string(x.Conclusion)).
 			Bool("restarted", x.Restarted).Uint64("term", t.number).Msg("worker lists a run that was taken for ended")
 	}
 	for _, a := range t.scheduler.TakeAbandonedTasks() {
@@ -125,12 +125,15 @@
 	line.Msg("start ordered")
 }
 
-// listedAs returns the name of an outcome, or "running" if there is none yet.
-func listedAs(how dispatch.Outcome) string {
-	if how == 0 {
-		return "running"
+// listedAs says how a worker lists a run that was taken for ended: as running, pending, or with an outcome.
+func listedAs(x *dispatch.Contradiction) string {
+	switch {
+	case x.How != 0:
+		return x.How.String()
+	case x.Pending:
+		return "pending"
 	}
-	return how.String()
+	return "running"
 }
 
 // considerClaim claims leadership if neither this entry nor any other one has had contact
@@ -176,6 +179,7 @@
 		c.log.Info().Uint64("term", found.Term).Str("dispatcher", found.Entry).Msg("another entry is the dispatcher")
 		return nil
 	}
+	c.candidate.BeginClaim()
 	c.mu.Unlock()
 	own := leadership.Claim{Entry: c.settings.Name, Incarnation: c.settings.Incarnation, Address: c.settings.Listen}
 	record, err := store.ClaimRecord(&own)
@@ -235,25 +239,24 @@
 	now := clock.Steady()
 	if previous.Term != 0 {
 		t.predecessor.TermBegan(now)
-		if previous.Entry == c.settings.Name {
-			t.predecessor.NoteDead(now) // the predecessor was an earlier process of this entry, or an earlier term of this process
-		}
 	}
 	c.mu.Lock()
-	if c.candidate.Claim().Term != own.Term || c.draining {
+	if mayBegin := c.candidate.MayBegin(own.Term); !mayBegin || c.draining {
 		c.candidate.NoteResigned(clock.Steady(), own.Term)
 		c.mu.Unlock()
+		c.log.Warn().Uint64("term", own.Term).Bool("superseded", !mayBegin).Msg("claim given up before its term began")
 		return nil
 	}
 	t.loadScheduler(now, c, workers)
 	c.term = t
+	stoppedBefore := c.stoppedBefore
 	c.mu.Unlock()
 	c.count("terms-begun", 1)
 	c.gauge("term", int64(t.number))
 	c.log.Info().Uint64("term", t.number).Str("reason", reason).Str("before", previous.Entry).Uint64("previous-term", previous.Term).Int("workers", len(workers)).
 		Int("jobs", c.Status().Jobs).Dur("took", now.Sub(sent)).Msg("this entry is the dispatcher")
-	if previous.Term != 0 && previous.Entry != c.settings.Name {
-		c.group.Go(func() { c.watchPredecessor(ctx, t, previous) })
+	if previous.Term != 0 {
+		c.group.Go(func() { c.watchPredecessors(ctx, t, own, previous, stoppedBefore) })
 	}
 	return nil
 }
@@ -283,28 +286,6 @@
 	return out, nil
 }
 
-// watchPredecessor probes the dispatcher that made the claim previous until that dispatcher is
-// known to have stopped, t is over, or no run of an earlier term can be left.
-func (c *Coordinator) watchPredecessor(ctx context.Context, t *term, previous leadership.Claim) {
-	for ctx.Err() == nil {
-		c.mu.Lock()
-		current := c.term == t && !t.earlierRunsOver
-		c.mu.Unlock()
-		if !current {
-			return
-		}
-		stopped, why := c.hasStopped(ctx, previous)
-		if stopped {
-			c.mu.Lock()
-			t.predecessor.NoteDead(clock.Steady())
-			c.mu.Unlock()
-			c.log.Info().Uint64("term", previous.Term).Str("entry", previous.Entry).Str("reason", why).Msg("the earlier dispatcher has stopped")
-			return
-		}
-		clock.WaitForWake(ctx, nil, pingEvery)
-	}
-}
-
 // resign ends the term t in favour of the entry that chooseSuccessor returns, if any.
 func (c *Coordinator) resign(t *term, reason string) {
 	c.endTerm(t, reason, func(now time.Time) (name, address string) {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -22,10 +22,15 @@
 	agents map[string]*agentLink
 	// registered holds the workers whose names are stored, so that a later dispatcher waits for them.
 	registered map[string]bool
-	// unregistered holds the first reports of workers whose names are not stored yet.
+	// unregistered holds the reports of workers whose names are not stored yet, or whose agents are new
+	// processes; see mustHold.
 	unregistered map[string]*peer.Report
+	// told holds the jobs that this entry was told of before all workers had reported, and has not read.
+	told map[string]struct{}
 	// appendSeq is the sequence number of the last append under the term that the store accepted.
 	appendSeq uint64
+	// appendEnd is the end offset of store.TopicProgress after that append.
+	appendEnd uint64
 	// lastFlush is when changes were last taken from the scheduler to be stored.
 	lastFlush time.Time
 	// lastExpiry is when jobs whose retention has expired were last dropped.
@@ -43,6 +48,9 @@
 	// renewalDue is set if the store has to accept a write under the term before leases can be
 	// regarded as expired; see leasesExpired.
 	renewalDue bool
+	// stoppedBeforeTaken is set once the record that all dispatchers of earlier terms have stopped was
+	// taken to be stored.
+	stoppedBeforeTaken bool
 	// earlierRunsOver is set once nothing that an earlier term started can run any more.
 	earlierRunsOver bool
 	// pending is the number of jobs without a started task by queue, as counted at pendingCountedAt.
@@ -71,25 +79,56 @@
 	sentEntries uint64
 	// leaseExpired is set once the leases of all runs at the worker have expired.
 	leaseExpired bool
+	// newProcess is the incarnation of an agent process that knew no term when its first report arrived, at
+	// newProcessSince; that time is zero if the process knew a term.
+	newProcess      uint64
+	newProcessSince time.Time
 }
 
 // syncJob passes a job of the job table to the scheduler, and reports whether the scheduler's
-// state has changed. A job that was submitted under a later term ends this term. The caller
-// holds mu.
-func (t *term) syncJob(now time.Time, c *Coordinator, id string) bool {
+// state has changed. gapless is set if no record of the job can have been left out so far. The caller holds mu.
+func (t *term) syncJob(now time.Time, c *Coordinator, id string, gapless bool) bool {
 	e, ok := c.jobs.Job(id)
 	if !ok || e.Submission() == nil {
 		return false
 	}
-	if submitted := e.Submission().Term; submitted > t.number {
-		c.endTermIfLater(submitted, "the record of job "+id)
-		return false
+	changed := t.syncSubmission(now, e.Submission(), e, gapless)
+	if _, told := t.told[id]; told {
+		delete(t.told, id)
+		if gapless && e.Submission().Term == t.number {
+			changed = t.scheduler.ConfirmNew(id) || changed
+		}
+	}
+	return changed
+}
+
+// admitTold passes a stored submission to the scheduler that this entry has not read. Until all workers
+// have reported, a job may have been handed in before, to an entry that did not know this term yet: it counts
+// as new only once it has been read, which admitTold requests. The caller holds mu.
+func (t *term) admitTold(now time.Time, c *Coordinator, s *workflow.Submission) {
+	e, ok := c.jobs.Job(s.ID)
+	if !ok {
+		e = new(workflow.Job)
+	}
+	known := t.scheduler.HasJob(s.ID)
+	if t.syncSubmission(now, s, e, false) && !known && t.scheduler.UnreportedWorkers() > 0 {
+		if t.told == nil {
+			t.told = make(map[string]struct{})
+		}
+		t.told[s.ID] = struct{}{}
+		notify(c.wakeTail)
 	}
+}
+
+// syncSubmission is syncJob for a job whose submission s may not be in its entry e of the job table yet. first is
+// set if s is certainly the job's first submission. The caller holds mu and has noted the term of s, see noteTerm.
+func (t *term) syncSubmission(now time.Time, s *workflow.Submission, e *workflow.Job, first bool) bool {
+	id := s.ID
 	changed := !t.scheduler.HasJob(id)
 	if changed {
-		// If the submitting entry did not know this term yet, an earlier dispatcher may have
-		// read and started the job.
-		t.scheduler.Admit(now, clock.WallMS(), e.Submission(), e.Progress(), e.Submission().Term < t.number)
+		// If the first entry that submitted the job did not know this term yet, an earlier
+		// dispatcher may have read and started the job.
+		t.scheduler.Admit(now, clock.WallMS(), s, e.Progress(), !first || s.Term < t.number)
 	}
 	if e.Cancelled() {
 		if phase, _ := t.scheduler.Phase(id); !phase.Ended() {
@@ -136,7 +175,7 @@
 	t.scheduler.ConfirmSent(r.Worker.Name, r.Sent)
 	if r.Worker.Life == 0 {
 		n := t.scheduler.RunnerGone(now, clock.WallMS(), r.Worker.Name, r.RunnerEnded)
-		t.scheduler.AdoptPending(now, r.Worker.Name, r.Runs)
+		t.scheduler.AdoptPending(now, clock.WallMS(), r.Worker.Name, r.Runs)
 		c.log.Warn().Str("worker", r.Worker.Name).Int("runs", n).Int("pending", len(r.Runs)).Msg("worker has no runner; its runs have ended")
 		return
 	}
@@ -148,15 +187,6 @@
 		Uint64("term", t.number).Msg("worker reported")
 }
 
-// updateHeldReport replaces the description of a worker in its held report, if the life of its runner is the
-// same: the name may take long to be stored, and the worker may have shrunk or begun to drain since. The
-// caller holds mu.
-func (t *term) updateHeldReport(w *dispatch.Worker) {
-	if held := t.unregistered[w.Name]; held != nil && held.Worker.Life == w.Life {
-		held.Worker = *w
-	}
-}
-
 // checkWorkers marks workers that are silent, and has the scheduler count the runs of workers
 // whose leases have expired as ended. The caller holds mu.
 func (t *term) checkWorkers(now time.Time, c *Coordinator) {
@@ -170,6 +200,7 @@
 		}
 		if t.leasesExpired(now, c, leadership.WorkerLeaseEndsBy(a.lastContact)) {
 			a.leaseExpired = true
+			delete(t.unregistered, a.name) // the runs that it shows have ended
 			c.count("workers-lost", 1)
 			n := t.scheduler.WorkerLeaseExpired(now, a.name)
 			c.log.Warn().Str("worker", a.name).Dur("silent", silence).Int("runs", n).Msg("worker lost; the leases of its runs have expired")
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -60,6 +60,8 @@
 	NewestTerm uint64 `cbor:"7,keyasint,omitempty"`
 	// Strength is what an entry's VM can do for the dispatcher, in thousandths of a processor.
 	Strength int `cbor:"8,keyasint,omitempty"`
+	// Connection numbers the connections that an agent process has opened.
+	Connection uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Welcome is the answer of an entry to a Hello.
@@ -143,6 +145,8 @@
 	// Life identifies the life of the worker's runner that listed the ends.
 	Life uint64            `cbor:"1,keyasint"`
 	Ends []dispatch.RunEnd `cbor:"2,keyasint"`
+	// After is the number of the last end of this life that was sent before Ends.
+	After uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // OrderRefused says that an agent has not carried out an order for a run and never will. The
--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -118,11 +118,16 @@
 	// term is the leadership term of the dispatcher that the agent serves or served last; 0
 	// before the first.
 	term uint64
+	// connections counts the connections that the agent has opened to entries.
+	connections uint64
 	// conn is the connection to the dispatcher; nil until the agent has reported on it.
 	conn *peer.Conn
 	// runs and runEnds are from the latest listing; runEnds leaves out acknowledged run ends.
 	runs    []dispatch.RunStatus
 	runEnds []dispatch.RunEnd
+	// moreEnds is Listing.MoreEnds of the latest listing, reportedMoreEnds that of the last report.
+	moreEnds         bool
+	reportedMoreEnds bool
 	// lastReportedEnd is the number of the last run end sent to the dispatcher, lastAckedEnd the
 	// number of the last run end that the dispatcher has stored.
 	lastReportedEnd uint64
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -204,7 +204,7 @@
 		a.logVanishedRuns(l)
 	}
 	a.runnerClockMS, a.runnerClockReadAt = l.ClockMS, now
-	a.runs = l.Runs
+	a.runs, a.moreEnds = l.Runs, l.MoreEnds
 	a.runEnds = a.runEnds[:0]
 	a.oldestListedEnd = 0
 	for _, e := range l.RunEnds {
@@ -260,6 +260,9 @@
 // logVanishedRuns logs the runs of the last listing that l neither lists nor shows as ended: the runner has
 // forgotten their ends. The caller holds mu.
 func (a *Agent) logVanishedRuns(l *Listing) {
+	if l.MoreEnds {
+		return
+	}
 	listed := make(map[runKey]bool, len(l.Runs)+len(l.RunEnds))
 	for i := range l.Runs {
 		listed[runKey{l.Runs[i].Task, l.Runs[i].Run}] = true
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -10,8 +10,10 @@
 // endAllRuns ends every run at a worker and records the runs as lost. crashed is set if the worker's runner has
 // ended without having announced it, c is from what the ends are concluded.
 func (sc *Scheduler) endAllRuns(now time.Time, wallMS int64, w *workerState, crashed bool, c Conclusion) {
-	w.unknownJobs = unknownJobReport{}
-	delete(sc.workersWithUnknownJobs, w)
+	w.unknownJobs.runs = nil // ends stay held: what they say remains true, and later ones must not be acknowledged past them
+	if w.unknownJobs.empty() {
+		delete(sc.workersWithUnknownJobs, w)
+	}
 	sc.forgetAllUnwanted(w)
 	var abandoned []*run
 	for _, r := range slices.Clone(sc.runsInOrder(w)) {
@@ -111,13 +113,13 @@
 
 // AdoptPending records starts that may still take effect at a worker that has no runner, in the next life of its
 // runner. Their tasks are not started again before the worker refuses them.
-func (sc *Scheduler) AdoptPending(now time.Time, name string, pending []RunStatus) {
+func (sc *Scheduler) AdoptPending(now time.Time, wallMS int64, name string, pending []RunStatus) {
 	w := sc.workerState(name)
 	for i := range pending {
 		if sc.jobs[pending[i].Task.Job] == nil {
 			sc.holdRun(now, w, &pending[i])
 		} else {
-			sc.adoptRun(now, w, &pending[i])
+			sc.adoptRun(now, wallMS, w, &pending[i])
 		}
 	}
 }
