--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -34,9 +34,11 @@
 	pollWait = time.Second
 	// callTimeout bounds a call to the runner, which runs on the same machine.
 	callTimeout = time.Second
-	// sameLifeFor is how long after a listing the runner is assumed not to have
+	// sameLifeFor is how long after it sent a listing the runner is assumed not to have
 	// restarted: calls to a runner that ends fail, and a restart takes longer than this.
 	sameLifeFor = 250 * time.Millisecond
+	// clockResolution is the resolution of the runner's clock.
+	clockResolution = time.Millisecond
 	// minPollInterval is the minimum time between the beginnings of two polls. Reports of run
 	// ends are delayed by up to this time.
 	minPollInterval = 25 * time.Millisecond
@@ -45,6 +47,8 @@
 	// maxStartDelay is how long after its call a start without an answer may still take effect:
 	// a runner may carry out a start up to 12 seconds late.
 	maxStartDelay = 13 * time.Second
+	// maxRunLease bounds the lease that a runner grants, whatever end it is asked for.
+	maxRunLease = 6 * time.Second
 	// trialReportDelay is how long after the start of a trial the agent reports whether the run is at
 	// work; the dispatcher asks for 250 ms.
 	trialReportDelay = 300 * time.Millisecond
@@ -84,6 +88,8 @@
 	registry gometrics.Registry
 	group    sync.WaitGroup
 	wakePoll chan struct{}
+	// announced receives a value when a heartbeat announces a later life than the present one.
+	announced chan struct{}
 
 	// mu guards everything below. It is never held during I/O.
 	mu sync.Mutex
@@ -93,9 +99,10 @@
 	pingSeq uint64
 	// life is the start time of the runner, in Unix milliseconds; 0 before the first listing.
 	life uint64
-	// runnerClockMS is the latest reading of the runner's clock; runnerClockReadAt is when it
-	// arrived, on the agent's clock, and zero before the first listing of the present life.
+	// runnerClockMS is the latest reading of the runner's clock. It was taken between answeredAfter and
+	// runnerClockReadAt, when it was handled, on the agent's clock. Both are zero before the first listing of the present life.
 	runnerClockMS     int64
+	answeredAfter     time.Time
 	runnerClockReadAt time.Time
 	workerLease       leadership.WorkerLease
 	// lastRunLeaseEnd is the latest end, on the agent's clock, of all run leases that the runner
@@ -125,7 +132,13 @@
 	// number of the last run end that the dispatcher has stored.
 	lastReportedEnd uint64
 	lastAckedEnd    uint64
-	// sameLifeUntil is until when the runner is assumed not to have restarted since its last
+	// oldestListedEnd is the number of the oldest run end in the latest listing, 0 if it has none; lastListedEnd is the
+	// number of the newest one listed in the present life. wholeLife is set if the agent knew an earlier life, so that it
+	// has to see all run ends of the present one.
+	oldestListedEnd uint64
+	lastListedEnd   uint64
+	wholeLife       bool
+	// sameLifeUntil is until when the runner is assumed not to have restarted since it sent its last
 	// listing; zero after a failed poll.
 	sameLifeUntil time.Time
 	// unlistedStarts are start orders that have not appeared in a listing yet.
@@ -134,9 +147,14 @@
 	sentStarts map[runKey]bool
 	// earlierRuns are the runs that the life before the present one had started.
 	earlierRuns []dispatch.SentRun
-	// unansweredStarts are starts that the runner did not answer, with the time on the agent's
+	// unansweredStarts are starts that the runner has not answered, with the time on the agent's
 	// clock until which they may take effect.
 	unansweredStarts map[runKey]time.Time
+	// pendingWhenEmpty are the starts that the last empty report listed as pending and that have not been refused
+	// since, with the time until which they may take effect.
+	pendingWhenEmpty map[runKey]time.Time
+	// startAnsweredAt is when the runner last answered that it has carried out a start.
+	startAnsweredAt time.Time
 	// successor is the peer address of the entry that a dispatcher has named as its successor, until
 	// the agent has tried it.
 	successor string
@@ -152,9 +170,9 @@
 // New returns an agent.
 func New(s Settings, runner Runner, storeClient store.Client, logger *log.Logger, registry gometrics.Registry) *Agent {
 	a := &Agent{
-		settings: s, runner: runner, store: storeClient, log: logger, registry: registry, wakePoll: make(chan struct{}, 1),
+		settings: s, runner: runner, store: storeClient, log: logger, registry: registry, wakePoll: make(chan struct{}, 1), announced: make(chan struct{}, 1),
 		lastRunLeaseEnd: clock.Steady().Add(leadership.WorkerLeaseDuration), // an earlier agent process may have renewed run leases up to then
-		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), sentStarts: make(map[runKey]bool), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
+		unlistedStarts:  make(map[runKey]*dispatch.Start), unansweredStarts: make(map[runKey]time.Time), pendingWhenEmpty: make(map[runKey]time.Time), sentStarts: make(map[runKey]bool), entries: make(map[string]bool), pingSentAt: make(map[uint64]time.Time),
 	}
 	for _, e := range s.Entries {
 		a.entries[e] = true
@@ -196,6 +214,12 @@
 	if changed && !first && a.conn != nil {
 		a.ping(clock.Steady())
 	}
+	if changed && a.nextLifeAnnounced() {
+		select {
+		case a.announced <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // HandleDeregistration marks the worker as draining after the runner has deregistered, since
@@ -219,16 +243,23 @@
 	if a.life != 0 {
 		a.log.Warn().Uint64("from", a.life).Uint64("to", startedAtMS).Int("runs", len(a.runs)).Msg("runner restarted")
 	}
+	a.wholeLife = a.life != 0
 	a.earlierRuns = a.sentRuns()
 	clear(a.sentStarts)
 	a.life = startedAtMS
 	a.reportedEmpty = false
-	a.runnerClockMS, a.runnerClockReadAt = 0, time.Time{}
+	clear(a.pendingWhenEmpty)
+	a.runnerClockMS, a.answeredAfter, a.runnerClockReadAt = 0, time.Time{}, time.Time{}
 	a.runs, a.runEnds = nil, nil
-	a.lastReportedEnd, a.lastAckedEnd = 0, 0
+	a.lastReportedEnd, a.lastAckedEnd, a.oldestListedEnd, a.lastListedEnd = 0, 0, 0, 0
 	a.guard = guard{}
 }
 
+// nextLifeAnnounced reports whether a heartbeat of a later life than the present one has arrived, so that the present one
+// has ended. Calls may reach the later life, since nothing names the instance of the present one any more. The caller
+// holds mu.
+func (a *Agent) nextLifeAnnounced() bool { return a.life != 0 && a.heartbeat.StartedAtMS > a.life }
+
 // newCall returns the fields common to all calls to the runner. The caller holds mu.
 func (a *Agent) newCall() Call {
 	c := Call{Term: a.term}
@@ -240,7 +271,8 @@
 
 // runLeaseEndMS returns the latest allowed end of run leases, in milliseconds on the
 // runner's clock, or 0 if no run lease is allowed. That end is early enough that run leases end
-// no later than the worker lease even if the runner's clock is slow. The caller holds mu.
+// no later than the worker lease even if the runner's clock is slow, since its reading counts as taken
+// at the latest possible time. The caller holds mu.
 func (a *Agent) runLeaseEndMS(now time.Time) int64 {
 	left := a.workerLease.Remaining(now)
 	if left <= 0 || a.runnerClockReadAt.IsZero() {
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -18,6 +18,7 @@
 	errSilentRunner    = errors.New("the runner does not answer")
 	errOtherLife       = errors.New("the order is for another life of the runner")
 	errReportedEmpty   = errors.New("the dispatcher was told that the worker runs nothing")
+	errRunnerGone      = errors.New("the runner is gone and the start can no longer take effect")
 	errNoPolicyService = errors.New("no policy service is configured")
 )
 
@@ -42,6 +43,7 @@
 		a.extendLastRunLeaseEnd(now)
 		a.unlistedStarts[key] = &s
 		a.sentStarts[key] = true
+		a.addUnanswered(now, key)
 		c, leaseEndMS := a.newCall(), a.runLeaseEndMS(now)
 		a.group.Go(func() { a.startRun(ctx, c, &s, leaseEndMS) })
 	}
@@ -57,11 +59,11 @@
 // checkStart returns why a start order must not be carried out, or nil. The caller holds mu.
 func (a *Agent) checkStart(now time.Time, s *dispatch.Start) error {
 	switch {
-	case s.Life != a.life:
+	case s.Life != a.life || a.nextLifeAnnounced():
 		return errOtherLife
 	case a.reportedEmpty:
 		return errReportedEmpty
-	case now.Sub(a.runnerClockReadAt) > maxRunnerSilence:
+	case now.Sub(a.answeredAfter) > maxRunnerSilence:
 		return errSilentRunner
 	case a.runLeaseEndMS(now) == 0 || a.workerLease.Remaining(now) < minLeaseLeft:
 		return errLeaseTooShort
@@ -91,18 +93,26 @@
 	switch {
 	case err == nil:
 		a.count("starts")
+		a.mu.Lock()
+		delete(a.unansweredStarts, key)
+		a.startAnsweredAt = clock.Steady()
+		a.mu.Unlock()
 		if s.Trial {
 			a.reportTrial(ctx)
 		}
 	case errors.Is(err, ErrNotRun):
 		a.mu.Lock()
+		delete(a.unansweredStarts, key)
 		a.refuse(s.Life, key, err)
 		a.mu.Unlock()
 	default:
 		a.count("starts-unanswered")
 		a.log.Warn().Err(err).Str("task", key.task.String()).Uint64("run", key.run).Msg("start not answered")
 		a.mu.Lock()
-		a.addUnanswered(clock.Steady(), key)
+		a.addUnanswered(clock.Steady(), key) // the call may have left long after the order was handled
+		if _, pending := a.pendingWhenEmpty[key]; pending {
+			a.pendingWhenEmpty[key] = a.unansweredStarts[key]
+		}
 		a.mu.Unlock()
 		if a.pollForRun(ctx, key) {
 			return
@@ -203,7 +213,7 @@
 	return slices.Collect(maps.Keys(a.unlistedStarts))
 }
 
-// addUnanswered records a start without an answer, and removes recorded starts that are too
+// addUnanswered records a start that may be sent now and is not answered yet, and removes recorded starts that are too
 // old to take effect. The caller holds mu.
 func (a *Agent) addUnanswered(now time.Time, key runKey) {
 	maps.DeleteFunc(a.unansweredStarts, func(_ runKey, mayStartUntil time.Time) bool { return !now.Before(mayStartUntil) })
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -10,8 +10,24 @@
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
 
+// pollAnnouncedLives polls the runner whenever a heartbeat announces a new life, although a poll of the earlier life may
+// still wait for its answer: starts that may take effect in the new life are fenced once that has been listed.
+func (a *Agent) pollAnnouncedLives(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.announced:
+		}
+		if err := a.poll(ctx, 0); err != nil {
+			a.log.Info().Err(err).Msg("polling an announced life of the runner failed; the poll loop goes on")
+		}
+	}
+}
+
 // pollLoop polls the runner again and again, once the agent knows a dispatcher.
 func (a *Agent) pollLoop(ctx context.Context) {
+	a.group.Go(func() { a.pollAnnouncedLives(ctx) })
 	failing := false
 	for ctx.Err() == nil {
 		a.mu.Lock()
@@ -44,30 +60,49 @@
 // poll renews the leases of all runs at the runner and applies its listing. The
 // runner may delay its answer for up to wait, until a run ends.
 func (a *Agent) poll(ctx context.Context, wait time.Duration) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout+wait)
-	defer cancel()
+	sent, request := a.newRenewal(wait)
+	l, err := a.renew(ctx, request)
+	if errors.Is(err, ErrNotSent) {
+		sent, request = a.newRenewal(wait)
+		l, err = a.renew(ctx, request)
+	}
+	if err != nil {
+		a.handlePollFailure(sent, err)
+		return err
+	}
+	a.checkRenewal(sent, clock.Steady(), &request, l)
+	a.handleListing(ctx, sent, l)
+	return nil
+}
+
+// newRenewal returns a renewal and the time at which it was built. It renews leases, acknowledges run ends and may wait
+// only if it is certain to reach the present life of the runner.
+func (a *Agent) newRenewal(wait time.Duration) (time.Time, RenewRequest) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	now := clock.Steady()
 	request := RenewRequest{Call: a.newCall()}
-	if now.Before(a.sameLifeUntil) {
+	if now.Before(a.sameLifeUntil) && !a.nextLifeAnnounced() {
 		// A restarted runner, perhaps with the same instance ID, numbers its run ends
 		// and counts its clock from the beginning. Given the values of an earlier life, the
 		// runner would forget run ends that were never reported, and the run leases would
 		// exceed the worker lease.
-		request.LastAckedEnd, request.LeaseEndMS, request.MaxWait = a.lastAckedEnd, a.runLeaseEndMS(now), wait
+		request.LeaseEndMS, request.MaxWait, request.SendBefore = a.runLeaseEndMS(now), wait, a.sameLifeUntil
+		if a.oldestListedEnd > 0 && a.oldestListedEnd <= a.lastAckedEnd {
+			request.LastAckedEnd = a.lastAckedEnd // without need it could only do harm: a call may be carried out late, in the next life
+		}
 	}
 	if request.LeaseEndMS > 0 {
 		a.extendLastRunLeaseEnd(now)
 	}
-	a.mu.Unlock()
-	l, err := a.runner.Renew(callCtx, request)
-	if err != nil {
-		a.handlePollFailure(now, err)
-		return err
-	}
-	a.checkRenewal(now, clock.Steady(), &request, l)
-	a.handleListing(ctx, l)
-	return nil
+	return now, request
+}
+
+// renew sends a renewal, with a time limit.
+func (a *Agent) renew(ctx context.Context, r RenewRequest) (*Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+r.MaxWait)
+	defer cancel()
+	return a.runner.Renew(ctx, r)
 }
 
 // checkRenewal logs an answer to a renewal sent at sent that comes from another life than the renewal was meant for,
@@ -96,13 +131,15 @@
 }
 
 // handlePollFailure handles the error of a poll that began at the given time. It reports an empty worker
-// to the dispatcher once it is certain that nothing runs any more, unless the runner has answered another
-// poll since then: it may be in its next life.
+// to the dispatcher once it is certain that nothing runs any more.
 func (a *Agent) handlePollFailure(began time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sameLifeUntil = time.Time{}
-	if a.reportedEmpty || a.conn == nil || a.runnerClockReadAt.After(began) || !a.allRunsEnded(err) {
+	if a.reportedEmpty {
+		a.refuseOverdue(began, err)
+	}
+	if a.reportedEmpty || a.conn == nil || !a.provesEmpty(began, err) {
 		return
 	}
 	a.count("runners-lost")
@@ -110,6 +147,12 @@
 	a.sendEmptyReport(clock.Steady(), emptyStateOf(err))
 }
 
+// provesEmpty reports whether a poll that began at the given time and failed with err proves that nothing runs. It does
+// not if the runner has answered another poll or a start since then: it may be in its next life. The caller holds mu.
+func (a *Agent) provesEmpty(began time.Time, err error) bool {
+	return !a.runnerClockReadAt.After(began) && !a.startAnsweredAt.After(began) && a.allRunsEnded(err)
+}
+
 // allRunsEnded reports whether it is certain, after a poll that failed with err, that nothing
 // runs: no runner listens, or the last run lease has expired. The caller holds mu.
 func (a *Agent) allRunsEnded(err error) bool {
@@ -120,9 +163,10 @@
 // covers the time that a call takes to reach the runner.
 const leaseSlack = 300 * time.Millisecond
 
-// handleListing applies a listing and reports changes to the dispatcher. It reports a new life at once,
-// with the starts that may still take effect in it as pending runs, and refuses each once it is fenced.
-func (a *Agent) handleListing(ctx context.Context, l *Listing) {
+// handleListing applies the listing that answers a poll sent at the given time, and reports changes to the dispatcher. It
+// reports a new life at once, with the starts that may still take effect in it as pending runs, and refuses each once it
+// is fenced.
+func (a *Agent) handleListing(ctx context.Context, sent time.Time, l *Listing) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := clock.Steady()
@@ -132,7 +176,7 @@
 		}
 		a.beginLife(l.StartedAtMS)
 		unresolved := a.collectUnresolvedStarts(now)
-		a.applyListing(now, l)
+		a.applyListing(now, sent, l)
 		a.sendReport()
 		for _, key := range unresolved {
 			a.group.Go(func() { a.fence(ctx, l.StartedAtMS, key, "the start was sent to an earlier life of the runner") })
@@ -142,7 +186,7 @@
 	if l.ClockMS < a.runnerClockMS {
 		return // a newer listing was applied before
 	}
-	a.applyListing(now, l)
+	a.applyListing(now, sent, l)
 	if a.reportedEmpty {
 		a.endEmptyReport()
 		return
@@ -151,14 +195,20 @@
 	a.setPaces(ctx, now)
 }
 
-// applyListing replaces the known state of the runner by a listing. The caller holds mu.
-func (a *Agent) applyListing(now time.Time, l *Listing) {
+// applyListing replaces the known state of the runner by the listing that answers a poll sent at the given time. The
+// caller holds mu.
+func (a *Agent) applyListing(now, sent time.Time, l *Listing) {
+	a.answeredAfter = a.earliestAnswer(now, sent, l)
+	a.sameLifeUntil = a.answeredAfter.Add(sameLifeFor)
+	if l.ClockMS > a.runnerClockMS { // listings of the same millisecond may be handled in any order
+		a.logVanishedRuns(l)
+	}
 	a.runnerClockMS, a.runnerClockReadAt = l.ClockMS, now
-	a.sameLifeUntil = now.Add(sameLifeFor)
-	a.logVanishedRuns(l)
 	a.runs, a.moreEnds = l.Runs, l.MoreEnds
 	a.runEnds = a.runEnds[:0]
+	a.oldestListedEnd = 0
 	for _, e := range l.RunEnds {
+		a.noteListedEnd(e.Number)
 		a.forgetStart(runKey{e.Task, e.Run})
 		if e.Number > a.lastAckedEnd {
 			a.runEnds = append(a.runEnds, e)
@@ -172,6 +222,41 @@
 	}
 }
 
+// earliestAnswer returns a time before which the runner cannot have sent a listing that is handled now and answers a poll
+// sent at the given time: the listing may have waited for long while the agent's process was frozen. The answer to a
+// poll that waits is dated by the runner's clock against the last listing. The caller holds mu.
+func (a *Agent) earliestAnswer(now, sent time.Time, l *Listing) time.Time {
+	if a.runnerClockReadAt.IsZero() {
+		return sent
+	}
+	elapsed := time.Duration(l.ClockMS-a.runnerClockMS)*time.Millisecond - clockResolution
+	elapsed -= elapsed / clockDriftDivisor
+	t := a.answeredAfter.Add(elapsed)
+	switch {
+	case t.Before(sent):
+		return sent
+	case t.After(now):
+		return now
+	}
+	return t
+}
+
+// noteListedEnd records that the latest listing has a run end with the given number, and logs that the runner has
+// forgotten ends before it that the agent has never seen. The caller holds mu.
+func (a *Agent) noteListedEnd(number uint64) {
+	if a.oldestListedEnd == 0 || number < a.oldestListedEnd {
+		a.oldestListedEnd = number
+	}
+	if number <= a.lastListedEnd {
+		return
+	}
+	if a.wholeLife && number > a.lastListedEnd+1 {
+		a.count("run-ends-missed")
+		a.log.Warn().Uint64("life", a.life).Uint64("listed", number).Uint64("before", a.lastListedEnd).Uint64("acked", a.lastAckedEnd).Msg("runner forgot run ends without listing them")
+	}
+	a.lastListedEnd = number
+}
+
 // logVanishedRuns logs the runs of the last listing that l neither lists nor shows as ended: the runner has
 // forgotten their ends. The caller holds mu.
 func (a *Agent) logVanishedRuns(l *Listing) {
