Keep runs and ends that another listing of the same millisecond shows

Cause: concurrent polls may be answered in any order, and the agent orders their listings by the runner's clock, which tells only milliseconds apart. Of two with the same reading, the one that was handled last counted. The start that the newer one had shown was already taken off the list of starts that wait to be listed, so that a report named it neither as running nor as pending.

Change: what either of two such listings shows counts: a run that one lists was started, one that either lists as ended has ended.

--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -1,7 +1,9 @@
 package runneragent
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -162,6 +164,9 @@
 	if l.ClockMS < a.runnerClockMS {
 		return // a newer listing was applied before
 	}
+	if l.ClockMS == a.runnerClockMS {
+		a.mergeLastListing(l)
+	}
 	a.applyListing(now, sent, l)
 	if a.reportedEmpty {
 		a.endEmptyReport()
@@ -231,6 +236,34 @@
 	a.lastListedEnd = number
 }
 
+// mergeLastListing adds to a listing what the last one showed, if the runner's clock does not tell which of them is
+// newer: a run that either lists was started, and one that either lists as ended has ended. The caller holds mu.
+func (a *Agent) mergeLastListing(l *Listing) {
+	ended := make(map[runKey]bool, len(l.RunEnds)+len(a.runEnds))
+	numbers := make(map[uint64]bool, len(l.RunEnds))
+	for i := range l.RunEnds {
+		ended[runKey{l.RunEnds[i].Task, l.RunEnds[i].Run}] = true
+		numbers[l.RunEnds[i].Number] = true
+	}
+	for _, e := range a.runEnds {
+		ended[runKey{e.Task, e.Run}] = true
+		if !numbers[e.Number] {
+			l.RunEnds = append(l.RunEnds, e)
+		}
+	}
+	listed := make(map[runKey]bool, len(l.Runs))
+	for i := range l.Runs {
+		listed[runKey{l.Runs[i].Task, l.Runs[i].Run}] = true
+	}
+	for i := range a.runs {
+		if !listed[runKey{a.runs[i].Task, a.runs[i].Run}] {
+			l.Runs = append(l.Runs, a.runs[i])
+		}
+	}
+	l.Runs = slices.DeleteFunc(l.Runs, func(r dispatch.RunStatus) bool { return ended[runKey{r.Task, r.Run}] })
+	slices.SortFunc(l.RunEnds, func(x, y dispatch.RunEnd) int { return cmp.Compare(x.Number, y.Number) })
+}
+
 // logVanishedRuns logs the runs of the last listing that l neither lists nor shows as ended: the runner has
 // forgotten their ends. The caller holds mu.
 func (a *Agent) logVanishedRuns(l *Listing) {
