--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -288,6 +288,7 @@
 	}
 	l.Runs = slices.DeleteFunc(l.Runs, func(r dispatch.RunStatus) bool { return ended[runKey{r.Task, r.Run}] })
 	slices.SortFunc(l.RunEnds, func(x, y dispatch.RunEnd) int { return cmp.Compare(x.Number, y.Number) })
+	l.MoreEnds = l.MoreEnds || a.moreEnds
 }
 
 // logVanishedRuns logs the runs of the last listing that l neither lists nor shows as ended: the runner has
