Show a late Hello that closes the next connection of its agent

Follows: the connection that was opened last is told by the order in which the Hellos are handled. A Hello that was held up in a cut makes its abandoned connection the newest, and the next message on the connection in use closes that one. The agent connects again; nothing worse was found, since an agent sends a report only after the answer to its Hello. Fails: abandoned_test.go:53: the newer connection was closed

--- a/internal/coordinator/abandoned_test.go
+++ b/internal/coordinator/abandoned_test.go
@@ -38,3 +38,19 @@
 		t.Errorf("life: got %d, want %d", got, want)
 	}
 }
+
+func TestLateHelloDoesNotReplaceTheNextConnection(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	current.registered["w1"] = true
+	hello := &peer.Hello{Role: peer.RoleAgent, Name: "w1", Incarnation: 1, NewestTerm: ownTerm}
+	conns := agentConnections(t, 2)
+	c.handleHello(conns[1], hello)
+	c.handleAgentMessage(conns[1], hello, &peer.Message{Report: reportOf("w1")})
+	c.handleHello(conns[0], hello)
+	c.handleAgentMessage(conns[1], hello, &peer.Message{Ping: &peer.Ping{Seq: 1}})
+	select {
+	case <-conns[1].Done():
+		t.Error("the newer connection was closed")
+	default:
+	}
+}
