--- a/internal/coordinator/abandoned_test.go
+++ b/internal/coordinator/abandoned_test.go
@@ -11,6 +11,7 @@
 
 // agentConnections returns n connections that have not sent a Hello.
 func agentConnections(t *testing.T, n int) []*peer.Conn {
+	t.Helper()
 	var conns []*peer.Conn
 	for range n {
 		here, there := net.Pipe()
--- a/pkg/dispatch/unwanted_count_test.go
+++ b/pkg/dispatch/unwanted_count_test.go
@@ -51,6 +51,7 @@
 
 // playUnwanted has a scheduler take in random messages of three workers.
 func playUnwanted(t *testing.T, random *rand.Rand) {
+	t.Helper()
 	var sc Scheduler
 	sc.SetQueues(testQueues)
 	names := []string{"w1", "w2", "w3"}
