Show a task that starts again while a held report lists its run

Since the report of a new agent process is held until a write confirms the term, while its worker counts as one that has not reported and its pings renew the lease. The same write shows that the leases of workers that have not reported have expired, and counts as soon as it is answered; the report is released by the writer only later, after another write if that one was a flush. In between the tasks of earlier terms start again, beside their runs. Fails: starts of a task with a run in a held report: got 1, want 0

--- /dev/null
+++ b/internal/coordinator/held_gone_test.go
@@ -0,0 +1,31 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/internal/standin"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+)
+
+// The write that confirms the term shows that the leases of silent workers have expired; this one has sent pings.
+func TestRunsOfAHeldReportAreNotTakenForEndedWithTheEarlierTerms(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	current.registered["unheard"] = true
+	current.predecessor.TermBegan(clock.Steady())
+	r := reportOf("unheard")
+	r.Runs = []dispatch.RunStatus{{Task: admitSingle(current, "a"), Run: 1}}
+	c.handleAgentMessage(pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "unheard"}, &peer.Message{Report: r})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current.applyReport(clock.Steady(), c, reportOf("w2"))
+	now := clock.Steady().Add(time.Minute)
+	current.agents["unheard"].lastContact = now
+	current.leaderLease.Renew(now)
+	current.checkWorkers(now, c)
+	if got, want := len(current.scheduler.Decide(now, clock.WallMS()).Starts()), 0; got != want {
+		t.Errorf("starts of a task with a run in a held report: got %d, want %d", got, want)
+	}
+}
