Release held reports before the runs of earlier terms count as ended

The decision that nothing of earlier terms is left first takes in the reports that the same write has confirmed.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -191,6 +191,7 @@
 // checkWorkers marks workers that are silent, and has the scheduler count the runs of workers
 // whose leases have expired as ended. The caller holds mu.
 func (t *term) checkWorkers(now time.Time, c *Coordinator) {
+	t.releaseReports(now, c) // a write that shows that leases have expired also confirms the term
 	for _, a := range t.agents {
 		if a.leaseExpired {
 			continue
