Show a start at a worker whose agent has left while its report was held

A held report is applied although its connection has ended, and makes the silent worker count as present. A start order is then sent to nobody; the task waits until the agent connects again or its lease expires.

--- a/internal/coordinator/held_gone_test.go
+++ b/internal/coordinator/held_gone_test.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -29,3 +31,18 @@
 		t.Errorf("starts of a task with a run in a held report: got %d, want %d", got, want)
 	}
 }
+
+func TestWorkerWhoseAgentHasLeftGetsNoStartsFromItsHeldReport(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	admitSingle(current, "a")
+	conn, hello := pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "w1"}
+	c.handleAgentMessage(conn, hello, &peer.Message{Report: reportOf("w1")})
+	c.handleDisconnect(conn, hello, io.EOF)
+	c.registerWorkers(context.Background(), current)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current.checkWorkers(clock.Steady(), c)
+	if got, want := len(startsAfter(current)), 0; got != want {
+		t.Errorf("starts at a worker without a connection: got %d, want %d", got, want)
+	}
+}
