Conclude from a report only what it proves about unwanted runs

Cause: a report replaced all unwanted runs of its worker by those that it lists. It leaves out a run whose end does not fit into the listing, and a start without an answer of which a new agent process knows nothing; both counted as ended. Present runs were compared by task alone, so that a run at work was stopped if a pending start of the same task followed in the list.

Change: an unwanted run that a report leaves out is over only if it was at work and no ends are missing; a start that may still take effect is ordered to stop again and counts until that is confirmed.

--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -122,12 +122,14 @@
 	w.unknownJobs = unknownJobReport{}
 	delete(sc.workersWithUnknownJobs, w)
 	sc.setWorkerInfo(now, w, info)
-	sc.forgetAllUnwanted(w)
 	sc.applyEnds(now, wallMS, w, ends)
 	w.lastEndNumber = max(w.lastEndNumber, info.LastSentEnd)
-	listed := make(map[workflow.TaskID]uint64, len(runs))
+	listed := make(map[unwantedRun]bool, len(runs))
+	for i := range runs {
+		listed[unwantedRun{runs[i].Task, runs[i].Run}] = true
+	}
+	sc.reviewUnwanted(w, listed, info.MoreEnds)
 	for i := range runs {
-		listed[runs[i].Task] = runs[i].Run
 		if sc.jobs[runs[i].Task.Job] == nil {
 			sc.holdRun(now, w, &runs[i])
 			continue
@@ -138,7 +140,7 @@
 		return
 	}
 	for id, r := range w.runs {
-		if listed[id] != r.number && r.phase != runStopping {
+		if !listed[unwantedRun{id, r.number}] && r.phase != runStopping {
 			sc.orderStop(now, r, "the worker does not report the run")
 		}
 	}
--- a/pkg/dispatch/unwanted.go
+++ b/pkg/dispatch/unwanted.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"savoryhoist.example/savoryhoist/pkg/worker"
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
@@ -17,8 +16,10 @@
 
 // unwantedState is what the scheduler keeps of an unwanted run.
 type unwantedState struct {
-	reserved worker.Resources
-	task     *taskState
+	step *stepState
+	task *taskState
+	// pending is set if the worker has reported the run only as one that may still start.
+	pending bool
 }
 
 // stopUnwanted orders an unwanted run to stop. Its room is not counted if its step, s, and its task, t, are nil:
@@ -29,9 +30,9 @@
 	if _, counted := w.unwanted[r]; counted || s == nil {
 		return
 	}
-	w.unwanted[r] = unwantedState{s.spec.Reserved(), t}
+	w.unwanted[r] = unwantedState{s, t, status.Pending}
 	t.unwantedRuns++
-	w.allocated = w.allocated.Plus(w.unwanted[r].reserved)
+	w.allocated = w.allocated.Plus(s.spec.Reserved())
 	sc.rooms.update(w)
 }
 
@@ -42,7 +43,7 @@
 			continue
 		}
 		sc.removeRun(now, r)
-		sc.stopUnwanted(r.worker, s, t, &RunStatus{Task: r.id, Run: r.number})
+		sc.stopUnwanted(r.worker, s, t, &RunStatus{Task: r.id, Run: r.number, Pending: true})
 	}
 }
 
@@ -54,7 +55,7 @@
 	}
 	delete(w.unwanted, r)
 	u.task.unwantedRuns--
-	w.allocated = w.allocated.Minus(u.reserved)
+	w.allocated = w.allocated.Minus(u.step.spec.Reserved())
 	sc.rooms.update(w)
 	sc.noteChange(w)
 }
@@ -65,3 +66,17 @@
 		sc.forgetUnwanted(w, r)
 	}
 }
+
+// reviewUnwanted forgets the unwanted runs that a report settles: those that it lists are taken in anew, and those that
+// it leaves out have ended, unless ends are missing. A start that it leaves out may have been forgotten by a new agent
+// process and is ordered to stop again.
+func (sc *Scheduler) reviewUnwanted(w *workerState, listed map[unwantedRun]bool, moreEnds bool) {
+	for r, u := range w.unwanted {
+		switch {
+		case listed[r] || !u.pending && !moreEnds:
+			sc.forgetUnwanted(w, r)
+		case !moreEnds:
+			sc.pendingStops = append(sc.pendingStops, Stop{Worker: w.name, Life: w.life, Task: r.task, Run: r.number, Reason: "the worker does not report the run"})
+		}
+	}
+}
--- a/pkg/dispatch/unwanted_count_test.go
+++ b/pkg/dispatch/unwanted_count_test.go
@@ -21,7 +21,7 @@
 		}
 		for r, u := range w.unwanted {
 			unwanted[u.task]++
-			room = room.Plus(u.reserved)
+			room = room.Plus(u.step.spec.Reserved())
 			if known := w.runs[r.task]; known != nil && known.number == r.number {
 				t.Fatalf("%s run %d at %s: got a wanted and an unwanted run, want one of them", r.task, r.number, w.name)
 			}
