Count unwanted runs in the limit of tasks per worker

Cause: unwanted runs kept their room but not their place in the limit.

Evidence: failed before: 'event 2: starts: got ["a.0.0.1 2001 w2 "], want []' and 'event 2: starts: got ["a.0.0.1 2001 w1 "], want []'.

Change: they count like other runs until they have ended.

--- a/pkg/dispatch/unwanted.go
+++ b/pkg/dispatch/unwanted.go
@@ -32,6 +32,9 @@
 	}
 	w.unwanted[r] = unwantedState{s, t, status.Pending}
 	t.unwantedRuns++
+	if s.runsPerWorker != nil {
+		s.runsPerWorker[w.name]++
+	}
 	w.allocated = w.allocated.Plus(s.spec.Reserved())
 	sc.rooms.update(w)
 }
@@ -55,6 +58,9 @@
 	}
 	delete(w.unwanted, r)
 	u.task.unwantedRuns--
+	if u.step.runsPerWorker != nil {
+		u.step.runsPerWorker[w.name]--
+	}
 	w.allocated = w.allocated.Minus(u.step.spec.Reserved())
 	sc.rooms.update(w)
 	sc.noteChange(w)
