Keep held run ends after the life of the runner that listed them

Evidence: 'event 2 (admit): starts: got ["a.0.0.0 1001 w1 "], want []'; 'phase of a: got running, want completed'.

Change: such ends stay held until their job is read, and hold no acknowledgement of the next life back.

--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -118,9 +118,9 @@
 		sc.noteHealth(w)
 		sc.noteChange(w)
 		w.lastEndNumber = 0
+		w.unknownJobs.settle()
 	}
-	w.unknownJobs = unknownJobReport{}
-	delete(sc.workersWithUnknownJobs, w)
+	sc.forgetReported(w)
 	sc.setWorkerInfo(now, w, info)
 	sc.applyEnds(now, wallMS, w, ends)
 	w.lastEndNumber = max(w.lastEndNumber, info.LastSentEnd)
--- a/pkg/dispatch/unknown.go
+++ b/pkg/dispatch/unknown.go
@@ -18,6 +18,26 @@
 	lastListedAt time.Time
 }
 
+// settledEnd is the number of a held end of an earlier life of the runner, which needs no acknowledgement.
+const settledEnd = math.MaxUint64
+
+// settle keeps the held ends after the life of the runner that listed them, since what they say remains true.
+func (u *unknownJobReport) settle() {
+	for i := range u.ends {
+		u.ends[i].Number = settledEnd
+	}
+}
+
+// forgetReported drops what a worker listed in the present life of its runner, before a report lists it anew.
+func (sc *Scheduler) forgetReported(w *workerState) {
+	u := &w.unknownJobs
+	u.runs = nil
+	u.ends = slices.DeleteFunc(u.ends, func(e RunEnd) bool { return e.Number != settledEnd })
+	if u.empty() {
+		delete(sc.workersWithUnknownJobs, w)
+	}
+}
+
 func (u *unknownJobReport) empty() bool { return len(u.runs)+len(u.ends) == 0 }
 
 // firstEndNumber returns the lowest number of the held ends, which must not be acknowledged, or the
