Place nothing on a worker whose agent has left while its report was held

Evidence: TestWorkerWhoseAgentHasLeftGetsNoStartsFromItsHeldReport failed: 'starts at a worker without a connection: got 1, want 0'.

Change: a report that is applied after its connection has ended leaves the worker silent.

--- a/internal/coordinator/held_report.go
+++ b/internal/coordinator/held_report.go
@@ -44,6 +44,9 @@
 		if t.registered[name] && t.confirmed(t.agents[name]) {
 			delete(t.unregistered, name)
 			t.applyReport(now, c, r)
+			if a := t.agents[name]; a != nil && a.conn == nil {
+				t.scheduler.MarkSilent(name)
+			}
 		}
 	}
 }
