Check for starts between a success and its late acknowledgement

What could be seen: the simulation of terms and the tests with simulated runners passed although a task was started again after a run of it had succeeded, if the success was acknowledged only after that start. The acknowledgement made the end one that was taken note of, which the history of runs did not look back at.

Evidence, TestHistoryFindsViolations on the history of before: --- FAIL: TestHistoryFindsViolations/a_run_after_a_success_that_is_acknowledged_later got [], want ["Jan 1 00:00:00.200: run 2 of t started at y after the success of run 1 at x, which was acknowledged later"]

Change: a runner notes with each end how many runs of the task had started; the acknowledgement of a success reports the first start after it. An expired lease between the two still excuses the start.

--- a/internal/standin/taskrunner.go
+++ b/internal/standin/taskrunner.go
@@ -25,6 +25,8 @@
 	// may rightly have given the run up and ordered another run of the task, so the history
 	// does not count a later acknowledgement as one of the task's success.
 	stale bool
+	// startsBefore is the number of runs of the task that had started before the end.
+	startsBefore int
 }
 
 // Reasons for which a TaskRunner refuses a call. Their values are names of the platform's
@@ -166,9 +168,9 @@
 func (r *TaskRunner) finish(task string, t *taskRun, outcome string) {
 	delete(r.running, task)
 	r.lastEnd++
-	r.finished = append(r.finished, RunEnd{Number: r.lastEnd, Task: task, Run: t.run, Outcome: outcome})
+	startsBefore := r.History.noteEnd(task, t.run)
+	r.finished = append(r.finished, RunEnd{Number: r.lastEnd, Task: task, Run: t.run, Outcome: outcome, startsBefore: startsBefore})
 	r.highestRun[task] = max(r.highestRun[task], t.run)
-	r.History.noteEnd(task, t.run)
 	if outcome == "done" {
 		r.History.noteCompleted(task)
 	}
@@ -229,7 +231,7 @@
 	defer r.mu.Unlock()
 	r.finished = slices.DeleteFunc(r.finished, func(e RunEnd) bool {
 		if e.Number <= acked && !e.stale {
-			r.History.noteAck(e.Task, e.Outcome)
+			r.History.noteAck(r.Name, &e)
 		}
 		return e.Number <= acked
 	})
@@ -242,11 +244,13 @@
 
 // History records the starts and ends of runs at all runners, and the violations of two
 // guarantees: no two runs of a task are in progress at once, and no run starts after the
-// success of the task was acknowledged. The zero value is empty.
+// success of the task if that success is acknowledged then or later. The zero value is empty.
 type History struct {
 	mu sync.Mutex
 	// runs holds, by task and run, the runner of each run in progress.
 	runs map[string]map[uint64]string
+	// starts describes, by task, the starts of its runs in their order.
+	starts map[string][]string
 	// ackedDone holds the tasks of which a successful end was acknowledged. completed holds
 	// the tasks of which a run has done all its work.
 	ackedDone  map[string]bool
@@ -260,6 +264,7 @@
 	defer h.mu.Unlock()
 	if h.runs == nil {
 		h.runs, h.ackedDone, h.completed = make(map[string]map[uint64]string), make(map[string]bool), make(map[string]bool)
+		h.starts = make(map[string][]string)
 	}
 	if h.runs[task] == nil {
 		h.runs[task] = make(map[uint64]string)
@@ -271,19 +276,28 @@
 		h.violations = append(h.violations, fmt.Sprintf("%s: run %d of %s started at %s while run %d was in progress at %s", now.Format(time.StampMilli), run, task, runner, other, otherRunner))
 	}
 	h.runs[task][run] = runner
+	h.starts[task] = append(h.starts[task], fmt.Sprintf("%s: run %d of %s started at %s", now.Format(time.StampMilli), run, task, runner))
 }
 
-func (h *History) noteEnd(task string, run uint64) {
+// noteEnd notes that a run has ended, and returns the number of runs of the task that have started.
+func (h *History) noteEnd(task string, run uint64) (started int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.runs[task], run)
+	return len(h.starts[task])
 }
 
-func (h *History) noteAck(task, outcome string) {
+// noteAck notes that an end at a runner was acknowledged, and whether a run that started between the end and
+// its acknowledgement violates a guarantee.
+func (h *History) noteAck(runner string, e *RunEnd) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if outcome == "done" {
-		h.ackedDone[task] = true
+	if e.Outcome != "done" {
+		return
+	}
+	h.ackedDone[e.Task] = true
+	if later := h.starts[e.Task][e.startsBefore:]; len(later) > 0 {
+		h.violations = append(h.violations, fmt.Sprintf("%s after the success of run %d at %s, which was acknowledged later", later[0], e.Run, runner))
 	}
 }
 
