--- /dev/null
+++ b/internal/explore/term/kinds_test.go
@@ -0,0 +1,62 @@
+package term
+
+import "testing"
+
+// kindSeeds is the number of simulated runs with each set of kinds that every run of the tests performs.
+const kindSeeds = 6
+
+const allKinds = SlowCalls | OverlappingReads | JointRestarts | Resubmissions | LateRepeats
+
+// TestNoViolationWithKinds checks the rules under the kinds of faults beyond the basic ones.
+func TestNoViolationWithKinds(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kinds Kinds
+	}{
+		{"calls take time", SlowCalls},
+		{"job records are read twice at a time", OverlappingReads},
+		{"agents restart with their runners", JointRestarts},
+		{"jobs are submitted again", Resubmissions},
+		{"repeated appends are answered", LateRepeats},
+		{"all of these", allKinds},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(kindSeeds) {
+				if err := run(seed, Rules{}, c.kinds); err != nil {
+					t.Errorf("seed %d: %v", seed, err)
+				}
+			}
+		})
+	}
+}
+
+// TestFindsLooserRules loosens one rule at a time and expects a violation in a simulated run that has none by the
+// proper rules.
+func TestFindsLooserRules(t *testing.T) {
+	for _, m := range looserRules {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := m.firstSeed; seed < m.firstSeed+mutantSeeds; seed++ {
+				if err := run(seed, Rules{LooserRules: m.rules}, m.kinds); err != nil && run(seed, Rules{}, m.kinds) == nil {
+					t.Logf("found by seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Errorf("got no violation in %d schedules from %d on, want one", mutantSeeds, m.firstSeed)
+		})
+	}
+}
+
+var looserRules = []struct {
+	name      string
+	kinds     Kinds
+	rules     LooserRules
+	firstSeed uint64
+}{
+	{"only the maker of the claim before is watched", SlowCalls, LooserRules{TrustNewestClaim: true}, 60},
+	{"a job that an entry tells of is taken for new", Resubmissions, LooserRules{TakeToldForNew: true}, 15},
+	{"a new agent joins the dispatcher of any term", JointRestarts, LooserRules{JoinAnyTerm: true}, 720},
+	{"job records are applied in any order", OverlappingReads, LooserRules{ApplyInAnyOrder: true}, 2945},
+	{"a lease is renewed from the repetition of an append", allKinds, LooserRules{RenewFromRepetition: true}, 225},
+}
--- /dev/null
+++ b/internal/explore/term/regression_test.go
@@ -0,0 +1,29 @@
+package term
+
+import "testing"
+
+// regressionSeeds is the number of simulated runs that each of the tests below performs.
+const regressionSeeds = 40
+
+// expectNoViolation performs simulated runs from a seed on that showed a violation before a rule was mended.
+func expectNoViolation(t *testing.T, kinds Kinds, firstSeed uint64) {
+	t.Helper()
+	t.Parallel()
+	for seed := firstSeed; seed < firstSeed+regressionSeeds; seed++ {
+		if err := run(seed, Rules{}, kinds); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+func TestEarlierDispatcherIsWaitedFor(t *testing.T) { expectNoViolation(t, SlowCalls, 60) }
+
+func TestToldJobIsNotStartedTwice(t *testing.T) { expectNoViolation(t, Resubmissions, 100) }
+
+func TestNewAgentJoinsNewestTerm(t *testing.T) { expectNoViolation(t, JointRestarts, 720) }
+
+func TestNewestJobRecordIsKept(t *testing.T) { expectNoViolation(t, OverlappingReads, 2945) }
+
+func TestRepeatedAppendRenewsNoLease(t *testing.T) { expectNoViolation(t, allKinds, 225) }
+
+func TestOccurrenceThatIsNotDueHereRunsOnce(t *testing.T) { expectNoViolation(t, Occurrences, 20) }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -15,6 +15,9 @@
 	// PageSize is the largest number of records in one page of the newest records; 0 means
 	// 500.
 	PageSize int
+	// FenceRepeats makes the store reject the repetition of an append of an earlier term than the newest, rather
+	// than give it the first response again.
+	FenceRepeats bool
 	// OnPage, if set, is called after each read of a page of the newest records.
 	OnPage func()
 
@@ -90,6 +93,9 @@
 		return t.endOffset, s.faultOr(store.ErrEndMismatch)
 	}
 	if a.Term > 0 {
+		if s.FenceRepeats && a.Term < t.term {
+			return 0, s.faultOr(store.ErrFenced)
+		}
 		if end, repeated, err := t.checkSequence(&a); repeated || err != nil {
 			return end, s.faultOr(err)
 		}
