Count an agent process as new from its first Hello, not from its report

Cause: an agent knows the term from the answer to its Hello. If it reports only on a later connection, as its runner rejects the term until it restarts, that connection names this term, and the process passed for one that had been served in it.

Evidence: TestProcessThatJoinedWithoutAReportIsHeldUntilAWriteIsAccepted failed: 'starts before a write: got 1, want 0', 'starts after a write: got 0, want 1'.

Change: an entry keeps with an agent's connection since when it has known the process as one without a term.

--- a/internal/coordinator/agent_conn.go
+++ b/internal/coordinator/agent_conn.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "savoryhoist.example/savoryhoist/internal/peer"
+import (
+	"time"
+
+	"savoryhoist.example/savoryhoist/internal/peer"
+)
 
 // agentConn is the newest connection of an agent, which has one at a time. What the agent sent on an earlier one
 // may arrive later.
@@ -11,15 +15,25 @@
 	incarnation, number uint64
 	// term is the term of this entry when the connection began; 0 if it was not the dispatcher.
 	term uint64
+	// newSince is when the agent process first said Hello here if it knew no term then; zero if it knew one.
+	newSince time.Time
 }
 
 // noteAgentConn records the connection on which an agent said h, and reports whether it is the agent's newest one.
 // The caller holds mu.
-func (c *Coordinator) noteAgentConn(conn *peer.Conn, h *peer.Hello) bool {
-	if last, known := c.agentConns[h.Name]; known && last.incarnation == h.Incarnation && h.Connection < last.number {
+func (c *Coordinator) noteAgentConn(now time.Time, conn *peer.Conn, h *peer.Hello) bool {
+	last, known := c.agentConns[h.Name]
+	sameProcess := known && last.incarnation == h.Incarnation
+	if sameProcess && h.Connection < last.number {
 		return false
 	}
 	n := agentConn{conn: conn, incarnation: h.Incarnation, number: h.Connection}
+	switch {
+	case sameProcess:
+		n.newSince = last.newSince
+	case h.NewestTerm == 0:
+		n.newSince = now
+	}
 	if c.term != nil {
 		n.term = c.term.number
 	}
--- a/internal/coordinator/fresh_agent_test.go
+++ b/internal/coordinator/fresh_agent_test.go
@@ -17,6 +17,14 @@
 	return &peer.Message{Report: r}
 }
 
+// connect passes the entry the first messages on a new connection of an agent.
+func connect(t *testing.T, c *Coordinator, h *peer.Hello, report *peer.Message) {
+	t.Helper()
+	conn := pipedConn(t)
+	c.handleHello(conn, h)
+	c.handleAgentMessage(conn, h, report)
+}
+
 // A later dispatcher may have had the worker of a new agent process, and may have finished tasks there and elsewhere.
 func TestSupersededDispatcherStartsNothingAtAWorkerThatForgotTheLaterTerm(t *testing.T) {
 	for _, tc := range []struct {
@@ -50,7 +58,7 @@
 				s.SetFault(store.ErrRefused, false)
 				cancel()
 			}
-			c.handleAgentMessage(pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "w1", NewestTerm: tc.newest}, reportInLife(tc.life))
+			connect(t, c, &peer.Hello{Role: peer.RoleAgent, Name: "w1", NewestTerm: tc.newest}, reportInLife(tc.life))
 			c.registerWorkers(ctx, current)
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -74,7 +82,7 @@
 	current.registered["w1"] = true
 	admitSingle(current, "a")
 	for _, newest := range []uint64{0, ownTerm} {
-		c.handleAgentMessage(pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "w1", Incarnation: 7, NewestTerm: newest}, reportInLife(1))
+		connect(t, c, &peer.Hello{Role: peer.RoleAgent, Name: "w1", Incarnation: 7, NewestTerm: newest}, reportInLife(1))
 		if got := len(startsAfter(current)); got != 0 {
 			t.Errorf("starts before a write: got %d, want 0", got)
 		}
@@ -92,7 +100,28 @@
 	r.Runs = []dispatch.RunStatus{{Task: admitSingle(current, "a"), Run: 1}}
 	current.applyReport(current.began, c, r)
 	current.applyReport(current.began, c, reportOf("w2"))
-	c.handleAgentMessage(pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "w1"}, &peer.Message{Report: &peer.Report{RunnerEnded: true}})
+	connect(t, c, &peer.Hello{Role: peer.RoleAgent, Name: "w1"}, &peer.Message{Report: &peer.Report{RunnerEnded: true}})
+	if got := len(startsAfter(current)); got != 0 {
+		t.Errorf("starts before a write: got %d, want 0", got)
+	}
+	c.registerWorkers(context.Background(), current)
+	if got := len(startsAfter(current)); got != 1 {
+		t.Errorf("starts after a write: got %d, want 1", got)
+	}
+}
+
+// An agent knows the term from the answer to its Hello, long before its runner answers and it reports.
+func TestProcessThatJoinedWithoutAReportIsHeldUntilAWriteIsAccepted(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	current.registered["w1"] = true
+	admitSingle(current, "a")
+	for _, newest := range []uint64{0, ownTerm} {
+		hello, conn := &peer.Hello{Role: peer.RoleAgent, Name: "w1", Incarnation: 7, NewestTerm: newest}, pipedConn(t)
+		c.handleHello(conn, hello)
+		if newest == ownTerm {
+			c.handleAgentMessage(conn, hello, reportInLife(1))
+		}
+	}
 	if got := len(startsAfter(current)); got != 0 {
 		t.Errorf("starts before a write: got %d, want 0", got)
 	}
--- a/internal/coordinator/held_report.go
+++ b/internal/coordinator/held_report.go
@@ -9,39 +9,28 @@
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
-// noteProcess records which agent process has sent a report, with the Hello of its connection.
-func (a *agentLink) noteProcess(now time.Time, h *peer.Hello) {
-	known := !a.newProcessSince.IsZero() && a.newProcess == h.Incarnation
-	switch {
-	case known:
-	case h.NewestTerm == 0:
-		a.newProcess, a.newProcessSince = h.Incarnation, now
-	default:
-		a.newProcessSince = time.Time{}
-	}
-}
-
 // mustHold reports whether a report of a worker must be held until the store has taken a write: the worker's name,
-// or one under the term that was sent after the first report of an agent process that knew no term. An earlier
+// or one under the term that was sent after the first Hello of an agent process that knew no term. An earlier
 // process may have served a later dispatcher, unless the runner is still in the life that it had in this term: then
 // the runner knows of the later term. The caller holds mu.
-func (t *term) mustHold(a *agentLink, r *peer.Report) bool {
-	if !t.registered[a.name] {
+func (t *term) mustHold(c *Coordinator, r *peer.Report) bool {
+	w := &r.Worker
+	if !t.registered[w.Name] {
 		return true
 	}
-	return !t.confirmed(a) && (r.Worker.Life == 0 || r.Worker.Life != t.scheduler.RunnerLife(a.name))
+	return !t.confirmed(c, w.Name) && (w.Life == 0 || w.Life != t.scheduler.RunnerLife(w.Name))
 }
 
-// confirmed reports whether no later term had begun when the worker's agent, if it is a new process, first reported.
-// The caller holds mu.
-func (t *term) confirmed(a *agentLink) bool {
-	return a == nil || !t.leaderLease.LastRenewal().Before(a.newProcessSince)
+// confirmed reports whether no later term had begun when the worker's agent, if it is a new process, first said
+// Hello. The caller holds mu.
+func (t *term) confirmed(c *Coordinator, worker string) bool {
+	return !t.leaderLease.LastRenewal().Before(c.agentConns[worker].newSince)
 }
 
 // releaseReports applies the held reports that need not be held any more. The caller holds mu.
 func (t *term) releaseReports(now time.Time, c *Coordinator) {
 	for name, r := range t.unregistered {
-		if t.registered[name] && t.confirmed(t.agents[name]) {
+		if t.registered[name] && t.confirmed(c, name) {
 			delete(t.unregistered, name)
 			t.applyReport(now, c, r)
 			if a := t.agents[name]; a != nil && a.conn == nil {
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -85,7 +85,7 @@
 		}
 	}
 	c.noteTerm(h.NewestTerm, h.Name)
-	if h.Role == peer.RoleAgent && !c.noteAgentConn(conn, h) {
+	if h.Role == peer.RoleAgent && !c.noteAgentConn(now, conn, h) {
 		conn.Close()
 		return
 	}
@@ -161,8 +161,7 @@
 		}
 		a.lastContact, a.leaseExpired = now, false
 		m.Report.Worker.Name = h.Name
-		a.noteProcess(now, h)
-		if t.mustHold(a, m.Report) {
+		if t.mustHold(c, m.Report) {
 			t.unregistered[h.Name] = m.Report
 			notify(c.wakeWriter)
 			return
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -79,10 +79,6 @@
 	sentEntries uint64
 	// leaseExpired is set once the leases of all runs at the worker have expired.
 	leaseExpired bool
-	// newProcess is the incarnation of an agent process that knew no term when its first report arrived, at
-	// newProcessSince; that time is zero if the process knew a term.
-	newProcess      uint64
-	newProcessSince time.Time
 }
 
 // syncJob passes a job of the job table to the scheduler, and reports whether the scheduler's
