Count the crash of a runner once, however often it is reported as gone

Cause: keeps starts without an answer pending while their runner is gone.

Evidence: the script 'a start that stays pending while its runner is gone counts as one crash' failed: 'event 9 (wait): starts: got [], want ["a.0.0.0 2 *"]'.

Change: a runner that was gone before does not crash again.

--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -194,8 +194,9 @@
 	notify(c.wakeLead)
 }
 
-// applyRunEnds passes run ends of a worker to the scheduler, or adds them to the worker's held report. It closes the connection if ends before them are
-// missing, so that the agent reports all ends that are not acknowledged. The caller holds mu.
+// applyRunEnds passes run ends of a worker to the scheduler, or adds them to the worker's held report. It closes the
+// connection if ends before them are missing, so that the agent reports all ends that are not acknowledged. The
+// caller holds mu.
 func (c *Coordinator) applyRunEnds(now time.Time, t *term, conn *peer.Conn, name string, r *peer.RunEnds) {
 	ignored, complete := 0, false
 	if held := t.unregistered[name]; held != nil {
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -232,12 +232,7 @@
 	}
 	switch e.Do {
 	case "report":
-		runs := runsOf(t, e.Runs)
-		for _, r := range runsOf(t, e.Pending) {
-			r.Pending = true
-			runs = append(runs, r)
-		}
-		sc.ApplyReport(now, wallMS, w, runs, endsOf(t, e.Ends))
+		sc.ApplyReport(now, wallMS, w, append(runsOf(t, e.Runs), pendingOf(t, e.Pending)...), endsOf(t, e.Ends))
 	case "describe":
 		sc.ApplyPing(now, w, runsOf(t, e.Runs))
 	case "ended":
@@ -270,6 +265,7 @@
 		}
 		sc.ConfirmSent(e.Worker, started)
 		sc.RunnerGone(now, wallMS, e.Worker, e.Do == "crashed")
+		sc.AdoptPending(now, wallMS, e.Worker, pendingOf(t, e.Pending))
 	case "caught-up":
 		sc.AllJobsKnown(now, now)
 	case "settle":
@@ -326,6 +322,16 @@
 	return out
 }
 
+// pendingOf parses runs in the form of event.Pending.
+func pendingOf(t *testing.T, lines []string) []RunStatus {
+	t.Helper()
+	out := runsOf(t, lines)
+	for i := range out {
+		out[i].Pending = true
+	}
+	return out
+}
+
 // endsOf parses run ends in the form of event.Ends.
 func endsOf(t *testing.T, lines []string) []RunEnd {
 	t.Helper()
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -84,7 +84,8 @@
 // the runner is known to have ended, rather than not to answer. It returns the number of runs lost.
 func (sc *Scheduler) RunnerGone(now time.Time, wallMS int64, name string, ended bool) int {
 	w := sc.workers[name]
-	n := sc.loseWorker(now, wallMS, name, ended && w != nil && !w.endAnnounced, ConclusionRunnerGone)
+	crashed := ended && w != nil && w.life != 0 && !w.endAnnounced // a runner that was gone before does not crash again
+	n := sc.loseWorker(now, wallMS, name, crashed, ConclusionRunnerGone)
 	if w != nil {
 		w.life = 0
 	}
