Count a job as waiting until a run of it has been at work

Cause: a job counted as begun once a start was ordered, also if the start was never answered and took no effect.

Evidence: the scripts of begun.json failed: 'event 2 (refused): waiting jobs: got 0, want 1'.

Change: the first listing of a run, or its end, marks the job as begun; the count leaves out only begun jobs.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -118,7 +118,7 @@
 	dispatcherConn *callConn
 	// term is this entry's term; nil unless this entry is the dispatcher.
 	term *term
-	// pendingByQueue is the dispatcher's latest number of jobs without a started task, by queue.
+	// pendingByQueue is the dispatcher's latest number of jobs that have not begun, by queue.
 	pendingByQueue map[string]int
 	// succeeds is the term of the dispatcher that resigned and named this entry as its successor.
 	succeeds uint64
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -53,16 +53,16 @@
 	stoppedBeforeTaken bool
 	// earlierRunsOver is set once nothing that an earlier term started can run any more.
 	earlierRunsOver bool
-	// pending is the number of jobs without a started task by queue, as counted at pendingCountedAt.
+	// pending is the number of jobs that have not begun by queue, as counted at pendingCountedAt.
 	pending          map[string]int
 	pendingCountedAt time.Time
 }
 
-// pendingMaxAge is how old the number of jobs without a started task may be when it is sent to another entry;
+// pendingMaxAge is how old the number of jobs that have not begun may be when it is sent to another entry;
 // it ages there until the next ping.
 const pendingMaxAge = 300 * time.Millisecond
 
-// pendingJobs returns the number of jobs without a started task by queue. The caller holds mu.
+// pendingJobs returns the number of jobs that have not begun by queue. The caller holds mu.
 func (t *term) pendingJobs(now time.Time) map[string]int {
 	if t.pending == nil || now.Sub(t.pendingCountedAt) >= pendingMaxAge {
 		t.pending, t.pendingCountedAt = t.scheduler.PendingJobs(), now
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -116,7 +116,7 @@
 	EntryAddresses []string `cbor:"3,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration that is in force at the sender.
 	ConfigVersion uint64 `cbor:"4,keyasint,omitempty"`
-	// PendingJobsByQueue is the number of jobs without a started task, by queue; only the dispatcher
+	// PendingJobsByQueue is the number of jobs that have not begun, by queue; only the dispatcher
 	// sends it, and only to entries.
 	PendingJobsByQueue map[string]int `cbor:"5,keyasint,omitempty"`
 	// WorkerLeaseRenewed is set if the ping renews the worker lease of the agent.
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -77,6 +77,8 @@
 	// WantAcks are the acknowledgements that the scheduler must return: "worker number", with
 	// the number of the last run end that the worker may forget; not compared if missing.
 	WantAcks []string `json:"noted"`
+	// WantWaiting is the number of jobs of all queues that must be counted as waiting; not compared if missing.
+	WantWaiting *int `json:"waiting"`
 	// WantPhase is the phase that the job must have; not compared if empty.
 	WantPhase string `json:"phase"`
 }
@@ -189,6 +191,15 @@
 			sc.TakeChange().EachAck(func(worker string, _, end uint64) { acked = append(acked, fmt.Sprintf("%s %d ", worker, end)) })
 			compareLines(t, fmt.Sprintf("event %d (%s): acknowledged ends", i, e.Do), acked, e.WantAcks)
 		}
+		if e.WantWaiting != nil {
+			got := 0
+			for _, n := range sc.PendingJobs() {
+				got += n
+			}
+			if got != *e.WantWaiting {
+				t.Errorf("event %d (%s): waiting jobs: got %d, want %d", i, e.Do, got, *e.WantWaiting)
+			}
+		}
 		if e.WantPhase != "" {
 			got := "unknown"
 			if p, ok := sc.Phase(e.Job); ok {
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -22,6 +22,7 @@
 	if progress != nil {
 		j.phase, j.endedMS, j.storedProgress = progress.Phase, progress.EndedMS, progress
 		j.started = progress.Phase != workflow.PhaseQueued
+		j.begun = len(progress.Done) > 0 || len(progress.Tasks) > 0
 	}
 	if !j.phase.Ended() {
 		sc.createDueOccurrences(now, wallMS, j)
@@ -68,12 +69,11 @@
 	return j.phase, true
 }
 
-// PendingJobs returns, for each queue, the number of jobs that have not ended and of which no task
-// has been started.
+// PendingJobs returns, for each queue, the number of jobs that have neither begun nor ended.
 func (sc *Scheduler) PendingJobs() map[string]int {
 	out := make(map[string]int)
 	for _, j := range sc.jobs {
-		if !j.started && !j.phase.Ended() {
+		if !j.begun && !j.phase.Ended() {
 			out[j.submission.Queue]++
 		}
 	}
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -221,6 +221,7 @@
 		r.phase = runRunning
 	}
 	r.sent, r.reportedPending = true, false
+	r.step.occurrence.job.begun = true
 	if now.Sub(r.orderedAt) >= provenStartAfter {
 		sc.proveStart(r)
 	}
@@ -361,6 +362,7 @@
 		t.checkpoint = r.checkpoint
 	}
 	j := s.occurrence.job
+	j.begun = j.begun || e.How < OutcomeRefused
 	switch e.How {
 	case OutcomeDone:
 		sc.completeTask(now, wallMS, s, t)
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -176,6 +176,8 @@
 	endedMS int64
 	// started is set once a task of the job has been started.
 	started bool
+	// begun is set once a run of the job is known to have been at work: a start that was ordered may take no effect.
+	begun bool
 	// fromEarlierTerm is set if the job was accepted before this term, so that another
 	// dispatcher may have started it.
 	fromEarlierTerm bool
