--- a/internal/coordinator/changes.go
+++ b/internal/coordinator/changes.go
@@ -42,12 +42,12 @@
 func (c *Coordinator) registerWorkers(ctx context.Context, t *term) {
 	c.mu.Lock()
 	var records []store.Record
-	for w := range t.unregistered {
+	for w := range t.heldReports {
 		if !t.registered[w] {
 			records = append(records, store.Record{Key: w, Value: []byte{1}})
 		}
 	}
-	held := len(t.unregistered)
+	held := len(t.heldReports)
 	c.mu.Unlock()
 	if held == 0 {
 		return
--- a/internal/coordinator/held_report.go
+++ b/internal/coordinator/held_report.go
@@ -29,9 +29,9 @@
 
 // releaseReports applies the held reports that need not be held any more. The caller holds mu.
 func (t *term) releaseReports(now time.Time, c *Coordinator) {
-	for name, r := range t.unregistered {
+	for name, r := range t.heldReports {
 		if t.registered[name] && t.confirmed(c, name) {
-			delete(t.unregistered, name)
+			delete(t.heldReports, name)
 			t.applyReport(now, c, r)
 			if a := t.agents[name]; a != nil && a.conn == nil {
 				t.scheduler.MarkSilent(name)
@@ -44,7 +44,7 @@
 // same: the name may take long to be stored, and the worker may have shrunk or begun to drain since. The
 // caller holds mu.
 func (t *term) updateHeldReport(w *dispatch.Worker) {
-	if held := t.unregistered[w.Name]; held != nil && held.Worker.Life == w.Life {
+	if held := t.heldReports[w.Name]; held != nil && held.Worker.Life == w.Life {
 		last, more := held.Worker.LastSentEnd, held.Worker.MoreEnds
 		held.Worker = *w
 		held.Worker.LastSentEnd, held.Worker.MoreEnds = last, more // the report covers no more ends than before
@@ -56,7 +56,7 @@
 func (t *term) addHeldEnds(held *peer.Report, r *peer.RunEnds) bool {
 	w := &held.Worker
 	if w.Life != r.Life || r.After > w.LastSentEnd {
-		delete(t.unregistered, w.Name)
+		delete(t.heldReports, w.Name)
 		return false
 	}
 	for i := range r.Ends {
@@ -74,7 +74,7 @@
 // removeHeldRun removes a run that never starts from the held report of a worker, if there is one. The caller
 // holds mu.
 func (t *term) removeHeldRun(name string, r *peer.OrderRefused) {
-	if held := t.unregistered[name]; held != nil && held.Worker.Life == r.Life {
+	if held := t.heldReports[name]; held != nil && held.Worker.Life == r.Life {
 		removeRun(held, r.Task, r.Run)
 	}
 }
--- a/internal/coordinator/late_report_test.go
+++ b/internal/coordinator/late_report_test.go
@@ -92,7 +92,7 @@
 	c, current := newDispatcher(t, &standin.Store{})
 	current.registered["w1"] = true
 	conn, hello := helloConn(t, c, 1, 1)
-	later := &term{number: ownTerm + 2, agents: make(map[string]*agentLink), registered: map[string]bool{"w1": true}, unregistered: make(map[string]*peer.Report)}
+	later := &term{number: ownTerm + 2, agents: make(map[string]*agentLink), registered: map[string]bool{"w1": true}, heldReports: make(map[string]*peer.Report)}
 	later.scheduler.SetQueues(map[string]dispatch.Queue{"plans": {Service: "bench"}})
 	later.scheduler.BeginTerm(later.number, []string{"w1"})
 	c.mu.Lock()
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -216,7 +216,7 @@
 // reject writes of earlier terms, and reads the workers and jobs. previous is the claim before
 // own, with term 0 if there was none.
 func (c *Coordinator) beginTerm(ctx context.Context, own, previous leadership.Claim, reason string) error {
-	t := &term{number: own.Term, began: clock.Steady(), agents: make(map[string]*agentLink), registered: make(map[string]bool), unregistered: make(map[string]*peer.Report)}
+	t := &term{number: own.Term, began: clock.Steady(), agents: make(map[string]*agentLink), registered: make(map[string]bool), heldReports: make(map[string]*peer.Report)}
 	sent := clock.Steady()
 	c.mu.Lock()
 	c.candidate.ObserveClaim(sent, own)
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -162,11 +162,11 @@
 		a.lastContact, a.leaseExpired = now, false
 		m.Report.Worker.Name = h.Name
 		if t.mustHold(c, m.Report) {
-			t.unregistered[h.Name] = m.Report
+			t.heldReports[h.Name] = m.Report
 			notify(c.wakeWriter)
 			return
 		}
-		delete(t.unregistered, h.Name)
+		delete(t.heldReports, h.Name)
 		t.applyReport(now, c, m.Report)
 	case a.conn != conn:
 		return // the agent has not sent a report on this connection in this term
@@ -199,7 +199,7 @@
 // caller holds mu.
 func (c *Coordinator) applyRunEnds(now time.Time, t *term, conn *peer.Conn, name string, r *peer.RunEnds) {
 	ignored, complete := 0, false
-	if held := t.unregistered[name]; held != nil {
+	if held := t.heldReports[name]; held != nil {
 		complete = t.addHeldEnds(held, r)
 	} else {
 		ignored, complete = t.scheduler.ApplyEnds(now, clock.WallMS(), name, r.Life, r.After, r.Ends)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -22,9 +22,9 @@
 	agents map[string]*agentLink
 	// registered holds the workers whose names are stored, so that a later dispatcher waits for them.
 	registered map[string]bool
-	// unregistered holds the reports of workers whose names are not stored yet, or whose agents are new
+	// heldReports holds the reports of workers whose names are not stored yet, or whose agents are new
 	// processes; see mustHold.
-	unregistered map[string]*peer.Report
+	heldReports map[string]*peer.Report
 	// told holds the jobs that this entry was told of before all workers had reported, and has not read.
 	told map[string]struct{}
 	// appendSeq is the sequence number of the last append under the term that the store accepted.
@@ -197,7 +197,7 @@
 		}
 		if t.leasesExpired(now, c, leadership.WorkerLeaseEndsBy(a.lastContact)) {
 			a.leaseExpired = true
-			delete(t.unregistered, a.name) // the runs that it shows have ended
+			delete(t.heldReports, a.name) // the runs that it shows have ended
 			c.count("workers-lost", 1)
 			n := t.scheduler.WorkerLeaseExpired(now, a.name)
 			c.log.Warn().Str("worker", a.name).Dur("silent", silence).Int("runs", n).Msg("worker lost; the leases of its runs have expired")
