--- a/internal/explore/term/agent_steps.go
+++ b/internal/explore/term/agent_steps.go
@@ -71,7 +71,7 @@
 	})
 	if w.random.IntN(60) == 0 {
 		if w.random.IntN(2) == 0 {
-			w.schedule(w.runnerLatency(), func() { _ = a.reachRunner(life, op) })
+			w.schedule(w.runnerLatency(), func() { _ = a.reachRunner(life, op) }) // nobody hears the answer
 		}
 		return
 	}
--- a/internal/explore/term/steps.go
+++ b/internal/explore/term/steps.go
@@ -97,7 +97,7 @@
 		answer(w.latency(), store.ErrRefused)
 	case 1:
 		if w.random.IntN(3) > 0 {
-			w.schedule(w.randomUpTo(maxLateCall), func() { _ = op(&w.storeClient) })
+			w.schedule(w.randomUpTo(maxLateCall), func() { _ = op(&w.storeClient) }) // nobody hears the answer
 		}
 		answer(storeTimeout, store.ErrOutcomeUnknown)
 	default:
