Add review case 4: earlier jobs wait 15 s for a runner that left in order

Cause: a worker that has left is never taken out of the topic of workers, and a dispatcher that follows one whose machine no longer answers starts nothing of earlier jobs before all workers named there have reported or 15.5 s have passed.

Seen: a task that lasts has no run for 16.7 s, with sound runners idle.

--- a/review/play.sh
+++ b/review/play.sh
@@ -31,6 +31,7 @@
 		runner) start target/review-standin runner "$dir/$name.json" ;;
 		esac
 		[ -e "$dir/stop" ] && return
+		[ -e "$dir/$name.gone" ] && return
 		down=0.5
 		[ -e "$dir/$name.down" ] && down=$(cat "$dir/$name.down")
 		sleep "$down"
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -26,6 +29,11 @@
 	workBefore    = 5 * time.Second
 	crashes       = 4
 	observedFor   = 12 * time.Second
+	clockJump     = 2400 * time.Millisecond
+	lifeBetween   = 1300 * time.Millisecond // from a start of a runner to its next crash
+	shortCrash    = 500 * time.Millisecond
+	lastingAgain  = 6 * time.Second // a task that lasts has to run again within this time
+	calmBefore    = 4 * time.Second // before the idleBound, nothing may be disrupted for this time
 	lastingStep   = `{"count":1,"cpu":3200,"mem-mb":6400,"est-runtime-ms":420,"long-running":true}`
 	lastingJob    = `{"task-spec":"lasts","steps":[` + lastingStep + `]}`
 	chainStepWork = 1500
@@ -36,6 +44,8 @@
 	"crashes":       (*stage).crashes,
 	"cancel":        (*stage).cancel,
 	"removed-queue": (*stage).removedQueue,
+	"takeover":      (*stage).takeover,
+	"clock":         (*stage).clock,
 }
 
 // chainJob returns a job of steps that run one after the other.
@@ -194,3 +204,122 @@
 	s.request(http.MethodGet, 0, path, "")
 	return longest > idleBound, nil
 }
+
+// takeover has a runner leave for good, and later the dispatcher's machine disappear for good while the runner of a
+// task that lasts crashes.
+func (s *stage) takeover() (bool, error) {
+	const job = "7a4e000000000001"
+	const task = job + ".0.0.0"
+	const path = "/main/" + job
+	if !s.submit(0, path, lastingJob) {
+		return false, errors.New("the job was not accepted")
+	}
+	e, ok := s.awaitAtWork(job, task, 2*time.Second, 8*time.Second)
+	if !ok {
+		return false, errors.New("the job was not started")
+	}
+	dispatcher, err := s.dispatcher()
+	if err != nil {
+		return false, err
+	}
+	if s.trouble {
+		leaving := runnerCount - 1
+		if runnerName(leaving) == e.Runner {
+			leaving--
+		}
+		if err := s.leave(leaving); err != nil {
+			return false, err
+		}
+		s.pause(2*contact + drainTime)
+		if err := s.signal(fmt.Sprintf("front-%d", dispatcher+1), syscall.SIGSTOP); err != nil {
+			return false, err
+		}
+		s.notef("the machine of front-%d is gone for good", dispatcher+1)
+		if err := s.crash(e.Runner, shortCrash); err != nil {
+			return false, err
+		}
+	}
+	entry := (dispatcher + 1) % entryCount
+	began, idleSince, longest := clock.Steady(), clock.Steady(), time.Duration(0)
+	for clock.Steady().Sub(began) < 2*observedFor && s.pause(watchEvery) {
+		now := clock.Steady()
+		if len(s.atWork(job)) > 0 {
+			idleSince = now
+		}
+		longest = max(longest, now.Sub(idleSince))
+	}
+	s.request(http.MethodGet, entry, path, "")
+	bound := max(lastingAgain, shortCrash+calmBefore) + idleBound
+	s.notef("the task that lasts had no run for %v; bound: %v", longest, bound)
+	return longest > bound, nil
+}
+
+// leave has a runner drain and leave, and then ends its agent; neither is started again.
+func (s *stage) leave(i int) error {
+	agent := fmt.Sprintf("side-%d", i+1)
+	for _, name := range []string{runnerName(i), agent} {
+		if err := os.WriteFile(filepath.Join(s.dir, name+".gone"), nil, 0o600); err != nil {
+			return err
+		}
+	}
+	if err := s.signal(runnerName(i), syscall.SIGTERM); err != nil {
+		return err
+	}
+	s.pause(drainTime + time.Second)
+	return s.signal(agent, syscall.SIGTERM)
+}
+
+// clock has the time of day of a runner's machine jump ahead and back, and the runner crash once before and once after
+// it jumps back.
+func (s *stage) clock() (bool, error) {
+	const job = "c10c000000000001"
+	const path = "/main/" + job
+	// One task for each runner: a runner that is not used leaves one without a run.
+	body := fmt.Sprintf(`{"task-spec":"lasts","steps":[{"count":%d,"cpu":3200,"mem-mb":6400,"est-runtime-ms":420,"long-running":true,"anti-affinity":1}]}`, runnerCount)
+	if !s.submit(0, path, body) {
+		return false, errors.New("the job was not accepted")
+	}
+	s.pause(3 * time.Second)
+	if n := len(s.atWork(job)); n != runnerCount {
+		return false, errors.Newf("%d tasks are at work, want %d", n, runnerCount)
+	}
+	runner := runnerName(2)
+	if s.trouble {
+		if err := s.jumpClock(runner, clockJump); err != nil {
+			return false, err
+		}
+		if err := s.crash(runner, shortCrash); err != nil {
+			return false, err
+		}
+		s.pause(shortCrash + lifeBetween)
+		if err := s.jumpClock(runner, 0); err != nil {
+			return false, err
+		}
+		if err := s.crash(runner, shortCrash); err != nil {
+			return false, err
+		}
+	}
+	s.pause(shortCrash + calmBefore)
+	began, idleSince, longest := clock.Steady(), clock.Steady(), time.Duration(0)
+	for clock.Steady().Sub(began) < 2*observedFor && s.pause(watchEvery) {
+		now := clock.Steady()
+		if len(s.atWork(job)) == runnerCount {
+			idleSince = now
+		}
+		longest = max(longest, now.Sub(idleSince))
+	}
+	s.request(http.MethodGet, 0, path, "")
+	s.notef("tasks at work: %d of %d; a task had no run for %v from %v after the last crash on; bound: %v", len(s.atWork(job)), runnerCount, longest,
+		shortCrash+calmBefore, lastingAgain)
+	return longest > lastingAgain, nil
+}
+
+// jumpClock sets how far the time of day of a runner's machine is ahead. A runner notes it when it starts. JUMP=0 leaves
+// the jumps out.
+func (s *stage) jumpClock(runner string, ahead time.Duration) error {
+	if os.Getenv("JUMP") == "0" {
+		return nil
+	}
+	s.notef("the time of day on the machine of %s is %v ahead", runner, ahead)
+	return os.WriteFile(filepath.Join(s.dir, runner+".clock"), []byte(strconv.FormatInt(ahead.Milliseconds(), 10)), 0o600)
+}
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -10,10 +10,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
@@ -31,6 +33,8 @@
 	runnerTick = 10 * time.Millisecond
 	// maxListedEnds is the number of ends in one answer.
 	maxListedEnds = 500
+	// drainTime is how long a runner that leaves serves on.
+	drainTime = 2 * time.Second
 	// maxWait bounds how long a hold call may wait.
 	maxWait = 2000 * time.Millisecond
 )
@@ -82,6 +86,10 @@
 	// highest is the highest run of a task that was stopped or has ended.
 	highest map[string]uint64
 	changed chan struct{}
+	// draining is set once the runner is about to leave.
+	draining bool
+	// seq is the number of the last heartbeat.
+	seq int
 }
 
 // runRunner runs a runner until its process is killed.
@@ -121,6 +129,12 @@
 		}
 	})
 	group.Go(func() { r.sendHeartbeats(ctx) })
+	terminated := make(chan os.Signal, 1)
+	signal.Notify(terminated, syscall.SIGTERM)
+	group.Go(func() {
+		<-terminated
+		r.leave(ctx)
+	})
 	server := &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
 	return server.Serve(ln)
 }
@@ -320,27 +334,58 @@
 
 // sendHeartbeats sends a heartbeat to the agent on the runner's machine at regular intervals.
 func (r *runner) sendHeartbeats(ctx context.Context) {
-	client := http.Client{Timeout: time.Second}
-	url := fmt.Sprintf("http://%s:%d/v1/instances/%s/heartbeat", r.settings.IP, portControl, r.id)
-	for seq := 1; ; seq++ {
-		body, err := json.Marshal(map[string]any{
-			"service": r.settings.Service, "address": fmt.Sprintf("%s:%d", r.settings.IP, portApp), "zone": "a", "version": "v1", "slots": 8, "phase": "ready",
-			"cold-left-ms": 0, "capacity": map[string]int{"cpu": 16000, "mem-mb": 64000, "gpu": 0}, "labels": []string{"a", r.settings.Rack},
-			"clock-ms": r.clockMS(clock.Steady()), "seq": seq, "born": r.born,
-		})
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "heartbeat:", err)
-			return
-		}
-		request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-		if err == nil {
-			request.Header.Set("Content-Type", "application/json")
-			if response, err := client.Do(request); err == nil {
-				_ = response.Body.Close()
-			}
-		}
+	for {
+		r.sendHeartbeat(ctx)
 		if !clock.WaitForWake(ctx, nil, heartbeatEvery) {
 			return
 		}
 	}
 }
+
+// sendHeartbeat sends one heartbeat.
+func (r *runner) sendHeartbeat(ctx context.Context) {
+	r.mu.Lock()
+	r.seq++
+	heartbeat := map[string]any{
+		"service": r.settings.Service, "address": fmt.Sprintf("%s:%d", r.settings.IP, portApp), "zone": "a", "version": "v1", "slots": 8, "phase": "ready",
+		"cold-left-ms": 0, "capacity": map[string]int{"cpu": 16000, "mem-mb": 64000, "gpu": 0}, "labels": []string{"a", r.settings.Rack},
+		"clock-ms": r.clockMS(clock.Steady()), "seq": r.seq, "born": r.born,
+	}
+	if r.draining {
+		heartbeat["phase"], heartbeat["remaining-ms"] = "draining", drainTime.Milliseconds()
+	}
+	r.mu.Unlock()
+	r.callAgent(ctx, "heartbeat", heartbeat)
+}
+
+// callAgent sends a call about the runner to its agent.
+func (r *runner) callAgent(ctx context.Context, verb string, body map[string]any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "runner:", err)
+		return
+	}
+	url := fmt.Sprintf("http://%s:%d/v1/instances/%s/%s", r.settings.IP, portControl, r.id, verb)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "runner:", err)
+		return
+	}
+	request.Header.Set("Content-Type", "application/json")
+	client := http.Client{Timeout: time.Second}
+	if response, err := client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// leave says that the runner drains, serves on for the time that the pages give, deregisters and ends.
+func (r *runner) leave(ctx context.Context) {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	r.sendHeartbeat(ctx)
+	clock.WaitForWake(ctx, nil, drainTime)
+	r.callAgent(ctx, "deregister", map[string]any{"born": r.born})
+	r.note("left", "", 0, "")
+	os.Exit(0)
+}
--- a/review/standin/stage.go
+++ b/review/standin/stage.go
@@ -393,7 +393,7 @@
 			out[e.Task] = e
 		case e.Event == "end" && out[e.Task].Run == e.Run && out[e.Task].Runner == e.Runner:
 			delete(out, e.Task)
-		case e.Event == "up" || e.Event == "killed":
+		case e.Event == "up" || e.Event == "killed" || e.Event == "left":
 			for task, started := range out {
 				if started.Runner == e.Runner {
 					delete(out, task)
