Add review case 4: one ping of another writer takes a runner out of use

Cause: the agent takes any heartbeat with a later 'born' for the next lifetime of its runner, whatever its id and service, and drops its own runner's from then on.

Seen: after one ping for a service that no configuration names, the sound runner gets no lease, its task ends 'lapsed', and nothing starts there any more.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,11 +3,14 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -18,25 +21,28 @@
 
 // Bounds of the deployment.
 const (
-	contact       = 3 * time.Second
-	cancelBound   = 3 * time.Second
-	stopGrace     = 400 * time.Millisecond
-	configApply   = 2 * time.Second
-	idleBound     = 3 * time.Second
-	crashFor      = 4500 * time.Millisecond
-	freezeFor     = 4 * time.Second
-	freezeSettles = 150 * time.Millisecond // a signal may take some time to reach all threads
-	workBefore    = 5 * time.Second
-	crashes       = 4
-	observedFor   = 12 * time.Second
-	clockJump     = 2400 * time.Millisecond
-	lifeBetween   = 1300 * time.Millisecond // from a start of a runner to its next crash
-	shortCrash    = 500 * time.Millisecond
-	lastingAgain  = 6 * time.Second // a task that lasts has to run again within this time
-	calmBefore    = 4 * time.Second // before the idleBound, nothing may be disrupted for this time
-	lastingStep   = `{"count":1,"cpu":3200,"mem-mb":6400,"est-runtime-ms":420,"long-running":true}`
-	lastingJob    = `{"task-spec":"lasts","steps":[` + lastingStep + `]}`
-	chainStepWork = 1500
+	contact                         = 3 * time.Second
+	cancelBound                     = 3 * time.Second
+	stopGrace                       = 400 * time.Millisecond
+	configApply                     = 2 * time.Second
+	idleBound                       = 3 * time.Second
+	crashFor                        = 4500 * time.Millisecond
+	freezeFor                       = 4 * time.Second
+	freezeSettles                   = 150 * time.Millisecond // a signal may take some time to reach all threads
+	workBefore                      = 5 * time.Second
+	crashes                         = 4
+	observedFor                     = 12 * time.Second
+	clockJump                       = 2400 * time.Millisecond
+	fewOccurrences, manyOccurrences = 1000, 50000
+	occurrenceEvery                 = 1                       // milliseconds
+	leaderLease                     = 10 * time.Second        // nothing starts once the dispatcher could not store anything for this time
+	lifeBetween                     = 1300 * time.Millisecond // from a start of a runner to its next crash
+	shortCrash                      = 500 * time.Millisecond
+	lastingAgain                    = 6 * time.Second // a task that lasts has to run again within this time
+	calmBefore                      = 4 * time.Second // before the idleBound, nothing may be disrupted for this time
+	lastingStep                     = `{"count":1,"cpu":3200,"mem-mb":6400,"est-runtime-ms":420,"long-running":true}`
+	lastingJob                      = `{"task-spec":"lasts","steps":[` + lastingStep + `]}`
+	chainStepWork                   = 1500
 )
 
 // cases holds the cases by the names of their folders.
@@ -46,6 +52,8 @@
 	"removed-queue": (*stage).removedQueue,
 	"takeover":      (*stage).takeover,
 	"clock":         (*stage).clock,
+	"schedule":      (*stage).schedule,
+	"ping":          (*stage).ping,
 }
 
 // chainJob returns a job of steps that run one after the other.
@@ -274,14 +282,8 @@
 func (s *stage) clock() (bool, error) {
 	const job = "c10c000000000001"
 	const path = "/main/" + job
-	// One task for each runner: a runner that is not used leaves one without a run.
-	body := fmt.Sprintf(`{"task-spec":"lasts","steps":[{"count":%d,"cpu":3200,"mem-mb":6400,"est-runtime-ms":420,"long-running":true,"anti-affinity":1}]}`, runnerCount)
-	if !s.submit(0, path, body) {
-		return false, errors.New("the job was not accepted")
-	}
-	s.pause(3 * time.Second)
-	if n := len(s.atWork(job)); n != runnerCount {
-		return false, errors.Newf("%d tasks are at work, want %d", n, runnerCount)
+	if err := s.fillRunners(path, job); err != nil {
+		return false, err
 	}
 	runner := runnerName(2)
 	if s.trouble {
@@ -300,18 +302,7 @@
 		}
 	}
 	s.pause(shortCrash + calmBefore)
-	began, idleSince, longest := clock.Steady(), clock.Steady(), time.Duration(0)
-	for clock.Steady().Sub(began) < 2*observedFor && s.pause(watchEvery) {
-		now := clock.Steady()
-		if len(s.atWork(job)) == runnerCount {
-			idleSince = now
-		}
-		longest = max(longest, now.Sub(idleSince))
-	}
-	s.request(http.MethodGet, 0, path, "")
-	s.notef("tasks at work: %d of %d; a task had no run for %v from %v after the last crash on; bound: %v", len(s.atWork(job)), runnerCount, longest,
-		shortCrash+calmBefore, lastingAgain)
-	return longest > lastingAgain, nil
+	return s.watchRunners(path, job), nil
 }
 
 // jumpClock sets how far the time of day of a runner's machine is ahead. A runner notes it when it starts. JUMP=0 leaves
@@ -323,3 +314,103 @@
 	s.notef("the time of day on the machine of %s is %v ahead", runner, ahead)
 	return os.WriteFile(filepath.Join(s.dir, runner+".clock"), []byte(strconv.FormatInt(ahead.Milliseconds(), 10)), 0o600)
 }
+
+// schedule hands a scheduled job with many occurrences in, and later a small job. Without trouble the scheduled job has
+// few occurrences.
+func (s *stage) schedule() (bool, error) {
+	const scheduled, small = "5c4ed00000000001", "5ba1100000000001"
+	count := fewOccurrences
+	if s.trouble {
+		count = manyOccurrences
+	}
+	body := fmt.Sprintf(`{"task-spec":"work-ms=20","repeat-count":%d,"start-at-ms":%d,"interval-ms":%d,"steps":[{"count":1,"cpu":100,"mem-mb":10,"est-runtime-ms":20}]}`,
+		count, clock.WallMS(), occurrenceEvery)
+	if !s.submit(0, "/main/"+scheduled, body) {
+		return false, errors.New("the scheduled job was not accepted")
+	}
+	s.pause(manyOccurrences*occurrenceEvery*time.Millisecond + leaderLease)
+	s.notef("occurrences done: %d of %d; store refused a record %d times", s.ends(scheduled, "done"), count, s.refused.Load())
+	if !s.submit(0, "/main/"+small, `{"task-spec":"work-ms=200","steps":[{"count":2,"cpu":500,"mem-mb":100,"est-runtime-ms":200}]}`) {
+		return false, errors.New("the small job was not accepted")
+	}
+	s.pause(observedFor)
+	for i := range entryCount {
+		s.request(http.MethodGet, i, "/main/"+small, "")
+	}
+	started := s.starts(small)
+	s.notef("tasks of the small job: %d started, %d done; occurrences done: %d of %d; store refused a record %d times", started, s.ends(small, "done"),
+		s.ends(scheduled, "done"), count, s.refused.Load())
+	return started == 0, nil
+}
+
+// starts returns how many runs of a job have started.
+func (s *stage) starts(job string) int {
+	n := 0
+	for _, e := range s.runEvents() {
+		if e.Event == "start" && strings.HasPrefix(e.Task, job+".") {
+			n++
+		}
+	}
+	return n
+}
+
+// ping has an agent receive one heartbeat of another writer, with a service that the configuration does not name.
+func (s *stage) ping() (bool, error) {
+	const job = "919e000000000001"
+	const path = "/main/" + job
+	if err := s.fillRunners(path, job); err != nil {
+		return false, err
+	}
+	if s.trouble {
+		body, err := json.Marshal(map[string]any{
+			"service": "unknown-service", "address": s.ip("agent", 2) + ":9", "zone": "a", "version": "v1", "slots": 8, "phase": "ready", "cold-left-ms": 0,
+			"capacity": map[string]int{"cpu": 16000, "mem-mb": 64000, "gpu": 0}, "labels": []string{"a", "r1-1"}, "clock-ms": 1, "seq": 1, "born": clock.WallMS(),
+		})
+		if err != nil {
+			return false, err
+		}
+		url := fmt.Sprintf("http://%s:%d/v1/instances/i-other/heartbeat", s.ip("agent", 2), portControl)
+		r, err := http.NewRequestWithContext(s.ctx, http.MethodPost, url, bytes.NewReader(body))
+		if err != nil {
+			return false, err
+		}
+		r.Header.Set("Content-Type", "application/json")
+		response, err := s.client.Do(r)
+		if err != nil {
+			return false, err
+		}
+		_ = response.Body.Close()
+		s.notef("another writer: a ping of i-other for service unknown-service to side-3, answered with %d", response.StatusCode)
+	}
+	s.pause(calmBefore)
+	return s.watchRunners(path, job), nil
+}
+
+// fillRunners hands a job in that has one task for each runner, and waits until all are at work: a runner that is not
+// used leaves a task without a run.
+func (s *stage) fillRunners(path, job string) error {
+	body := fmt.Sprintf(`{"task-spec":"lasts","steps":[{"count":%d,"cpu":3200,"mem-mb":6400,"est-runtime-ms":420,"long-running":true,"anti-affinity":1}]}`, runnerCount)
+	if !s.submit(0, path, body) {
+		return errors.New("the job was not accepted")
+	}
+	s.pause(3 * time.Second)
+	if n := len(s.atWork(job)); n != runnerCount {
+		return errors.Newf("%d tasks are at work, want %d", n, runnerCount)
+	}
+	return nil
+}
+
+// watchRunners watches the job of fillRunners, and reports whether one of its tasks had no run for too long.
+func (s *stage) watchRunners(path, job string) bool {
+	began, idleSince, longest := clock.Steady(), clock.Steady(), time.Duration(0)
+	for clock.Steady().Sub(began) < 2*observedFor && s.pause(watchEvery) {
+		now := clock.Steady()
+		if len(s.atWork(job)) == runnerCount {
+			idleSince = now
+		}
+		longest = max(longest, now.Sub(idleSince))
+	}
+	s.request(http.MethodGet, 0, path, "")
+	s.notef("tasks at work: %d of %d; a task had no run for %v while it was watched; bound: %v", len(s.atWork(job)), runnerCount, longest, lastingAgain)
+	return longest > lastingAgain
+}
--- a/review/standin/stage.go
+++ b/review/standin/stage.go
@@ -4,7 +4,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +32,8 @@
 	entryCount, runnerCount = 3, 8
 	// storeDelay is how long the store takes for an answer.
 	storeDelay = 4 * time.Millisecond
+	// maxRecordBytes and maxRequestBytes are the limits of the store for a record and for one call.
+	maxRecordBytes, maxRequestBytes = 262144, 2097152
 	// caseLimit bounds a case, readyLimit the start of the programs.
 	caseLimit  = 105 * time.Second
 	readyLimit = 25 * time.Second
@@ -56,6 +61,9 @@
 	client  http.Client
 	ctx     context.Context //nolint:containedctx // ends with the case
 
+	// refused counts appends that exceed the limits of the store.
+	refused atomic.Int64
+
 	mu    sync.Mutex
 	lines []line
 }
@@ -171,6 +179,13 @@
 	}
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		clock.WaitForWake(r.Context(), nil, storeDelay)
+		if !withinLimits(r) {
+			if s.refused.Add(1) == 1 {
+				s.notef("store: refuses an append with a record over %d bytes", maxRecordBytes)
+			}
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
 		s.store.ServeHTTP(w, r)
 	})}
 	var group sync.WaitGroup
@@ -205,6 +220,26 @@
 	return os.Rename(temporary, filepath.Join(s.dir, "programs")) // the script waits for this file
 }
 
+// withinLimits reports whether the records of an append keep to the limits of the store.
+func withinLimits(r *http.Request) bool {
+	if r.Method != http.MethodPost {
+		return true
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil || len(body) > maxRequestBytes {
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	for len(body) >= 4 {
+		size := int(binary.BigEndian.Uint32(body))
+		if size > maxRecordBytes || size > len(body)-4 {
+			return false
+		}
+		body = body[4+size:]
+	}
+	return true
+}
+
 func runnerName(i int) string   { return fmt.Sprintf("runner-%d", i+1) }
 func (s *stage) runLog() string { return filepath.Join(s.dir, "runs.log") }
 
@@ -253,7 +288,7 @@
 			"contact-ms": 3000, "ack-ms": 4000, "drain-ms": 2000, "grace-s": 6, "config-apply-ms": 2000, "max-hold-ms": 6000, "stop-grace-ms": 400,
 			"cancel_ms": 3000, "visible_ms": 3000, "finish_s": 14, "status_s": 120, "spread-factor": 1.5, "checkpoint-s": 1,
 		},
-		"platform": map[string]any{"address": store, "form": "log", "writes-per-s": 800, "reads-per-s": 2000, "keep_s": 300},
+		"platform": map[string]any{"address": store, "form": "log", "writes-per-s": 800, "reads-per-s": 2000, "keep_s": 300, "record-bytes": maxRecordBytes, "request-bytes": maxRequestBytes},
 	}
 	if class == "side" {
 		settings["app"] = at(portApp)
