Add review case 1: a job whose deletion half fails runs a second time in full

Cause: deleteJobs deletes the progress and the submission of an expired job by two appends, either of which may fail alone. A submission without progress is a new job to each process that reads the store afterwards.

Seen: the store refuses appends to the intake topic for 4.5 s as a completed job expires, and all entries are killed; its 8 tasks are started again as runs 1001 and end done a second time.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -33,6 +33,10 @@
 	crashes                         = 4
 	observedFor                     = 12 * time.Second
 	clockJump                       = 2400 * time.Millisecond
+	outageFor                       = 4500 * time.Millisecond
+	outageLead                      = time.Second // from the beginning of the outage to the time from which the job may be forgotten
+	takeoverTime                    = 6 * time.Second
+	beforeReturn                    = 300 * time.Millisecond
 	fewOccurrences, manyOccurrences = 1000, 50000
 	occurrenceEvery                 = 1                       // milliseconds
 	leaderLease                     = 10 * time.Second        // nothing starts once the dispatcher could not store anything for this time
@@ -54,6 +58,7 @@
 	"clock":         (*stage).clock,
 	"schedule":      (*stage).schedule,
 	"ping":          (*stage).ping,
+	"expiry":        (*stage).expiry,
 }
 
 // chainJob returns a job of steps that run one after the other.
@@ -414,3 +419,45 @@
 	s.notef("tasks at work: %d of %d; a task had no run for %v while it was watched; bound: %v", len(s.atWork(job)), runnerCount, longest, lastingAgain)
 	return longest > lastingAgain
 }
+
+// expiry has a part of the store be away as the phase of a completed job no longer has to be kept, and kills all entries
+// before it is back. OUTAGE=0 leaves the outage out.
+func (s *stage) expiry() (bool, error) {
+	endedMS := int64(0)
+	for _, e := range s.runEvents() {
+		if e.Event == "end" && e.How == "done" && strings.HasPrefix(e.Task, firstJob) {
+			endedMS = max(endedMS, e.AtMS)
+		}
+	}
+	if endedMS == 0 {
+		return false, errors.New("the first job has no ends")
+	}
+	forgetMS := endedMS + int64(s.statusSeconds)*1000
+	s.pause(time.Duration(forgetMS-clock.WallMS())*time.Millisecond - outageLead)
+	s.request(http.MethodGet, 0, "/main/"+firstJob, "")
+	if s.trouble && os.Getenv("OUTAGE") != "0" {
+		s.notef("store: the partition of keyed.intake is down")
+		s.intakeDown.Store(true)
+	}
+	s.pause(outageFor - beforeReturn)
+	if s.trouble {
+		for i := range entryCount {
+			if err := s.signal(fmt.Sprintf("front-%d", i+1), syscall.SIGKILL); err != nil {
+				return false, err
+			}
+		}
+	}
+	s.pause(beforeReturn)
+	if s.intakeDown.Swap(false) {
+		s.notef("store: the partition of keyed.intake is back")
+	}
+	s.pause(takeoverTime)
+	again := 0
+	for _, e := range s.runEvents() {
+		if e.Event == "start" && strings.HasPrefix(e.Task, firstJob) && e.AtMS > forgetMS-outageLead.Milliseconds() {
+			again++
+		}
+	}
+	s.notef("tasks of the completed job that were started again: %d", again)
+	return again > 0, nil
+}
--- a/review/standin/stage.go
+++ b/review/standin/stage.go
@@ -35,16 +35,24 @@
 	// maxRecordBytes and maxRequestBytes are the limits of the store for a record and for one call.
 	maxRecordBytes, maxRequestBytes = 262144, 2097152
 	// caseLimit bounds a case, readyLimit the start of the programs.
-	caseLimit  = 105 * time.Second
+	caseLimit  = 114 * time.Second
 	readyLimit = 25 * time.Second
 	// callLimit is the deadline of a client's request.
 	callLimit = 3 * time.Second
 	// watchEvery is the time between two looks at what happens.
 	watchEvery = 20 * time.Millisecond
 	host       = "clinic.example"
+	// firstJob is the job that shows that the deployment is ready.
+	firstJob = "ffffffffffffffff"
+	// defaultStatus and shortStatus are how long the phase of an ended job can be queried, in seconds: as on the pages,
+	// and as short as a script that waits for it needs.
+	defaultStatus, shortStatus = 120, 90
 )
 
-var errNotReady = errors.New("the deployment did not become ready")
+var (
+	errNotReady  = errors.New("the deployment did not become ready")
+	errOutOfTime = errors.New("the case took too long")
+)
 
 // line is a line of the record.
 type line struct {
@@ -61,6 +69,10 @@
 	client  http.Client
 	ctx     context.Context //nolint:containedctx // ends with the case
 
+	// statusSeconds is how long the phase of an ended job can be queried.
+	statusSeconds int
+	// intakeDown is set while the store refuses appends to the topic of hand-ins and cancellations.
+	intakeDown atomic.Bool
 	// refused counts appends that exceed the limits of the store.
 	refused atomic.Int64
 
@@ -95,7 +107,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), caseLimit)
 	defer cancel()
-	s := &stage{dir: dir, ctx: ctx, trouble: os.Getenv("TROUBLE") != "0", client: http.Client{Timeout: callLimit, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &stage{dir: dir, ctx: ctx, statusSeconds: defaultStatus, trouble: os.Getenv("TROUBLE") != "0", client: http.Client{Timeout: callLimit, Transport: &http.Transport{DisableKeepAlives: true}}}
+	if name == "expiry" {
+		s.statusSeconds = shortStatus
+	}
 	s.notef("case %s, disruption: %v", name, s.trouble)
 	broken, err := s.play(play)
 	status := exitHeld
@@ -124,7 +139,11 @@
 	if err := s.awaitReady(); err != nil {
 		return false, err
 	}
-	return play(s)
+	broken, err := play(s)
+	if err == nil && s.ctx.Err() != nil {
+		err = errOutOfTime
+	}
+	return broken, err
 }
 
 // notef adds a line to the record.
@@ -186,6 +205,11 @@
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return
 		}
+		if s.intakeDown.Load() && r.Method == http.MethodPost && r.URL.Query().Get("topic") == "keyed.intake" {
+			s.notef("store: 503 to an append to keyed.intake")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		s.store.ServeHTTP(w, r)
 	})}
 	var group sync.WaitGroup
@@ -286,7 +310,7 @@
 		"heartbeat-ms": 1100, "orders": "rpc",
 		"bounds": map[string]any{
 			"contact-ms": 3000, "ack-ms": 4000, "drain-ms": 2000, "grace-s": 6, "config-apply-ms": 2000, "max-hold-ms": 6000, "stop-grace-ms": 400,
-			"cancel_ms": 3000, "visible_ms": 3000, "finish_s": 14, "status_s": 120, "spread-factor": 1.5, "checkpoint-s": 1,
+			"cancel_ms": 3000, "visible_ms": 3000, "finish_s": 14, "status_s": s.statusSeconds, "spread-factor": 1.5, "checkpoint-s": 1,
 		},
 		"platform": map[string]any{"address": store, "form": "log", "writes-per-s": 800, "reads-per-s": 2000, "keep_s": 300, "record-bytes": maxRecordBytes, "request-bytes": maxRequestBytes},
 	}
@@ -364,7 +388,7 @@
 // awaitReady waits until every entry answers and a first job is completed, and then for the span in which all
 // machines get in touch.
 func (s *stage) awaitReady() error {
-	const path = "/main/ffffffffffffffff"
+	const path = "/main/" + firstJob
 	began := clock.Steady()
 	submitted := false
 	for clock.Steady().Sub(began) < readyLimit {
