--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -50,6 +50,8 @@
 	// ClockFile holds how far the time of day of the runner's machine has jumped, in milliseconds. The runner
 	// reads it when it starts.
 	ClockFile string `json:"clock-file"`
+	// ShedFile exists while the runner is unhealthy and answers 503 to each start.
+	ShedFile string `json:"shed-file"`
 }
 
 // taskRun is a run in progress.
@@ -249,6 +251,10 @@
 	r.untilMS = max(r.untilMS, min(c.UntilMS, r.clockMS(now)+maxHoldMS))
 	switch req.URL.Path {
 	case "/v1/run-start":
+		if _, err := os.Stat(r.settings.ShedFile); err == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if reason := r.start(now, &c); reason != "" {
 			r.answer(w, now, http.StatusConflict, reason)
 			return
--- a/review/standin/stage.go
+++ b/review/standin/stage.go
@@ -230,7 +230,7 @@
 		}
 		err := writeJSONFile(filepath.Join(s.dir, runnerName(i)+".json"), runnerSettings{
 			Name: runnerName(i), IP: s.ip("agent", i), Service: "lastbench", Rack: fmt.Sprintf("r1-%d", i/3+1),
-			Log: s.runLog(), ClockFile: filepath.Join(s.dir, runnerName(i)+".clock"),
+			Log: s.runLog(), ClockFile: filepath.Join(s.dir, runnerName(i)+".clock"), ShedFile: filepath.Join(s.dir, runnerName(i)+".shed"),
 		})
 		if err != nil {
 			return err
@@ -341,7 +341,7 @@
 func (s *stage) pause(d time.Duration) bool { return clock.WaitForWake(s.ctx, nil, d) }
 
 // request sends a client's request to an entry, and returns the status of the answer, 0 if there is none, and the
-// phase in it.
+// phase or the count of waiting jobs in it.
 func (s *stage) request(method string, entry int, path, body string) (int, string) {
 	r, err := http.NewRequestWithContext(s.ctx, method, "http://"+s.entryAddress(entry)+path, strings.NewReader(body))
 	if err != nil {
@@ -365,10 +365,14 @@
 		return 0, ""
 	}
 	var state struct {
-		Phase string `json:"phase"`
+		Phase   string `json:"phase"`
+		Pending *int   `json:"pending"`
 	}
 	_ = json.Unmarshal(data, &state) // the answer may have no body
 	s.notef("client: %s %s answered by front-%d with %d %s", method, path, entry+1, response.StatusCode, data)
+	if state.Pending != nil {
+		return response.StatusCode, strconv.Itoa(*state.Pending)
+	}
 	return response.StatusCode, state.Phase
 }
 
