--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -35,6 +35,7 @@
 	clockJump                       = 2400 * time.Millisecond
 	outageFor                       = 4500 * time.Millisecond
 	outageLead                      = time.Second // from the beginning of the outage to the time from which the job may be forgotten
+	keptJobs                        = 6           // beside two jobs that are cancelled
 	waitingJobs                     = 10
 	countAge                        = 5 * time.Second // jobs that have waited for this long have to be counted
 	takeoverTime                    = 6 * time.Second
@@ -139,6 +140,12 @@
 	}
 	began := clock.Steady()
 	s.pause(freezeSettles)
+	// Most jobs are not cancelled.
+	for i := range keptJobs {
+		if !s.submit(entry, fmt.Sprintf("/main/4ee9%012d", i), chainJob(1)) {
+			return false, errors.New("a job was not accepted")
+		}
+	}
 	jobs := map[string]string{"ca4ce10000000001": lastingJob, "ca4ce10000000002": chainJob(10)}
 	ackedMS := make(map[string]int64)
 	for job, body := range jobs {
