Take no refused connection for the end of an earlier dispatcher

Callers saw tasks run twice at the same time: a dispatcher that was cut off with refused connections went on serving the workers of its data centre, while the next one took the refusal for proof that its process had ended and started their tasks elsewhere after 5.3 s.

A refusal shows only the path to be closed. Now only an answer of the process at the address counts; otherwise the leases that the earlier dispatcher may have renewed are waited for. An entry still claims at once on a refusal, as the store decides about claims.

The test failed before: "all earlier dispatchers are known to have stopped: got true, want false". The exploration had no cut that refuses connections and took no dispatcher for stopped; with the kind Refusals and the rule TrustRefusal it finds the fault.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -120,9 +119,9 @@
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			c.mu.Lock()
-			c.candidate.NoteResigned(clock.Steady(), claim.Term) // nothing listens there, so the process has ended
+			c.candidate.NoteResigned(clock.Steady(), claim.Term) // saves the election timeout if the process has ended
 			c.mu.Unlock()
-			c.log.Info().Uint64("term", claim.Term).Str("dispatcher", claim.Entry).Msg("the dispatcher's address refuses connections; its process has ended")
+			c.log.Info().Uint64("term", claim.Term).Str("dispatcher", claim.Entry).Msg("the dispatcher's address refuses connections; its process may have ended")
 			notify(c.wakeLead)
 		}
 		return
@@ -323,13 +322,11 @@
 
 // hasStopped probes the process that made a claim of an earlier term. It reports whether that process
 // certainly does not act as the dispatcher from now on, and the reason for this certainty: the Hello names
-// this entry's term, so that a process which is not the dispatcher begins no earlier one.
+// this entry's term, so that a process which is not the dispatcher begins no earlier one. Only an answer is certain: a cut
+// of the network may refuse connections, too, while the process still serves agents on its side.
 func (c *Coordinator) hasStopped(ctx context.Context, claim leadership.Claim) (bool, string) {
 	w, err := c.probe(ctx, claim.Address)
-	var refusedBy *net.OpError
 	switch {
-	case err != nil && errors.As(err, &refusedBy) && errors.Is(err, syscall.ECONNREFUSED):
-		return true, "nothing listens at its address"
 	case err != nil:
 		return false, ""
 	case w.Incarnation != claim.Incarnation:
--- a/internal/coordinator/predecessors_test.go
+++ b/internal/coordinator/predecessors_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,10 +16,10 @@
 
 // The kinds of processes that made a claim in testdata/predecessors.json.
 const (
-	processSilent = "silent"  // accepts connections and answers nothing
-	processEnded  = "ended"   // refuses connections
-	processOwn    = "own"     // an earlier process of the claiming entry
-	processOther  = "another" // another process runs at its address
+	processSilent  = "silent"  // accepts connections and answers nothing
+	processRefuses = "refuses" // its address refuses connections: it has ended, or is behind a cut
+	processOwn     = "own"     // an earlier process of the claiming entry
+	processOther   = "another" // another process runs at its address
 )
 
 // claimAddress returns the address of a process of a kind that made a claim.
@@ -26,7 +27,7 @@
 	t.Helper()
 	e := newTestEntry(t, "at-"+kind, &standin.Store{})
 	switch kind {
-	case processEnded:
+	case processRefuses:
 		_ = e.listener.Close()
 	case processOther:
 		ctx, cancel := context.WithCancel(context.Background())
@@ -87,7 +88,9 @@
 	}
 }
 
-// A claim that never became a term must not stand for the dispatcher of the term before, which may still renew leases.
+// A claim that never became a term must not stand for the dispatcher of the term before, which may still renew leases. Nor
+// does a refused connection show that a dispatcher has stopped: a cut of the network may refuse it, while the dispatcher
+// still serves workers on its side.
 func TestEveryEarlierDispatcherMustHaveStopped(t *testing.T) {
 	var cases []struct {
 		Name string `json:"name"`
@@ -158,7 +161,13 @@
 			t.Errorf("%s: the term before which all dispatchers have stopped: got %d, want %d", tc.name, got, tc.want)
 		}
 	}
-	_ = a.listener.Close()
+	a.mu.Lock()
+	a.settings.Incarnation, a.term = 2, nil // as after a restart of its process
+	a.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { a.acceptPeers(ctx) })
+	defer func() { cancel(); group.Wait() }()
 	if _, got := takeOver(t, b); !got {
 		t.Error("the next takeover: all earlier dispatchers are known to have stopped: got false, want true")
 	}
--- a/internal/explore/term/claim_steps.go
+++ b/internal/explore/term/claim_steps.go
@@ -12,8 +12,12 @@
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
-// refuses reports whether another entry's address refuses connections, since its process has ended.
+// refuses reports whether another entry's address refuses connections: its process has ended, or it is isolated by a
+// cut that refuses them.
 func (e *entry) refuses(o *entry) bool {
+	if o.isolationRefuses && e.w.now < o.isolatedUntil {
+		return e.w.now >= e.isolatedUntil && !e.isCut()
+	}
 	return e.w.now < o.downUntil && e.w.now >= max(e.isolatedUntil, o.isolatedUntil) && !e.isCut() && !o.isCut()
 }
 
@@ -177,15 +181,17 @@
 func (e *entry) probePredecessor(now time.Time) {
 	t := e.term
 	o := e.w.entryNamed(t.previousClaim.Entry)
-	if o == nil || o == e || t.earlierRunsOver || !e.w.rules.TrustNewestClaim || now.Sub(e.lastProbe) < probeInterval {
+	if o == nil || o == e || t.earlierRunsOver || !e.w.rules.TrustNewestClaim && !e.w.rules.TrustRefusal || now.Sub(e.lastProbe) < probeInterval {
 		return
 	}
 	e.lastProbe = now
 	if e.refuses(o) {
-		e.noteDead(now)
+		if e.w.rules.TrustRefusal {
+			e.noteDead(now)
+		}
 		return
 	}
-	if !e.reaches(o) {
+	if !e.reaches(o) || !e.w.rules.TrustNewestClaim {
 		return
 	}
 	o.resignIfOutdated(t.number)
--- a/internal/explore/term/entry.go
+++ b/internal/explore/term/entry.go
@@ -33,6 +33,8 @@
 	term         *dispatcherState
 	// Until isolatedUntil the entry reaches neither the store nor other entries.
 	isolatedUntil time.Duration
+	// isolationRefuses is set if connections to the entry are refused meanwhile.
+	isolationRefuses bool
 	// wallOffset is how far the entry's wall clock is ahead of the true time.
 	wallOffset time.Duration
 	steps
--- a/internal/explore/term/kinds_test.go
+++ b/internal/explore/term/kinds_test.go
@@ -21,6 +21,7 @@
 		{"all of these", allKinds},
 		{"workers are taken off the roster", Departures},
 		{"workers leave in order", Departures | OrderlyDepartures},
+		{"cuts refuse connections", SlowCalls | Refusals},
 		{"jobs are forgotten while parts of the store fail", Retention},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -58,6 +59,7 @@
 	firstSeed uint64
 }{
 	{"only the maker of the claim before is watched", SlowCalls, LooserRules{TrustNewestClaim: true}, 120},
+	{"a dispatcher whose address refuses connections is taken for stopped", SlowCalls | Refusals, LooserRules{TrustRefusal: true}, 1620},
 	{"a job that an entry tells of is taken for new", Resubmissions, LooserRules{TakeToldForNew: true}, 15},
 	{"a new agent joins the dispatcher of any term", JointRestarts, LooserRules{JoinAnyTerm: true}, 720},
 	{"job records are applied in any order", OverlappingReads, LooserRules{ApplyInAnyOrder: true}, 2945},
--- a/internal/explore/term/rules.go
+++ b/internal/explore/term/rules.go
@@ -59,6 +59,9 @@
 	// rule is stricter than the product's: it takes no earlier dispatcher for stopped, but waits until all leases
 	// that it may have renewed have expired.
 	TrustNewestClaim bool
+	// TrustRefusal takes the maker of the claim before for stopped while its address refuses connections. The basic
+	// simulation of a cut lets calls fail without an answer, which shows nothing of the process.
+	TrustRefusal bool
 	// TakeToldForNew makes the dispatcher take a job of which an entry has told it for new, rather than read the
 	// job records first.
 	TakeToldForNew bool
--- a/internal/explore/term/term.go
+++ b/internal/explore/term/term.go
@@ -68,6 +68,8 @@
 	// OrderlyDepartures ends runners in order. Their agents tell the entries so, and agents that have told nobody of
 	// their registration are registered anew.
 	OrderlyDepartures
+	// Refusals makes half of the cuts that isolate an entry refuse connections to it.
+	Refusals
 )
 
 // world is the simulated cluster with its scheduled events. Times given as durations
@@ -314,6 +316,9 @@
 		w.schedule(w.randomUpTo(time.Second), func() { w.store.SetFault(nil, false) })
 	case 10: // an entry reaches neither the store nor other entries, but still its agents
 		e.isolatedUntil = w.now + 3*duration
+		if w.kinds&Refusals != 0 {
+			e.isolationRefuses = w.random.IntN(2) == 0
+		}
 	case 9: // starts at an agent's runner are not answered and take effect later
 		a.startsDelayedUntil = w.now + w.randomUpTo(3*time.Second)
 	}
