Have agents judge starts by whether the store still answers their dispatcher

Callers saw tasks start 3.1 to 5 s after the cancellation of their job had been acknowledged: a dispatcher that was cut off from the store and the other entries acted on what it knew for as long as its leadership lease of 10 s lasted, with the workers on its side of the cut.

The dispatcher cannot tell a store that fails everybody from a cut that leaves out only itself, but its agents have paths of their own. Orders and answers to pings now say how long ago the store answered the dispatcher. From 1.3 s on agents read the newest claim and leave for a later one. A start is judged as it is sent to the runner: with an answer older than 2.4 s it needs a read that failed, too. Otherwise it is refused, and the dispatcher holds its starts. The age counts from the agent's own ping, so that queues, links and frozen processes add to it.

In TestEvacuatedAgentRefusesStarts the order in a deployment without evacuations is 2.0 s old in place of 2.5 s, beyond the bound for evacuations of 1.5 s as before; older ones are refused in every deployment now. TestLostDispatcherDelaysOneTakeover restarts its process without a data race.

--- a/internal/coordinator/evacuation.go
+++ b/internal/coordinator/evacuation.go
@@ -220,15 +220,6 @@
 	return &peer.Evacuation{Names: set.names, End: set.end, AgeMS: now.Sub(c.evacuations.asOf()).Milliseconds() + 1}
 }
 
-// newOrders returns empty orders to the agent of a worker, with what it has to know of evacuations. The caller holds mu.
-func (c *Coordinator) newOrders(t *term, worker string) *peer.Orders {
-	o := &peer.Orders{Term: t.number, Evacuated: c.evacuations.applied}
-	if a := t.agents[worker]; a != nil && c.settings.EvacuationBound > 0 {
-		o.LastPing = a.lastPing
-	}
-	return o
-}
-
 // notePeerEvacuation takes in the set that another entry sent after the given time. The caller holds mu.
 func (c *Coordinator) notePeerEvacuation(now, sentAfter time.Time, m *peer.Evacuation, from string) {
 	if m == nil || m.AgeMS < 0 || c.settings.EvacuationBound <= 0 {
--- a/internal/coordinator/evacuation_test.go
+++ b/internal/coordinator/evacuation_test.go
@@ -402,7 +402,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.newOrders(c.term, "w1"); !slices.Equal(o.Evacuated, want) || o.LastPing != 7 {
+	if o := c.newOrders(clock.Steady(), c.term, "w1"); !slices.Equal(o.Evacuated, want) || o.LastPing != 7 {
 		t.Errorf("orders: got %v after ping %d, want %v after ping 7", o.Evacuated, o.LastPing, want)
 	}
 	if got := c.term.scheduler.DataCentreWorkers(); got["c"] != 1 || got["b"] != 1 || got["a"] != 0 {
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -75,6 +75,10 @@
 		t.backlog.oldest = time.Time{} // no decision is due before the store answers again
 		return
 	}
+	if c.holdsUnconfirmed(now, t) {
+		t.backlog.oldest = time.Time{}
+		return
+	}
 	if c.holdsStarts(now, t) {
 		t.backlog.oldest = time.Time{} // no decision is due before the evacuated data centres are read
 		return
@@ -90,7 +94,7 @@
 	out := make(map[string]*peer.Orders)
 	ordersTo := func(worker string) *peer.Orders {
 		if out[worker] == nil {
-			out[worker] = c.newOrders(t, worker)
+			out[worker] = c.newOrders(now, t, worker)
 		}
 		return out[worker]
 	}
--- a/internal/coordinator/predecessors_test.go
+++ b/internal/coordinator/predecessors_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/standin"
@@ -38,6 +39,22 @@
 	return e.listener.Addr().String()
 }
 
+// restart has another process run at the address of an entry in place of its own.
+func restart(t *testing.T, c *Coordinator) {
+	t.Helper()
+	_ = c.listener.Close()
+	s := c.settings
+	s.Incarnation++
+	next, err := New(s, c.store, c.log, gometrics.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { next.acceptPeers(ctx) })
+	t.Cleanup(func() { cancel(); group.Wait() })
+}
+
 // stopped reports whether all earlier dispatchers are known to have stopped.
 func stopped(c *Coordinator, t *term) bool {
 	c.mu.Lock()
@@ -161,13 +178,7 @@
 			t.Errorf("%s: the term before which all dispatchers have stopped: got %d, want %d", tc.name, got, tc.want)
 		}
 	}
-	a.mu.Lock()
-	a.settings.Incarnation, a.term = 2, nil // as after a restart of its process
-	a.mu.Unlock()
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { a.acceptPeers(ctx) })
-	defer func() { cancel(); group.Wait() }()
+	restart(t, a)
 	if _, got := takeOver(t, b); !got {
 		t.Error("the next takeover: all earlier dispatchers are known to have stopped: got false, want true")
 	}
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -194,6 +194,9 @@
 		if m.OrderRefused.TicketRejected {
 			t.scheduler.TicketRefused(h.Name, m.OrderRefused.Task)
 		}
+		if m.OrderRefused.Unconfirmed {
+			t.noteUnconfirmed(now, c, h.Name)
+		}
 		t.removeHeldRun(h.Name, m.OrderRefused)
 		t.scheduler.OrderRefused(now, clock.WallMS(), h.Name, m.OrderRefused.Life, m.OrderRefused.Task, m.OrderRefused.Run)
 	case m.PolicyAnswer != nil:
@@ -267,7 +270,7 @@
 		return
 	}
 	a.lastPing = p.Seq
-	pong := &peer.Pong{Seq: p.Seq, DispatcherTerm: t.number, Evacuated: c.evacuations.applied}
+	pong := &peer.Pong{Seq: p.Seq, DispatcherTerm: t.number, Evacuated: c.evacuations.applied, StoreContactAgeMS: c.storeContactAgeMS(now)}
 	pong.EntryAddresses, _ = c.newEntries(&a.sentEntries) // agents do not need the strengths
 	if t.leaderLease.Valid(now) {
 		a.lastContact, pong.WorkerLeaseRenewed = now, true
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -68,6 +68,10 @@
 	stoppedBeforeTaken bool
 	// earlierRunsOver is set once nothing that an earlier term started can run any more.
 	earlierRunsOver bool
+	// unconfirmedSince is when an agent first refused a start since only this dispatcher has lost the store, unconfirmedAt
+	// when one last did; unconfirmedSince is zero once the store answers again. longestHold is the longest such time.
+	unconfirmedSince, unconfirmedAt time.Time
+	longestHold                     time.Duration
 	// startsHeld is set while no starts are sent since the set of evacuated data centres is too old.
 	startsHeld bool
 	// evacuationsLoggedAt is when the evacuated data centres were last compared with those of the workers;
@@ -214,7 +218,7 @@
 		a.conn.Send(&peer.Message{Registered: &peer.Registered{Number: number}})
 	}
 	if a, g := t.agents[r.Worker.Name], t.scheduler.GuardedTasks(r.Worker.Name); a != nil && a.conn != nil && len(g) > 0 {
-		o := c.newOrders(t, r.Worker.Name)
+		o := c.newOrders(now, t, r.Worker.Name)
 		o.GuardedTasks = g
 		a.conn.Send(&peer.Message{Orders: o})
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -146,6 +146,8 @@
 	Evacuated []string `cbor:"9,keyasint,omitempty"`
 	// Backlogs are the kinds of work that wait without room; only the dispatcher sends them, and only to entries.
 	Backlogs []dispatch.Backlog `cbor:"11,keyasint,omitempty"`
+	// StoreContactAgeMS is the time since the store last answered the dispatcher, in milliseconds. It is only sent to agents.
+	StoreContactAgeMS int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Report is the full state of a worker: its runs, and the ends of runs that the
@@ -198,6 +200,8 @@
 	Reason string `cbor:"4,keyasint"`
 	// TicketRejected is set if the runner did not accept the placement policy's ticket.
 	TicketRejected bool `cbor:"5,keyasint,omitempty"`
+	// Unconfirmed is set if the store serves the agent and had not answered the dispatcher for too long.
+	Unconfirmed bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Orders are orders and questions of the dispatcher to one agent.
@@ -213,9 +217,10 @@
 	PolicyQuestions []dispatch.Question `cbor:"5,keyasint,omitempty"`
 	// Evacuated are the names of the evacuated data centres when the orders were decided.
 	Evacuated []string `cbor:"6,keyasint,omitempty"`
-	// LastPing is the number of the last ping of the agent that had arrived then, if the deployment has evacuations; 0 if
-	// none had.
+	// LastPing is the number of the last ping of the agent that had arrived then; 0 if none had.
 	LastPing uint64 `cbor:"7,keyasint,omitempty"`
+	// StoreContactAgeMS is how long before then the store had last answered the dispatcher, in milliseconds.
+	StoreContactAgeMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // PolicyAnswer is the answer of the placement policy service to the question with the same Seq.
--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -180,6 +180,15 @@
 	pingSentAt map[uint64]time.Time
 	// pingTimes are the times of the last pings, answered or not.
 	pingTimes peer.SentTimes
+	// connReportedAt is when the agent sent the first report on conn.
+	connReportedAt time.Time
+	// termCheck holds what reads of the newest claim have shown of the present term, and termRead the read that is under
+	// way, if any. dispatcherLostStore is set while the store has not answered the dispatcher for long; watchedConn is the
+	// connection to the dispatcher whose term was last checked for that reason.
+	termCheck           leadership.TermCheck
+	termRead            *termRead
+	dispatcherLostStore bool
+	watchedConn         *peer.Conn
 	// evacuated are the evacuated data centres as the dispatcher last named them.
 	evacuated []string
 	guard     guard
--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -15,6 +15,7 @@
 
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 	"savoryhoist.example/savoryhoist/pkg/leadership"
@@ -104,6 +105,7 @@
 type fixture struct {
 	agent    *Agent
 	runner   *fakeRunner
+	store    *standin.Store
 	received chan *peer.Message
 }
 
@@ -111,9 +113,12 @@
 // and has polled life 7 of its runner.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	s := &fixture{runner: &fakeRunner{listing: Listing{ClockMS: 1000, StartedAtMS: 7}}, received: make(chan *peer.Message, 64)}
+	s := &fixture{runner: &fakeRunner{listing: Listing{ClockMS: 1000, StartedAtMS: 7}}, store: &standin.Store{}, received: make(chan *peer.Message, 64)}
+	for range 3 {
+		s.claim(t, "entry-a")
+	}
 	logger := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	s.agent = New(Settings{Name: "w1"}, s.runner.functions(), store.Client{}, logger, gometrics.NewRegistry())
+	s.agent = New(Settings{Name: "w1"}, s.runner.functions(), s.store.Client(), logger, gometrics.NewRegistry())
 	here, there := net.Pipe()
 	conn, dispatcher := peer.NewConn(here), peer.NewConn(there)
 	var group sync.WaitGroup
@@ -132,10 +137,23 @@
 	s.agent.mu.Lock()
 	s.agent.term, s.agent.conn = 3, conn
 	s.agent.workerLease.Renew(clock.Steady())
+	s.agent.connReportedAt = clock.Steady()
 	s.agent.mu.Unlock()
 	return s
 }
 
+// claim stores the claim of an entry to the next term.
+func (s *fixture) claim(t *testing.T, entry string) {
+	t.Helper()
+	r, err := store.ClaimRecord(&leadership.Claim{Entry: entry, Address: entry})
+	if err == nil {
+		_, err = s.store.Client().Append(t.Context(), store.AppendRequest{Topic: store.TopicLeadership, Records: []store.Record{r}})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // next returns the next message of the wanted kind.
 func (s *fixture) next(t *testing.T, wanted func(*peer.Message) bool) *peer.Message {
 	t.Helper()
--- a/internal/runneragent/evacuation_test.go
+++ b/internal/runneragent/evacuation_test.go
@@ -7,6 +7,7 @@
 
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/leadership"
 )
 
 // Guards against starts in a data centre that the agent knows to be evacuated, against starts that were decided so long
@@ -41,7 +42,7 @@
 		}, errOldOrder.Error()},
 		{"decided after an old ping, in a deployment without evacuations", func(s *fixture, o *peer.Orders) {
 			s.agent.settings.EvacuationBound = 0
-			s.agent.pingTimes.Note(8, clock.Steady().Add(-bound/2))
+			s.agent.pingTimes.Note(8, clock.Steady().Add(-2*bound/5))
 			o.LastPing = 8
 		}, ""},
 	} {
@@ -79,7 +80,7 @@
 	c := s.agent.newCall()
 	s.agent.mu.Unlock()
 	s.agent.handlePong(s.agent.conn, &peer.Pong{DispatcherTerm: 3, Evacuated: []string{"a"}})
-	s.agent.startRun(context.Background(), c, &o.Starts[0], 1000, time.Time{})
+	s.agent.startRun(context.Background(), c, &o.Starts[0], 1000, &orderTerms{term: 3, basis: leadership.NewOrderBasis(clock.Steady(), 0)})
 	if got, want := s.next(t, isRefusal).OrderRefused.Reason, errEvacuated.Error(); got != want {
 		t.Errorf("reason: got %q, want %q", got, want)
 	}
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -7,6 +7,7 @@
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/leadership"
 )
 
 const (
@@ -137,6 +138,7 @@
 			conn.Close()
 		case m.Pong != nil:
 			a.handlePong(conn, m.Pong)
+			a.noteContactAge(ctx, conn, milliseconds(m.Pong.StoreContactAgeMS))
 		case m.Orders != nil:
 			a.handleOrders(ctx, m.Orders)
 		case m.Ack != nil:
@@ -169,7 +171,9 @@
 		a.mu.Unlock()
 		return false
 	}
-	a.term = term
+	if term != a.term {
+		a.term, a.termCheck = term, leadership.TermCheck{}
+	}
 	a.mu.Unlock()
 	select {
 	case a.wakePoll <- struct{}{}:
@@ -247,6 +251,7 @@
 // sendFirstReport sends the first report on a connection and the first ping. It needs no answer to an
 // empty report on an earlier connection, since orders on that one arrive no more. The caller holds mu.
 func (a *Agent) sendFirstReport(now time.Time, state runnerState) {
+	a.connReportedAt = now
 	if state != runnerAnswers {
 		a.lastReportedEnd = a.lastEndNumber()
 		a.sendEmptyReport(now, state)
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -11,6 +11,7 @@
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/leadership"
 )
 
 var (
@@ -23,6 +24,15 @@
 	errNoPolicyService = errors.New("no policy service is configured")
 )
 
+// orderTerms are the conditions under which the starts of orders may be sent to the runner.
+type orderTerms struct {
+	// term is the leadership term of the dispatcher that sent the orders, and basis what they prove of it.
+	term  uint64
+	basis leadership.OrderBasis
+	// startBefore is the time before which starts have to be sent, see Agent.startBefore.
+	startBefore time.Time
+}
+
 // handleOrders carries out the dispatcher's orders. It drops orders of another term and stops for
 // another life, the time between two restarts of the runner, and refuses starts for another life.
 func (a *Agent) handleOrders(ctx context.Context, orders *peer.Orders) {
@@ -35,13 +45,13 @@
 	now := clock.Steady()
 	a.guard.addTasks(orders.GuardedTasks)
 	a.setEvacuated(orders.Evacuated)
-	startBefore := a.startBefore(now, orders.LastPing)
+	terms := &orderTerms{term: orders.Term, basis: a.orderBasis(orders), startBefore: a.startBefore(now, orders.LastPing)}
 	for i := range orders.Starts {
 		s := orders.Starts[i]
 		key := runKey{s.Task, s.Run}
 		err := a.checkStart(now, &s)
 		if err == nil {
-			err = a.checkEvacuation(now, startBefore)
+			err = a.checkEvacuation(now, terms.startBefore)
 		}
 		if err != nil {
 			a.refuse(s.Life, key, err)
@@ -52,14 +62,18 @@
 		a.sentStarts[key] = true
 		a.addUnanswered(now, key)
 		c, leaseEndMS := a.newCall(), a.runLeaseEndMS(now)
-		a.group.Go(func() { a.startRun(ctx, c, &s, leaseEndMS, startBefore) })
+		a.group.Go(func() { a.startRun(ctx, c, &s, leaseEndMS, terms) })
 	}
 	for _, q := range orders.PolicyQuestions {
 		a.group.Go(func() { a.answerQuestion(ctx, &q) })
 	}
 	for i := range orders.Stops {
 		s := orders.Stops[i]
-		a.group.Go(func() { a.fence(ctx, s.Life, runKey{s.Task, s.Run}, s.Reason) })
+		a.group.Go(func() {
+			if a.confirmStop(ctx, terms.term, terms.basis) {
+				a.fence(ctx, s.Life, runKey{s.Task, s.Run}, s.Reason)
+			}
+		})
 	}
 }
 
@@ -87,17 +101,29 @@
 	a.count("orders-refused")
 	a.log.Info().Str("task", key.task.String()).Uint64("run", key.run).Str("reason", reason.Error()).Msg("order refused")
 	if a.conn != nil {
-		a.conn.Send(&peer.Message{OrderRefused: &peer.OrderRefused{Life: life, Task: key.task, Run: key.run, Reason: reason.Error(), TicketRejected: errors.Is(reason, ErrTicket)}})
+		a.conn.Send(&peer.Message{OrderRefused: &peer.OrderRefused{Life: life, Task: key.task, Run: key.run, Reason: reason.Error(), TicketRejected: errors.Is(reason, ErrTicket), Unconfirmed: errors.Is(reason, errUnconfirmed)}})
 	}
 }
 
+// refuseUnsent refuses a start that has not been sent to the runner.
+func (a *Agent) refuseUnsent(life uint64, key runKey, reason error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.unansweredStarts, key)
+	a.refuse(life, key, reason)
+}
+
 // startRun has the runner start the run of a start order, with a lease that ends at leaseEndMS
 // on the runner's clock. If the runner does not answer and the next listing does not show the
-// run, startRun makes sure that the run never starts later. It refuses the start from startBefore on, and if the data
-// centre has been evacuated since the order was handled.
-func (a *Agent) startRun(ctx context.Context, c Call, s *dispatch.Start, leaseEndMS int64, startBefore time.Time) {
+// run, startRun makes sure that the run never starts later. It refuses the start if its order is too old, its term is over,
+// or the data centre has been evacuated since the order was handled.
+func (a *Agent) startRun(ctx context.Context, c Call, s *dispatch.Start, leaseEndMS int64, terms *orderTerms) {
 	key := runKey{s.Task, s.Run}
-	if !a.mayStillStart(s.Life, key, startBefore) {
+	if err := a.confirmStart(ctx, terms.term, terms.basis); err != nil {
+		a.refuseUnsent(s.Life, key, err)
+		return
+	}
+	if !a.mayStillStart(s.Life, key, terms.startBefore) {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- /dev/null
+++ b/internal/runneragent/termcheck_test.go
@@ -0,0 +1,125 @@
+package runneragent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+)
+
+// lostStoreAgeMS is the age of the store's last answer to a dispatcher that has lost it.
+const lostStoreAgeMS = 2500
+
+// isLaterClaimed has an entry claim the next term, and isUnreachable makes the store fail the agent.
+func isLaterClaimed(t *testing.T, s *fixture) { t.Helper(); s.claim(t, "entry-b") }
+func isUnreachable(_ *testing.T, s *fixture)  { s.store.SetFault(store.ErrRefused, false) }
+
+// A dispatcher that was cut off from the store started tasks of jobs whose cancellation another entry had acknowledged.
+func TestStartOfADispatcherThatHasLostTheStore(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(t *testing.T, s *fixture)
+		ageMS   int64
+		want    error
+	}{
+		{"the store answers the dispatcher", func(*testing.T, *fixture) {}, 10, nil},
+		{"it answers the dispatcher, and the agent cannot ask", isUnreachable, 10, nil},
+		{"a later term is claimed", isLaterClaimed, lostStoreAgeMS, errSuperseded},
+		{"no later term is claimed, and the store serves the agent", func(*testing.T, *fixture) {}, lostStoreAgeMS, errUnconfirmed},
+		{"the store fails the agent, too", isUnreachable, lostStoreAgeMS, nil},
+		{"the store has failed the agent before and answers again", func(_ *testing.T, s *fixture) {
+			s.agent.termCheck.NoteFailure(clock.Steady().Add(-time.Second))
+		}, lostStoreAgeMS, errUnconfirmed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newFixture(t)
+			s.runner.startTakesEffect = true
+			tc.prepare(t, s)
+			o := startOrders(3)
+			o.StoreContactAgeMS = tc.ageMS
+			s.agent.handleOrders(t.Context(), o)
+			s.agent.group.Wait()
+			if got, want := len(s.runner.listing.Runs) == 0, tc.want != nil; got != want {
+				t.Fatalf("refused: got %v, want %v", got, want)
+			}
+			if len(s.agent.unansweredStarts) != 0 {
+				t.Errorf("unanswered starts: got %v, want none", s.agent.unansweredStarts)
+			}
+			switch {
+			case errors.Is(tc.want, errSuperseded):
+				if got, want := s.agent.successor, "entry-b"; got != want {
+					t.Errorf("dispatcher to join: got %q, want %q", got, want)
+				}
+				if !hasEnded(s.agent.conn) {
+					t.Error("connection to the earlier dispatcher: got open, want ended")
+				}
+			case errors.Is(tc.want, errUnconfirmed):
+				refused := s.next(t, isRefusal).OrderRefused
+				if got, want := refused.Reason, tc.want.Error(); got != want || !refused.Unconfirmed {
+					t.Errorf("reason: got %q, unconfirmed %v, want %q, true", got, refused.Unconfirmed, want)
+				}
+			}
+		})
+	}
+}
+
+// Workers stayed with a dispatcher that was cut off until the cut had ended, and the next one waited for them.
+func TestAgentLeavesASupersededDispatcher(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(t *testing.T, s *fixture)
+		age     time.Duration
+		want    bool
+	}{
+		{"a later term is claimed", isLaterClaimed, checkTermAfter + time.Millisecond, true},
+		{"the store answers the dispatcher", isLaterClaimed, checkTermAfter, false},
+		{"no later term is claimed", func(*testing.T, *fixture) {}, checkTermAfter + time.Millisecond, false},
+		{"the store fails the agent, too", isUnreachable, checkTermAfter + time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t)
+			tc.prepare(t, s)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s.agent.noteContactAge(ctx, s.agent.conn, tc.age)
+			select {
+			case <-s.agent.conn.Done():
+			case <-time.After(checkTermInterval):
+			}
+			if got := hasEnded(s.agent.conn); got != tc.want {
+				t.Errorf("left the dispatcher: got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// A stop that an earlier dispatcher ordered must not end a run that the later one wants.
+func TestStopOfASupersededDispatcher(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(t *testing.T, s *fixture)
+		want    int
+	}{
+		{"a later term is claimed", isLaterClaimed, 1},
+		{"no later term is claimed", func(*testing.T, *fixture) {}, 0},
+		{"the store fails the agent, too", isUnreachable, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newFixture(t)
+			s.runner.listing.Runs = []dispatch.RunStatus{{Task: task, Run: 2}}
+			tc.prepare(t, s)
+			s.agent.handleOrders(t.Context(), &peer.Orders{Term: 3, StoreContactAgeMS: lostStoreAgeMS, Stops: []dispatch.Stop{{Worker: "w1", Life: 7, Task: task, Run: 2}}})
+			s.agent.group.Wait()
+			if got := len(s.runner.listing.Runs); got != tc.want {
+				t.Errorf("runs: got %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/leadership/order.go
@@ -0,0 +1,75 @@
+package leadership
+
+import "time"
+
+// Bounds on what an order may rest on.
+const (
+	// MaxStoreContactAge is how long after the store has last answered a dispatcher a start that it orders may take effect
+	// while the store serves others. Another entry may have acknowledged the cancellation of the job since, which has to
+	// hold after three seconds.
+	MaxStoreContactAge = 2400 * time.Millisecond
+	// maxCheckAge is how long the outcome of a read of the newest claim counts. What a later dispatcher has acknowledged
+	// has to hold after a second.
+	maxCheckAge = 800 * time.Millisecond
+)
+
+// OrderBasis is what a message of the dispatcher proves of its term, on the clock of the agent that received it. The zero
+// value proves nothing.
+type OrderBasis struct {
+	// contactAt is a time since which the store has answered the dispatcher.
+	contactAt time.Time
+}
+
+// NewOrderBasis returns the basis of a message that was sent after the given time and says how long before its sending the
+// store had last answered the dispatcher.
+func NewOrderBasis(sentAfter time.Time, contactAge time.Duration) OrderBasis {
+	return OrderBasis{contactAt: sentAfter.Add(-max(0, contactAge))}
+}
+
+// TermCheck is what an agent's own reads of the newest claim have shown of the term that it serves. The zero value knows of
+// no read.
+type TermCheck struct {
+	// currentAt is when the newest read was sent that showed no later claim, failedAt when the newest read failed.
+	currentAt time.Time
+	failedAt  time.Time
+}
+
+// NoteCurrent records that a read which was sent at the given time has shown no later claim.
+func (c *TermCheck) NoteCurrent(sent time.Time) {
+	if sent.After(c.currentAt) {
+		c.currentAt = sent
+	}
+}
+
+// NoteFailure records that a read has failed.
+func (c *TermCheck) NoteFailure(now time.Time) { c.failedAt = now }
+
+// fails reports whether the store has failed the agent lately, and has not answered since.
+func (c *TermCheck) fails(now time.Time) bool {
+	return c.failedAt.After(c.currentAt) && now.Sub(c.failedAt) <= maxCheckAge
+}
+
+// OrderDecision is what an agent does with an order.
+type OrderDecision uint8
+
+// The decisions.
+const (
+	// OrderCheck means that the agent has to read the newest claim before it decides.
+	OrderCheck OrderDecision = iota
+	OrderProceed
+	// OrderRefuse means that the dispatcher may not know what the store has taken.
+	OrderRefuse
+)
+
+// DecideStart decides about a start that would take effect now. If the store fails the dispatcher and the agent alike, it
+// presumably fails everybody: nothing that the dispatcher does not know can be acknowledged, and work goes on. If it serves
+// the agent, other entries may have acknowledged what the dispatcher has not heard of.
+func (b OrderBasis) DecideStart(now time.Time, check *TermCheck) OrderDecision {
+	switch {
+	case now.Sub(b.contactAt) <= MaxStoreContactAge, check.fails(now):
+		return OrderProceed
+	case now.Sub(check.currentAt) <= maxCheckAge:
+		return OrderRefuse
+	}
+	return OrderCheck
+}
