Confirm that a term is the newest before a start takes effect

Callers saw tasks run again whose end had been acknowledged more than a second before: a dispatcher that was cut off heard nothing of a worker in another data centre, took its run for one that is far behind, and ordered a second run. The next dispatcher may begin 0.4 s after such a cut, so that the age of the store's last answer, up to 2.4 s, does not bound this.

Orders now also say when the newest write was sent that the store took under the term. An agent sends a start to the runner, or carries out a stop, at most 0.8 s after that, on its own clock; otherwise it reads the newest claim first. A later claim makes it leave; a read that fails lets the order pass, as the store then presumably fails everybody.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -14,7 +14,7 @@
 // newOrders returns empty orders to the agent of a worker, with what it has to know of the evacuations and of this entry's
 // contact with the store. The caller holds mu.
 func (c *Coordinator) newOrders(now time.Time, t *term, worker string) *peer.Orders {
-	o := &peer.Orders{Term: t.number, Evacuated: c.evacuations.applied, StoreContactAgeMS: c.storeContactAgeMS(now)}
+	o := &peer.Orders{Term: t.number, Evacuated: c.evacuations.applied, StoreContactAgeMS: c.storeContactAgeMS(now), ConfirmedAgeMS: now.Sub(t.leaderLease.LastRenewal()).Milliseconds() + 1}
 	if a := t.agents[worker]; a != nil {
 		o.LastPing = a.lastPing
 	}
--- a/internal/coordinator/orders_test.go
+++ b/internal/coordinator/orders_test.go
@@ -9,6 +9,7 @@
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/leadership"
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
@@ -46,7 +47,7 @@
 	}
 }
 
-// Guards against agents that take the store's answers to a dispatcher for newer than they are.
+// Guards against agents that take the store's answers to a dispatcher, or its newest write, for newer than they are.
 func TestDispatcherSaysHowOldItsStoreContactIs(t *testing.T) {
 	c, current := newDispatcher(t, &standin.Store{})
 	now := clock.Steady()
@@ -54,8 +55,13 @@
 	defer c.mu.Unlock()
 	current.agents["w1"] = &agentLink{name: "w1", lastPing: 4}
 	c.health.lastSuccess = now.Add(-1500 * time.Millisecond)
+	current.leaderLease = leadership.LeaderLease{}
+	current.leaderLease.Renew(now.Add(-1700 * time.Millisecond))
 	o := c.newOrders(now, current, "w1")
 	if got, want := o.StoreContactAgeMS, int64(1501); got != want || o.LastPing != 4 {
 		t.Errorf("orders: got a contact %d ms ago and ping %d, want %d and 4", got, o.LastPing, want)
 	}
+	if got, want := o.ConfirmedAgeMS, int64(1701); got != want {
+		t.Errorf("orders: got a write %d ms ago, want %d", got, want)
+	}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -221,6 +221,8 @@
 	LastPing uint64 `cbor:"7,keyasint,omitempty"`
 	// StoreContactAgeMS is how long before then the store had last answered the dispatcher, in milliseconds.
 	StoreContactAgeMS int64 `cbor:"8,keyasint,omitempty"`
+	// ConfirmedAgeMS is how long before then the newest write was sent that the store accepted under the term.
+	ConfirmedAgeMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // PolicyAnswer is the answer of the placement policy service to the question with the same Seq.
--- a/internal/runneragent/evacuation_test.go
+++ b/internal/runneragent/evacuation_test.go
@@ -80,7 +80,7 @@
 	c := s.agent.newCall()
 	s.agent.mu.Unlock()
 	s.agent.handlePong(s.agent.conn, &peer.Pong{DispatcherTerm: 3, Evacuated: []string{"a"}})
-	s.agent.startRun(context.Background(), c, &o.Starts[0], 1000, &orderTerms{term: 3, basis: leadership.NewOrderBasis(clock.Steady(), 0)})
+	s.agent.startRun(context.Background(), c, &o.Starts[0], 1000, &orderTerms{term: 3, basis: leadership.NewOrderBasis(clock.Steady(), 0, 0)})
 	if got, want := s.next(t, isRefusal).OrderRefused.Reason, errEvacuated.Error(); got != want {
 		t.Errorf("reason: got %q, want %q", got, want)
 	}
--- a/internal/runneragent/termcheck.go
+++ b/internal/runneragent/termcheck.go
@@ -44,7 +44,7 @@
 		}
 		sentAfter = sent
 	}
-	return leadership.NewOrderBasis(sentAfter, milliseconds(o.StoreContactAgeMS))
+	return leadership.NewOrderBasis(sentAfter, milliseconds(o.StoreContactAgeMS), milliseconds(o.ConfirmedAgeMS))
 }
 
 // maxSentAge bounds the age that is taken from a message, so that it cannot overflow.
@@ -156,7 +156,7 @@
 // first if the order is old.
 func (a *Agent) confirmStop(ctx context.Context, term uint64, basis leadership.OrderBasis) bool {
 	a.mu.Lock()
-	decision := basis.DecideStart(clock.Steady(), &a.termCheck)
+	decision := basis.DecideStop(clock.Steady(), &a.termCheck)
 	a.mu.Unlock()
 	if decision == leadership.OrderCheck {
 		a.checkTerm(ctx)
--- a/internal/runneragent/termcheck_test.go
+++ b/internal/runneragent/termcheck_test.go
@@ -42,7 +42,7 @@
 			s.runner.startTakesEffect = true
 			tc.prepare(t, s)
 			o := startOrders(3)
-			o.StoreContactAgeMS = tc.ageMS
+			o.StoreContactAgeMS, o.ConfirmedAgeMS = tc.ageMS, tc.ageMS
 			s.agent.handleOrders(t.Context(), o)
 			s.agent.group.Wait()
 			if got, want := len(s.runner.listing.Runs) == 0, tc.want != nil; got != want {
@@ -69,6 +69,40 @@
 	}
 }
 
+// A dispatcher that was cut off ordered second runs of tasks whose end a later one had acknowledged more than a second
+// before.
+func TestStartOfADispatcherWhoseTermIsNotConfirmed(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(t *testing.T, s *fixture)
+		// confirmedAgeMS is the age of the dispatcher's newest write, and pingAge that of the last ping that had arrived.
+		confirmedAgeMS int64
+		pingAge        time.Duration
+		want           int
+	}{
+		{"a later term is claimed", isLaterClaimed, 900, 0, 0},
+		{"the order is late", isLaterClaimed, 0, 900 * time.Millisecond, 0},
+		{"the order of a dispatcher that has just written is late", isLaterClaimed, 500, 400 * time.Millisecond, 0},
+		{"no later term is claimed", func(*testing.T, *fixture) {}, 900, 0, 1},
+		{"the store fails the agent, too", isUnreachable, 900, 0, 1},
+		{"the dispatcher has just written", isLaterClaimed, 300, 0, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newFixture(t)
+			s.runner.startTakesEffect = true
+			tc.prepare(t, s)
+			o := startOrders(3)
+			o.StoreContactAgeMS, o.ConfirmedAgeMS, o.LastPing = tc.confirmedAgeMS, tc.confirmedAgeMS, 8
+			s.agent.pingTimes.Note(8, clock.Steady().Add(-tc.pingAge))
+			s.agent.handleOrders(t.Context(), o)
+			s.agent.group.Wait()
+			if got := len(s.runner.listing.Runs); got != tc.want {
+				t.Errorf("runs: got %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
 // Workers stayed with a dispatcher that was cut off until the cut had ended, and the next one waited for them.
 func TestAgentLeavesASupersededDispatcher(t *testing.T) {
 	for _, tc := range []struct {
@@ -115,7 +149,7 @@
 			s := newFixture(t)
 			s.runner.listing.Runs = []dispatch.RunStatus{{Task: task, Run: 2}}
 			tc.prepare(t, s)
-			s.agent.handleOrders(t.Context(), &peer.Orders{Term: 3, StoreContactAgeMS: lostStoreAgeMS, Stops: []dispatch.Stop{{Worker: "w1", Life: 7, Task: task, Run: 2}}})
+			s.agent.handleOrders(t.Context(), &peer.Orders{Term: 3, StoreContactAgeMS: lostStoreAgeMS, ConfirmedAgeMS: lostStoreAgeMS, Stops: []dispatch.Stop{{Worker: "w1", Life: 7, Task: task, Run: 2}}})
 			s.agent.group.Wait()
 			if got := len(s.runner.listing.Runs); got != tc.want {
 				t.Errorf("runs: got %d, want %d", got, tc.want)
--- a/pkg/leadership/order.go
+++ b/pkg/leadership/order.go
@@ -8,9 +8,9 @@
 	// while the store serves others. Another entry may have acknowledged the cancellation of the job since, which has to
 	// hold after three seconds.
 	MaxStoreContactAge = 2400 * time.Millisecond
-	// maxCheckAge is how long the outcome of a read of the newest claim counts. What a later dispatcher has acknowledged
-	// has to hold after a second.
-	maxCheckAge = 800 * time.Millisecond
+	// MaxOrderAge is how long after the newest proof that no later term had begun an order may take effect. A later
+	// dispatcher may have acknowledged the end of the task's run since, which has to hold after a second.
+	MaxOrderAge = 800 * time.Millisecond
 )
 
 // OrderBasis is what a message of the dispatcher proves of its term, on the clock of the agent that received it. The zero
@@ -18,12 +18,15 @@
 type OrderBasis struct {
 	// contactAt is a time since which the store has answered the dispatcher.
 	contactAt time.Time
+	// confirmedAt is a time at which no later term had begun.
+	confirmedAt time.Time
 }
 
-// NewOrderBasis returns the basis of a message that was sent after the given time and says how long before its sending the
-// store had last answered the dispatcher.
-func NewOrderBasis(sentAfter time.Time, contactAge time.Duration) OrderBasis {
-	return OrderBasis{contactAt: sentAfter.Add(-max(0, contactAge))}
+// NewOrderBasis returns the basis of a message that was sent after the given time. It says how long before its sending the
+// store had last answered the dispatcher, and how long before the newest write was sent that the store accepted under the
+// dispatcher's term.
+func NewOrderBasis(sentAfter time.Time, contactAge, confirmedAge time.Duration) OrderBasis {
+	return OrderBasis{contactAt: sentAfter.Add(-max(0, contactAge)), confirmedAt: sentAfter.Add(-max(0, confirmedAge))}
 }
 
 // TermCheck is what an agent's own reads of the newest claim have shown of the term that it serves. The zero value knows of
@@ -44,9 +47,12 @@
 // NoteFailure records that a read has failed.
 func (c *TermCheck) NoteFailure(now time.Time) { c.failedAt = now }
 
+// isCurrent reports whether the agent has found lately that there is no later claim.
+func (c *TermCheck) isCurrent(now time.Time) bool { return now.Sub(c.currentAt) <= MaxOrderAge }
+
 // fails reports whether the store has failed the agent lately, and has not answered since.
 func (c *TermCheck) fails(now time.Time) bool {
-	return c.failedAt.After(c.currentAt) && now.Sub(c.failedAt) <= maxCheckAge
+	return c.failedAt.After(c.currentAt) && now.Sub(c.failedAt) <= MaxOrderAge
 }
 
 // OrderDecision is what an agent does with an order.
@@ -65,11 +71,21 @@
 // presumably fails everybody: nothing that the dispatcher does not know can be acknowledged, and work goes on. If it serves
 // the agent, other entries may have acknowledged what the dispatcher has not heard of.
 func (b OrderBasis) DecideStart(now time.Time, check *TermCheck) OrderDecision {
-	switch {
-	case now.Sub(b.contactAt) <= MaxStoreContactAge, check.fails(now):
+	decision := b.DecideStop(now, check)
+	if decision == OrderProceed && now.Sub(b.contactAt) > MaxStoreContactAge && !check.fails(now) {
+		if check.isCurrent(now) {
+			return OrderRefuse
+		}
+		return OrderCheck
+	}
+	return decision
+}
+
+// DecideStop decides about a stop that would take effect now: it needs a proof that the term was the newest a moment ago, or
+// a store that fails the agent.
+func (b OrderBasis) DecideStop(now time.Time, check *TermCheck) OrderDecision {
+	if now.Sub(b.confirmedAt) <= MaxOrderAge || check.isCurrent(now) || check.fails(now) {
 		return OrderProceed
-	case now.Sub(check.currentAt) <= maxCheckAge:
-		return OrderRefuse
 	}
 	return OrderCheck
 }
--- a/pkg/leadership/order_test.go
+++ b/pkg/leadership/order_test.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Guards against starts that a dispatcher orders although others may have acknowledged what it does not know, and against
-// starts that are held while the store fails everybody.
-func TestDecideStart(t *testing.T) {
+// Guards against orders of a dispatcher that rest on what it knew before others acknowledged more, and against orders that
+// are held while the store fails everybody.
+func TestDecideOrder(t *testing.T) {
 	data, err := os.ReadFile("testdata/order.json")
 	if err != nil {
 		t.Fatal(err)
@@ -19,10 +19,14 @@
 		Name string `json:"name"`
 		// ContactAgeMS is the age of the store's last answer to the dispatcher when it sent the order, at 0.
 		ContactAgeMS int64 `json:"contact-age-ms"`
-		Events       []struct {
+		// ConfirmedAgeMS is the age of the newest write under the term then.
+		ConfirmedAgeMS int64 `json:"confirmed-age-ms"`
+		Events         []struct {
 			AtMS int64  `json:"at-ms"`
 			Do   string `json:"do"`
-			Want string `json:"want"`
+			// Want is the decision about a start, and WantStop that about a stop.
+			Want     string `json:"want"`
+			WantStop string `json:"want-stop"`
 		} `json:"events"`
 	}
 	if err := json.Unmarshal(data, &cases); err != nil {
@@ -30,7 +34,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.Name, func(t *testing.T) {
-			basis := NewOrderBasis(at(0), time.Duration(tc.ContactAgeMS)*time.Millisecond)
+			basis := NewOrderBasis(at(0), time.Duration(tc.ContactAgeMS)*time.Millisecond, time.Duration(tc.ConfirmedAgeMS)*time.Millisecond)
 			var check TermCheck
 			for i, e := range tc.Events {
 				switch e.Do {
@@ -40,11 +44,15 @@
 					check.NoteFailure(at(e.AtMS))
 				case "decide":
 					want, known := decisions[e.Want]
-					if !known {
-						t.Fatalf("event %d: unknown decision %q", i, e.Want)
+					wantStop, knownStop := decisions[e.WantStop]
+					if !known || !knownStop {
+						t.Fatalf("event %d: unknown decision %q or %q", i, e.Want, e.WantStop)
 					}
 					if got := basis.DecideStart(at(e.AtMS), &check); got != want {
-						t.Errorf("event %d: decision: got %d, want %d (%s)", i, got, want, e.Want)
+						t.Errorf("event %d: start: got %d, want %d (%s)", i, got, want, e.Want)
+					}
+					if got := basis.DecideStop(at(e.AtMS), &check); got != wantStop {
+						t.Errorf("event %d: stop: got %d, want %d (%s)", i, got, wantStop, e.WantStop)
 					}
 				default:
 					t.Fatalf("event %d: unknown event %q", i, e.Do)
