Let the next dispatcher know when the leases of a stopped agent end

Callers saw tasks that last without a run for 13 to 14 s, and all earlier jobs without new starts for 15.5 s: a worker was removed by SIGTERM and 1.5 s later the machine of its dispatcher was gone. The agent ended without a word, so that the next dispatcher knew neither when the worker was last served nor whether the earlier dispatcher still served it.

An agent that is stopped now tells three entries, as one whose worker has left does, that its registration is over and within what time the leases of its runs end. A dispatcher to which the worker has not reported waits for it until then, and until a later write has confirmed the term. So that the word stays true, a new agent process is registered anew in every case, and its worker lease is renewed only once that is stored. Starts under way are waited for; with a start that has no answer the agent says nothing.

TestStoppingAgentTellsEntriesWhenItsLeasesEnd failed without the message ("told: got <nil>, want true").

Cost: runs that a restarted agent takes over while the store is away end after 5 s.

--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/leadership"
 )
 
 const (
@@ -14,10 +15,17 @@
 	maxDepartures = 4096
 )
 
-// departure is the newest departure of a worker: the number of the registration that it concerns, with all earlier ones.
+// departure is the newest departure of a worker: the number of the registration that it concerns, with all earlier ones,
+// and the time by which the leases of its runs have ended.
 type departure struct {
 	number  uint64
 	notedAt time.Time
+	endsBy  time.Time
+}
+
+// message returns the departure for another entry.
+func (d *departure) message(now time.Time, worker string) *peer.Message {
+	return &peer.Message{Departure: &peer.Departure{Worker: worker, Number: d.number, LeasesEndMS: max(0, (d.endsBy.Sub(now) + time.Millisecond - 1).Milliseconds())}}
 }
 
 // noteDeparture keeps the departure of a worker for the terms to come, passes it on to the dispatcher if it is new, and
@@ -37,13 +45,14 @@
 	if c.departures == nil {
 		c.departures = make(map[string]departure)
 	}
-	c.departures[d.Worker] = departure{number: d.Number, notedAt: now}
-	c.log.Info().Str("worker", d.Worker).Uint64("registration", d.Number).Msg("worker has left in order")
+	noted := departure{number: d.Number, notedAt: now, endsBy: leadership.DepartureEndsBy(now, time.Duration(min(d.LeasesEndMS, maxSentAge.Milliseconds()))*time.Millisecond)}
+	c.departures[d.Worker] = noted
+	c.log.Info().Str("worker", d.Worker).Uint64("registration", d.Number).Int64("leases-end-ms", d.LeasesEndMS).Msg("worker has left in order")
 	if c.dispatcherConn != nil {
-		c.dispatcherConn.conn.Send(&peer.Message{Departure: d})
+		c.dispatcherConn.conn.Send(noted.message(now, d.Worker))
 	}
 	if c.term != nil {
-		c.term.applyDeparture(c, d.Worker, c.departures[d.Worker])
+		c.term.applyDeparture(now, c, d.Worker, noted)
 	}
 }
 
@@ -60,34 +69,45 @@
 func (c *Coordinator) passDeparturesOn(now time.Time, cc *callConn) {
 	c.forgetDepartures(now)
 	for worker, d := range c.departures {
-		cc.conn.Send(&peer.Message{Departure: &peer.Departure{Worker: worker, Number: d.number}})
+		cc.conn.Send(d.message(now, worker))
 	}
 }
 
-// applyDeparture takes a worker that has left off the roster. The caller holds mu.
-func (t *term) applyDeparture(c *Coordinator, worker string, d departure) {
+// applyDeparture takes a worker that has left off the roster, at once unless leases of its runs may last. The caller holds
+// mu.
+func (t *term) applyDeparture(now time.Time, c *Coordinator, worker string, d departure) {
 	if !t.roster.Departed(worker, d.number) {
 		return
 	}
-	t.takeOff(c, worker, "its agent said that it has left in order")
+	if !now.Before(d.endsBy) {
+		t.takeOff(c, worker, "its agent said that it has left in order")
+	}
 	if t.departed == nil {
-		t.departed = make(map[string]time.Time)
+		t.departed = make(map[string]departure)
 	}
-	t.departed[worker] = d.notedAt
+	t.departed[worker] = d
 	notify(c.wakeLead)
 }
 
 // checkDeparted stops waiting for the reports of workers that have left, once the store has accepted a write under the
-// term that was sent since: before they left, they may have reported the ends of runs to a later dispatcher. The caller
-// holds mu.
+// term that was sent since: before they left, they may have reported the ends of runs to a later dispatcher. A worker whose
+// leases lasted may have returned meanwhile: it is then registered anew, or has reported in this term, where its
+// lease counts. The caller holds mu.
 func (t *term) checkDeparted(now time.Time, c *Coordinator) {
-	for worker, notedAt := range t.departed {
-		if !t.leasesExpired(now, c, notedAt) {
+	for worker, d := range t.departed {
+		if !t.leasesExpired(now, c, d.endsBy) {
 			continue
 		}
 		delete(t.departed, worker)
+		number := t.roster.Number(worker)
+		if number > d.number || number != 0 && t.agents[worker] != nil {
+			continue
+		}
+		if number != 0 {
+			t.takeOff(c, worker, "its agent said that it stops, and the leases of its runs have ended")
+		}
 		if t.scheduler.EarlierRunsEnded(worker) {
-			c.log.Info().Str("worker", worker).Uint64("term", t.number).Msg("a worker that has left is not waited for")
+			c.log.Info().Str("worker", worker).Uint64("term", t.number).Dur("noted", now.Sub(d.notedAt)).Msg("a worker that has left is not waited for")
 		}
 	}
 }
--- a/internal/coordinator/held_report.go
+++ b/internal/coordinator/held_report.go
@@ -23,15 +23,22 @@
 
 // needsName reports whether a worker's name has to be stored before its report counts: so that a later dispatcher waits
 // for what may run there. A worker without a runner that reports no start can run nothing before its next report. Under a
-// registration that the agent does not know, an earlier agent process may have said that the worker has left. It has not
-// if the runner is still in the life that it had in this term.
+// registration that the agent does not know, an earlier agent process may have said that the worker has left, or that it
+// renews no leases there any more.
 func (t *term) needsName(r *peer.Report) bool {
 	w := &r.Worker
 	if w.Life == 0 && len(r.Runs) == 0 {
 		return false
 	}
 	number := t.roster.Number(w.Name)
-	return number == 0 || r.Registration != number && (w.Life == 0 || w.Life != t.scheduler.RunnerLife(w.Name))
+	return number == 0 || r.Registration != number
+}
+
+// renewsLease reports whether a ping of the agent of a worker renews its lease: the leadership lease is valid, and the
+// worker is registered, so that no departure says that the leases of its runs end. The caller holds mu.
+func (t *term) renewsLease(now time.Time, worker string) bool {
+	held := t.heldReports[worker]
+	return t.leaderLease.Valid(now) && (held == nil || !t.needsName(held))
 }
 
 // isHeld reports whether the report of a worker is held. The caller holds mu.
--- a/internal/coordinator/left_worker_test.go
+++ b/internal/coordinator/left_worker_test.go
@@ -11,6 +11,7 @@
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/leadership"
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
@@ -31,6 +32,10 @@
 	eventDeparts       workerEvent = "departs"            // its agent tells the other entries that it has left in order
 	eventDepartsLate   workerEvent = "departs late"       // ... and the dispatcher
 	eventNewAgent      workerEvent = "returns, new agent" // a new agent process reports the next life of its runner
+	eventSameLife      workerEvent = "new agent"          // a new agent process reports the present life of its runner
+	eventStops         workerEvent = "stops"              // its agent stops and tells the other entries by when the leases of its runs end
+	eventStopsLate     workerEvent = "stops late"         // ... and the dispatcher
+	eventStopOver      workerEvent = "stopped, over"      // the leases of the runs of an agent that has stopped have ended
 	eventNextTerm      workerEvent = "next term"          // another entry becomes the dispatcher
 	eventEarlierOver   workerEvent = "earlier runs over"  // the leases of earlier terms have certainly expired
 )
@@ -120,6 +125,30 @@
 	r.write()
 }
 
+// depart has the agent of w2 tell the other entries that it leaves. Its runs may have leases if it only stops.
+func (r *rig) depart(stops bool) *peer.Departure {
+	d := &peer.Departure{Worker: "w2", Number: r.told["w2"]}
+	if stops {
+		d.LeasesEndMS = leadership.WorkerLeaseDuration.Milliseconds()
+	}
+	delete(r.told, "w2")
+	for _, c := range r.entries {
+		c.noteDeparture(clock.Steady(), d)
+	}
+	return d
+}
+
+// endStoppedLeases has the time pass at the dispatcher until the leases of the runs at w2 have ended after its agent had
+// stopped.
+func (r *rig) endStoppedLeases() {
+	r.at.mu.Lock()
+	defer r.at.mu.Unlock()
+	if d, ok := r.at.term.departed["w2"]; ok {
+		d.endsBy = clock.Steady()
+		r.at.term.departed["w2"] = d
+	}
+}
+
 func (r *rig) play(t *testing.T, e workerEvent) {
 	t.Helper()
 	worker := reportOf("w2")
@@ -147,16 +176,17 @@
 	case eventNewAgent:
 		delete(r.told, "w2")
 		r.play(t, eventReturns)
-	case eventDeparts, eventDepartsLate:
-		departure := &peer.Departure{Worker: "w2", Number: r.told["w2"]}
+	case eventSameLife:
 		delete(r.told, "w2")
-		for _, c := range r.entries {
-			c.noteDeparture(clock.Steady(), departure)
-		}
-		if e == eventDepartsLate {
-			r.at.noteDeparture(clock.Steady(), departure)
-			r.check(0, 0)
-		}
+		r.report(worker)
+	case eventDeparts, eventStops:
+		r.depart(e == eventStops)
+	case eventDepartsLate, eventStopsLate:
+		r.at.noteDeparture(clock.Steady(), r.depart(e == eventStopsLate))
+		r.check(0, 0)
+	case eventStopOver:
+		r.endStoppedLeases()
+		r.check(0, 0)
 	case eventStoreBack:
 		r.store.SetFault(nil, false)
 	case eventStoreUp:
@@ -254,6 +284,33 @@
 	}
 }
 
+// The next dispatcher takes the runs of an agent that has stopped for ended at the time that the agent named. A new agent
+// process at the worker must not extend their leases under an earlier registration.
+func TestLeaseOfAnUnregisteredWorkerIsNotRenewed(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.report(reportOf("w2"))
+	renewed := func() bool {
+		now := clock.Steady()
+		r.at.mu.Lock()
+		defer r.at.mu.Unlock()
+		return r.at.term.renewsLease(now, "w2")
+	}
+	if !renewed() {
+		t.Error("registered worker: got no renewal, want one")
+	}
+	r.play(t, eventStops)
+	r.play(t, eventStoreDown)
+	r.play(t, eventSameLife)
+	if renewed() {
+		t.Error("new agent process whose registration is not stored: got a renewal, want none")
+	}
+	r.play(t, eventStoreUp)
+	if !renewed() {
+		t.Error("worker that is registered anew: got no renewal, want one")
+	}
+}
+
 // Nothing of a worker that has left must stay in the store for good.
 func TestWorkerThatLeftLeavesNothing(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -167,11 +167,11 @@
 
 // loadRoster fills the roster at the beginning of the term and returns the workers that may run tasks of earlier terms.
 // The caller holds mu.
-func (t *term) loadRoster(c *Coordinator, names storedNames) []string {
+func (t *term) loadRoster(now time.Time, c *Coordinator, names storedNames) []string {
 	t.roster.Load(names.registrations, maps.Clone(c.goneWorkers), names.end)
 	workers := t.roster.Workers()
 	for worker, d := range c.departures {
-		t.applyDeparture(c, worker, d)
+		t.applyDeparture(now, c, worker, d)
 	}
 	return workers
 }
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -259,8 +259,7 @@
 		Int64("valid-ms", a.ValidForMS).Msg("advice received")
 }
 
-// handleAgentPing answers the ping of an agent, and renews the worker lease while
-// the leadership lease is valid. The caller holds mu.
+// handleAgentPing answers the ping of an agent, and renews the worker lease if it may, see renewsLease. The caller holds mu.
 func (c *Coordinator) handleAgentPing(now time.Time, t *term, a *agentLink, p *peer.Ping) {
 	if a.leaseExpired {
 		// The scheduler counts the runs of this worker as ended. The agent sends a new report
@@ -272,7 +271,7 @@
 	a.lastPing = p.Seq
 	pong := &peer.Pong{Seq: p.Seq, DispatcherTerm: t.number, Evacuated: c.evacuations.applied, StoreContactAgeMS: c.storeContactAgeMS(now)}
 	pong.EntryAddresses, _ = c.newEntries(&a.sentEntries) // agents do not need the strengths
-	if t.leaderLease.Valid(now) {
+	if t.renewsLease(now, a.name) {
 		a.lastContact, pong.WorkerLeaseRenewed = now, true
 	}
 	if p.Worker != nil {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -22,8 +22,8 @@
 	agents map[string]*agentLink
 	// roster holds the workers whose names are stored, so that a later dispatcher waits for them.
 	roster leadership.Roster
-	// departed holds the workers that have left and whose reports may still be waited for, and when that was noted.
-	departed map[string]time.Time
+	// departed holds the departures of workers that have left and whose reports may still be waited for.
+	departed map[string]departure
 	// heldReports holds the reports of workers whose names are not stored yet, or whose agents are new
 	// processes; see mustHold.
 	heldReports map[string]*peer.Report
@@ -169,7 +169,7 @@
 // the names of workers that may run tasks of earlier terms, the interference, and the jobs of the
 // job table. The caller holds mu.
 func (t *term) loadScheduler(now time.Time, c *Coordinator, names storedNames) {
-	t.scheduler.BeginTerm(t.number, t.loadRoster(c, names))
+	t.scheduler.BeginTerm(t.number, t.loadRoster(now, c, names))
 	t.scheduler.SetRemoteRackSlowdown(c.settings.RemoteRackSlowdown)
 	t.scheduler.SetMaxProgressBytes(c.settings.RecordLimits.Record)
 	t.scheduler.SetEvacuated(c.evacuations.applied)
--- a/internal/explore/term/agent_steps.go
+++ b/internal/explore/term/agent_steps.go
@@ -223,7 +223,7 @@
 func (a *agent) handlePollFailure(began time.Time, err error) {
 	a.sameLifeUntil = time.Time{}
 	if a.hasLeft(began, err) {
-		a.depart()
+		a.depart(0)
 	}
 	if a.reportedEmpty || a.conn == nil || a.runnerClockReadAt.After(began) || !a.allRunsEnded(err) {
 		return
--- a/internal/explore/term/entry.go
+++ b/internal/explore/term/entry.go
@@ -65,8 +65,8 @@
 	// sequence number; nil if there is none.
 	change  *dispatch.Change
 	records []store.Record
-	// departed holds the workers that have left and may still be waited for, and when that was noted.
-	departed map[string]time.Time
+	// departed holds the departures of workers that have left and may still be waited for.
+	departed map[string]departure
 	// held holds the reports of workers whose names are being stored, and writing is set during a
 	// write, if calls take time.
 	held      map[string]*heldReport
--- a/internal/explore/term/kinds_test.go
+++ b/internal/explore/term/kinds_test.go
@@ -21,6 +21,7 @@
 		{"all of these", allKinds},
 		{"workers are taken off the roster", Departures},
 		{"workers leave in order", Departures | OrderlyDepartures},
+		{"agents stop in order", Departures | OrderlyDepartures | AgentStops},
 		{"cuts refuse connections", SlowCalls | Refusals},
 		{"jobs are forgotten while parts of the store fail", Retention},
 	} {
@@ -67,5 +68,8 @@
 	{"the progress of an expired job is deleted before its submission", Retention, LooserRules{DeleteProgressFirst: true}, 200},
 	{"the name of a lost worker is deleted at once", Departures, LooserRules{DeleteNamesAtOnce: true}, 3220},
 	{"a new agent process keeps the registration", Departures | OrderlyDepartures, LooserRules{KeepRegistration: true}, 180},
-	{"a departure is trusted before a write confirms the term", Departures | OrderlyDepartures, LooserRules{TrustDepartureAtOnce: true}, 29100},
+	{"a new agent process keeps the registration in the same life", Departures | OrderlyDepartures | AgentStops, LooserRules{KeepRegistrationInLife: true}, 0},
+	{"the lease of an unregistered worker is renewed", Departures | OrderlyDepartures | AgentStops, LooserRules{RenewUnregistered: true}, 430},
+	{"runs of a stopped agent are taken for ended at once", Departures | OrderlyDepartures | AgentStops, LooserRules{TrustStopAtOnce: true}, 1390},
+	{"a departure is trusted before a write confirms the term", Departures | OrderlyDepartures | AgentStops, LooserRules{TrustDepartureAtOnce: true}, 33000},
 }
--- a/internal/explore/term/messages.go
+++ b/internal/explore/term/messages.go
@@ -63,7 +63,7 @@
 		return
 	}
 	now := e.clock()
-	renewed := e.w.rules.LeaderLeaseValid(&e.term.leaderLease, now) && !l.leaseExpired
+	renewed := e.w.rules.LeaderLeaseValid(&e.term.leaderLease, now) && !l.leaseExpired && e.renewsLease(worker.Name)
 	if renewed {
 		l.lastContact = now
 	}
--- a/internal/explore/term/rules.go
+++ b/internal/explore/term/rules.go
@@ -77,6 +77,12 @@
 	DeleteNamesAtOnce bool
 	// KeepRegistration gives new agent processes tasks under the registration that an earlier process had.
 	KeepRegistration bool
+	// KeepRegistrationInLife does so only for a runner that is still in the life that it had in the term.
+	KeepRegistrationInLife bool
+	// RenewUnregistered renews the lease of a worker although its registration is not stored.
+	RenewUnregistered bool
+	// TrustStopAtOnce takes the runs that a stopped agent has left over for ended at once.
+	TrustStopAtOnce bool
 	// TrustDepartureAtOnce makes a dispatcher stop waiting for a worker that has left before a write confirms its term.
 	TrustDepartureAtOnce bool
 	// DeleteProgressFirst deletes the records of a job whose retention has expired at once: first those of its progress.
--- a/internal/explore/term/term.go
+++ b/internal/explore/term/term.go
@@ -68,6 +68,9 @@
 	// OrderlyDepartures ends runners in order. Their agents tell the entries so, and agents that have told nobody of
 	// their registration are registered anew.
 	OrderlyDepartures
+	// AgentStops ends agents in order, with the runs at their runners left over. They tell the entries by when the leases
+	// of these end. It needs OrderlyDepartures.
+	AgentStops
 	// Refusals makes half of the cuts that isolate an entry refuse connections to it.
 	Refusals
 )
@@ -297,6 +300,10 @@
 	case 2: // an entry is cut off from agents and other entries, but not from the store
 		e.cutUntil = w.now + duration
 	case 3: // an agent restarts
+		if w.kinds&AgentStops != 0 && w.random.IntN(3) > 0 {
+			a.stop(duration)
+			return
+		}
 		a.restart(w.randomUpTo(2 * time.Second))
 	case 4: // an agent freezes
 		a.frozenUntil = w.now + duration
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -173,11 +173,14 @@
 }
 
 // Departure says that a worker has left in order: nothing that was started under the registration with Number, or an
-// earlier one, runs or will run. An agent sends it to several entries, each on a connection of its own without a Hello,
-// and each sends it back. Entries pass it on to the dispatcher.
+// earlier one, runs or will run once LeasesEndMS have passed. An agent sends it to several entries, each on a connection of
+// its own without a Hello, and each sends it back. Entries pass it on to the dispatcher.
 type Departure struct {
 	Worker string `cbor:"1,keyasint"`
 	Number uint64 `cbor:"2,keyasint"`
+	// LeasesEndMS is the time, in milliseconds, within which the leases of the last runs end; 0 if nothing runs any more. An
+	// agent that stops renews none.
+	LeasesEndMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // RunEnds lists the ends of runs at a worker that the agent has not sent yet.
--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -210,12 +210,13 @@
 }
 
 // Run polls the runner and serves the dispatcher until ctx ends. The runs at the runner
-// continue after that, and the next agent process takes them over.
+// continue after that, and the next agent process takes them over. Entries are told by when the leases of these runs end.
 func (a *Agent) Run(ctx context.Context) {
 	a.log.Info().Str("worker", a.settings.Name).Uint64("incarnation", a.settings.Incarnation).Msg("runner agent started")
 	a.group.Go(func() { a.pollLoop(ctx) })
 	a.group.Go(func() { a.connect(ctx) })
 	a.group.Wait()
+	a.announceStop()
 	a.log.Info().Msg("runner agent stopped")
 }
 
--- a/internal/runneragent/departure.go
+++ b/internal/runneragent/departure.go
@@ -28,9 +28,11 @@
 func (a *Agent) handleRegistered(conn *peer.Conn, r *peer.Registered) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.conn == conn && r.Number > a.departed {
-		a.registration = r.Number
+	if a.conn != conn || r.Number <= a.departed || r.Number == a.registration {
+		return
 	}
+	a.registration = r.Number
+	a.ping(clock.Steady()) // the dispatcher renews the worker lease only of registered workers
 }
 
 // hasLeft reports whether a poll that began at the given time and failed with err shows that the runner has ended as it
@@ -42,30 +44,69 @@
 	if !a.heartbeat.Draining || a.heartbeat.StartedAtMS != a.life {
 		return false
 	}
-	for _, mayStartUntil := range a.unansweredStarts {
-		if began.Before(mayStartUntil) {
-			return false
-		}
-	}
-	return true
+	return !a.hasPendingStart(began)
 }
 
 // depart gives up the registration of the worker and tells entries so: the dispatcher may be gone, or the store may not
 // take what the dispatcher concludes from the agent's report. The caller holds mu.
 func (a *Agent) depart(ctx context.Context) {
+	d, entries := a.giveUpRegistration(), a.shuffledEntries()
+	a.group.Go(func() { a.tellDeparture(ctx, d, entries) })
+}
+
+// giveUpRegistration returns the departure of the worker under its present registration, which does not count any more. The
+// caller holds mu.
+func (a *Agent) giveUpRegistration() *peer.Departure {
 	d := &peer.Departure{Worker: a.settings.Name, Number: a.registration}
 	a.departed, a.registration = a.registration, 0
+	return d
+}
+
+// shuffledEntries returns the addresses of the known entries in random order. The caller holds mu.
+func (a *Agent) shuffledEntries() []string {
 	var entries []string
 	for e := range a.entries {
 		entries = append(entries, e)
 	}
 	rand.Shuffle(len(entries), func(i, k int) { entries[i], entries[k] = entries[k], entries[i] })
-	a.group.Go(func() { a.tellDeparture(ctx, d, entries) })
+	return entries
+}
+
+// announceStop tells entries by when the leases of the last runs end, as this process renews none any more: the machine may
+// be removed together with the dispatcher's, and the next dispatcher waits no longer than that. It says nothing if
+// a start may still take effect later, or if the worker has no registration.
+func (a *Agent) announceStop() {
+	a.mu.Lock()
+	now := clock.Steady()
+	if a.registration == 0 || a.hasPendingStart(now) {
+		a.log.Info().Uint64("registration", a.registration).Int("unanswered", len(a.unansweredStarts)).Msg("stopping without a word to the entries")
+		a.mu.Unlock()
+		return
+	}
+	d, entries := a.giveUpRegistration(), a.shuffledEntries()
+	d.LeasesEndMS = max(0, a.lastRunLeaseEnd.Add(leaseSlack).Sub(now).Milliseconds()) + 1
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), departureTimeout)
+	defer cancel()
+	a.tellDeparture(ctx, d, entries)
+	a.group.Wait()
+}
+
+// hasPendingStart reports whether a start that the runner has not answered may still take effect. The caller holds mu.
+func (a *Agent) hasPendingStart(now time.Time) bool {
+	for _, mayStartUntil := range a.unansweredStarts {
+		if now.Before(mayStartUntil) {
+			return true
+		}
+	}
+	return false
 }
 
 // tellDeparture tells entries of a departure, in the given order, until enough of them have confirmed it.
 func (a *Agent) tellDeparture(ctx context.Context, d *peer.Departure, entries []string) {
 	began := clock.Steady()
+	ctx, enough := context.WithCancel(ctx)
+	defer enough()
 	var group sync.WaitGroup
 	var next, told atomic.Int64
 	for range min(len(entries), maxDepartureCalls) {
@@ -76,16 +117,20 @@
 					return
 				}
 				if err := a.tellEntry(ctx, d, entries[i]); err != nil {
-					a.log.Info().Err(err).Str("entry", entries[i]).Msg("telling an entry of the departure failed")
+					if told.Load() < departureCopies {
+						a.log.Info().Err(err).Str("entry", entries[i]).Msg("telling an entry of the departure failed")
+					}
 					continue
 				}
-				told.Add(1)
+				if told.Add(1) >= departureCopies {
+					enough() // ends calls to entries that may be gone
+				}
 			}
 		})
 	}
 	group.Wait()
 	a.count("departures")
-	a.log.Info().Str("worker", d.Worker).Uint64("registration", d.Number).Int64("entries", told.Load()).Int("known", len(entries)).
+	a.log.Info().Str("worker", d.Worker).Uint64("registration", d.Number).Int64("leases-end-ms", d.LeasesEndMS).Int64("entries", told.Load()).Int("known", len(entries)).
 		Dur("took", clock.Steady().Sub(began)).Msg("worker has left in order")
 }
 
--- a/internal/runneragent/departure_test.go
+++ b/internal/runneragent/departure_test.go
@@ -132,3 +132,90 @@
 		s.agent.mu.Unlock()
 	}
 }
+
+// The next dispatcher waited 15.5 s for a worker whose agent had stopped and told nobody, as its machine was removed.
+func TestStoppingAgentTellsEntriesWhenItsLeasesEnd(t *testing.T) {
+	key := runKey{workflow.TaskID{Job: "a"}, 1}
+	for _, tc := range []struct {
+		name    string
+		prepare func(a *Agent)
+		want    bool
+	}{
+		{"serves a dispatcher", func(*Agent) {}, true},
+		{"the dispatcher is lost", func(a *Agent) { a.conn = nil }, true},
+		{"was told of no registration", func(a *Agent) { a.registration = 0 }, false},
+		{"has left before", func(a *Agent) { a.giveUpRegistration() }, false},
+		{"a start may still take effect", func(a *Agent) { a.addUnanswered(clock.Steady(), key) }, false},
+		{"a start can no longer take effect", func(a *Agent) { a.addUnanswered(clock.Steady().Add(-maxStartDelay), key) }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			address, told := listenForDepartures(t)
+			s := newFixture(t)
+			s.agent.mu.Lock()
+			s.agent.registration = 5
+			s.agent.entries[address] = true
+			tc.prepare(s.agent)
+			lastLease := s.agent.lastRunLeaseEnd
+			s.agent.mu.Unlock()
+			began := clock.Steady()
+			ctx, stop := context.WithCancel(t.Context())
+			stop()
+			s.agent.Run(ctx)
+			var got *peer.Departure
+			select {
+			case d := <-told:
+				got = &d
+			default:
+			}
+			if (got != nil) != tc.want {
+				t.Fatalf("told: got %+v, want %v", got, tc.want)
+			}
+			if got == nil {
+				return
+			}
+			if got.Worker != "w1" || got.Number != 5 {
+				t.Errorf("told: got %+v, want registration 5 of w1", got)
+			}
+			earliest, latest := lastLease.Add(leaseSlack), lastLease.Add(leaseSlack+time.Second)
+			if ends := began.Add(time.Duration(got.LeasesEndMS) * time.Millisecond); ends.Before(earliest.Add(-time.Second)) || ends.After(latest) {
+				t.Errorf("leases end: got %s after the last lease, want about %s", ends.Sub(lastLease), leaseSlack)
+			}
+			if got.LeasesEndMS < lastLease.Add(leaseSlack).Sub(clock.Steady()).Milliseconds() {
+				t.Errorf("leases end: got within %d ms, before the last one ends", got.LeasesEndMS)
+			}
+		})
+	}
+}
+
+// A process that stops must know whether a start under way has taken effect, and must not send one that waits.
+func TestStoppingAgentFinishesItsStarts(t *testing.T) {
+	s := newFixture(t)
+	s.runner.startTakesEffect = true
+	began, finish := make(chan struct{}), make(chan struct{})
+	start := s.agent.runner.Start
+	s.agent.runner.Start = func(ctx context.Context, c Call, o *dispatch.Start, leaseEndMS int64) error {
+		close(began)
+		<-finish
+		if ctx.Err() != nil {
+			return ErrNoAnswer
+		}
+		return start(ctx, c, o, leaseEndMS)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	s.agent.handleOrders(ctx, startOrders(3))
+	<-began
+	stop()
+	close(finish)
+	s.agent.group.Wait()
+	if got := len(s.agent.unansweredStarts); got != 0 {
+		t.Errorf("unanswered starts: got %d, want 0", got)
+	}
+	o := startOrders(3)
+	o.Starts[0].Run, o.ConfirmedAgeMS = 3, lostStoreAgeMS
+	s.agent.handleOrders(ctx, o)
+	s.agent.group.Wait()
+	if got := len(s.runner.listing.Runs); got != 1 {
+		t.Errorf("runs: got %d, want only the one under way", got)
+	}
+}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -126,7 +126,8 @@
 	if !a.mayStillStart(s.Life, key, terms.startBefore) {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	// A process that stops waits for the answer, so that the outcome of the start is known.
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	err := a.runner.Start(callCtx, c, s, leaseEndMS)
 	switch {
--- a/internal/runneragent/termcheck.go
+++ b/internal/runneragent/termcheck.go
@@ -26,6 +26,7 @@
 var (
 	errSuperseded  = errors.New("a later dispatcher has claimed leadership")
 	errUnconfirmed = errors.New("the store serves this worker, and has not answered the dispatcher for long")
+	errStopping    = errors.New("the agent is stopping")
 )
 
 // termRead is a read of the newest claim that is under way.
@@ -69,15 +70,17 @@
 	term := a.term
 	a.mu.Unlock()
 	defer close(r.done)
-	ctx, cancel := context.WithTimeout(ctx, checkTermTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, checkTermTimeout)
 	defer cancel()
 	sent := clock.Steady()
-	claim, _, _, err := a.store.NewestClaim(ctx)
+	claim, _, _, err := a.store.NewestClaim(callCtx)
 	a.count("term-checks")
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.termRead = nil
 	switch {
+	case err != nil && ctx.Err() != nil:
+		return // the process stops, which says nothing of the store
 	case err != nil:
 		a.termCheck.NoteFailure(clock.Steady())
 		a.log.Debug().Err(err).Uint64("term", term).Msg("reading the newest leadership claim failed")
@@ -143,6 +146,8 @@
 		switch {
 		case superseded:
 			return errSuperseded
+		case ctx.Err() != nil:
+			return errStopping
 		case decision == leadership.OrderProceed:
 			return nil
 		case decision == leadership.OrderRefuse || checks == maxStartChecks:
--- a/pkg/leadership/leadership.go
+++ b/pkg/leadership/leadership.go
@@ -46,6 +46,15 @@
 	return lastContact.Add(withMargin(WorkerLeaseDuration))
 }
 
+// DepartureEndsBy returns the time by which all leases have expired of a worker whose agent said, before the given time, that
+// it renews none any more and that they end within a duration.
+func DepartureEndsBy(heardAt time.Time, within time.Duration) time.Time {
+	if within <= 0 {
+		return heardAt
+	}
+	return heardAt.Add(withMargin(within))
+}
+
 // Claim is the record of an entry's claim to leadership.
 type Claim struct {
 	// Term is the leadership term: one more than the offset of the record. The record does not
