Date orders from the arrival of the last ping

An agent counted the age of an order from the sending of the last ping that had arrived before it, up to 0.4 s earlier than the order itself.

Orders now say how long before their sending that ping had arrived. The age is off by the time that the ping took at most, and still never too small: queues, links and frozen processes add to it as before.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -16,7 +16,7 @@
 func (c *Coordinator) newOrders(now time.Time, t *term, worker string) *peer.Orders {
 	o := &peer.Orders{Term: t.number, Evacuated: c.evacuations.applied, StoreContactAgeMS: c.storeContactAgeMS(now), ConfirmedAgeMS: now.Sub(t.leaderLease.LastRenewal()).Milliseconds() + 1}
 	if a := t.agents[worker]; a != nil {
-		o.LastPing = a.lastPing
+		o.LastPing, o.PingAgeMS = a.lastPing, now.Sub(a.lastPingAt).Milliseconds()
 	}
 	return o
 }
--- a/internal/coordinator/orders_test.go
+++ b/internal/coordinator/orders_test.go
@@ -53,13 +53,16 @@
 	now := clock.Steady()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	current.agents["w1"] = &agentLink{name: "w1", lastPing: 4}
+	current.agents["w1"] = &agentLink{name: "w1", lastPing: 4, lastPingAt: now.Add(-300 * time.Millisecond)}
 	c.health.lastSuccess = now.Add(-1500 * time.Millisecond)
 	current.leaderLease = leadership.LeaderLease{}
 	current.leaderLease.Renew(now.Add(-1700 * time.Millisecond))
 	o := c.newOrders(now, current, "w1")
-	if got, want := o.StoreContactAgeMS, int64(1501); got != want || o.LastPing != 4 {
-		t.Errorf("orders: got a contact %d ms ago and ping %d, want %d and 4", got, o.LastPing, want)
+	if got, want := o.StoreContactAgeMS, int64(1501); got != want {
+		t.Errorf("orders: got a contact %d ms ago, want %d", got, want)
+	}
+	if got, want := o.PingAgeMS, int64(300); got != want || o.LastPing != 4 {
+		t.Errorf("orders: got ping %d, %d ms ago, want 4, %d ms ago", o.LastPing, got, want)
 	}
 	if got, want := o.ConfirmedAgeMS, int64(1701); got != want {
 		t.Errorf("orders: got a write %d ms ago, want %d", got, want)
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -165,7 +165,7 @@
 	switch {
 	case m.Report != nil:
 		if a.conn != conn {
-			a.conn, a.sentEntries, a.lastPing = conn, 0, 0
+			a.conn, a.sentEntries, a.lastPing, a.lastPingAt = conn, 0, 0, now
 		}
 		a.lastContact, a.leaseExpired = now, false
 		m.Report.Worker.Name, m.Report.Worker.DataCentre, a.dataCentre = h.Name, h.Zone, h.Zone
@@ -268,7 +268,7 @@
 		a.conn.Close()
 		return
 	}
-	a.lastPing = p.Seq
+	a.lastPing, a.lastPingAt = p.Seq, now
 	pong := &peer.Pong{Seq: p.Seq, DispatcherTerm: t.number, Evacuated: c.evacuations.applied, StoreContactAgeMS: c.storeContactAgeMS(now)}
 	pong.EntryAddresses, _ = c.newEntries(&a.sentEntries) // agents do not need the strengths
 	if t.renewsLease(now, a.name) {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -104,8 +104,10 @@
 	lastContact time.Time
 	// sentEntries is the version of the known entries that was last sent over conn.
 	sentEntries uint64
-	// lastPing is the number of the last ping that arrived on conn.
-	lastPing uint64
+	// lastPing is the number of the last ping that arrived on conn, at lastPingAt; 0 if only the report on conn has arrived,
+	// at that time.
+	lastPing   uint64
+	lastPingAt time.Time
 	// leaseExpired is set once the leases of all runs at the worker have expired.
 	leaseExpired bool
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -220,12 +220,14 @@
 	PolicyQuestions []dispatch.Question `cbor:"5,keyasint,omitempty"`
 	// Evacuated are the names of the evacuated data centres when the orders were decided.
 	Evacuated []string `cbor:"6,keyasint,omitempty"`
-	// LastPing is the number of the last ping of the agent that had arrived then; 0 if none had.
-	LastPing uint64 `cbor:"7,keyasint,omitempty"`
-	// StoreContactAgeMS is how long before then the store had last answered the dispatcher, in milliseconds.
+	// LastPing is the number of the last ping of the agent that had arrived; 0 if none had. PingAgeMS is how long before that
+	// was or, without a ping, the first report on the connection. All ages are in milliseconds, as of the sending of the orders.
+	LastPing  uint64 `cbor:"7,keyasint,omitempty"`
+	PingAgeMS int64  `cbor:"10,keyasint,omitempty"`
+	// StoreContactAgeMS is the time since the store last answered the dispatcher, ConfirmedAgeMS the time since the newest
+	// write was sent that the store accepted under the term.
 	StoreContactAgeMS int64 `cbor:"8,keyasint,omitempty"`
-	// ConfirmedAgeMS is how long before then the newest write was sent that the store accepted under the term.
-	ConfirmedAgeMS int64 `cbor:"9,keyasint,omitempty"`
+	ConfirmedAgeMS    int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // PolicyAnswer is the answer of the placement policy service to the question with the same Seq.
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -45,7 +45,7 @@
 	now := clock.Steady()
 	a.guard.addTasks(orders.GuardedTasks)
 	a.setEvacuated(orders.Evacuated)
-	terms := &orderTerms{term: orders.Term, basis: a.orderBasis(orders), startBefore: a.startBefore(now, orders.LastPing)}
+	terms := &orderTerms{term: orders.Term, basis: a.orderBasis(now, orders), startBefore: a.startBefore(now, orders.LastPing)}
 	for i := range orders.Starts {
 		s := orders.Starts[i]
 		key := runKey{s.Task, s.Run}
--- a/internal/runneragent/termcheck.go
+++ b/internal/runneragent/termcheck.go
@@ -34,9 +34,9 @@
 	done chan struct{}
 }
 
-// orderBasis returns what orders prove: they were sent after the ping with the number LastPing had arrived, or after the
-// first report on the connection if that is 0. The caller holds mu.
-func (a *Agent) orderBasis(o *peer.Orders) leadership.OrderBasis {
+// orderBasis returns what orders prove. They were sent PingAgeMS after the ping with the number LastPing had arrived, or after
+// the first report on the connection if that is 0, and so at least as long after the agent sent it. The caller holds mu.
+func (a *Agent) orderBasis(now time.Time, o *peer.Orders) leadership.OrderBasis {
 	sentAfter := a.connReportedAt
 	if o.LastPing != 0 {
 		sent, known := a.pingTimes.Find(o.LastPing)
@@ -45,6 +45,9 @@
 		}
 		sentAfter = sent
 	}
+	if sentAfter = sentAfter.Add(milliseconds(o.PingAgeMS)); sentAfter.After(now) {
+		sentAfter = now
+	}
 	return leadership.NewOrderBasis(sentAfter, milliseconds(o.StoreContactAgeMS), milliseconds(o.ConfirmedAgeMS))
 }
 
--- a/internal/runneragent/termcheck_test.go
+++ b/internal/runneragent/termcheck_test.go
@@ -78,14 +78,19 @@
 		// confirmedAgeMS is the age of the dispatcher's newest write, and pingAge that of the last ping that had arrived.
 		confirmedAgeMS int64
 		pingAge        time.Duration
-		want           int
+		// pingAgeMS is how long after the arrival of that ping the order was sent.
+		pingAgeMS int64
+		want      int
 	}{
-		{"a later term is claimed", isLaterClaimed, 900, 0, 0},
-		{"the order is late", isLaterClaimed, 0, 900 * time.Millisecond, 0},
-		{"the order of a dispatcher that has just written is late", isLaterClaimed, 500, 400 * time.Millisecond, 0},
-		{"no later term is claimed", func(*testing.T, *fixture) {}, 900, 0, 1},
-		{"the store fails the agent, too", isUnreachable, 900, 0, 1},
-		{"the dispatcher has just written", isLaterClaimed, 300, 0, 1},
+		{"a later term is claimed", isLaterClaimed, 900, 0, 0, 0},
+		{"the order is late", isLaterClaimed, 0, 900 * time.Millisecond, 0, 0},
+		{"the order of a dispatcher that has just written is late", isLaterClaimed, 500, 400 * time.Millisecond, 0, 0},
+		{"the last ping was long ago as the order was sent", isLaterClaimed, 300, 900 * time.Millisecond, 800, 1},
+		{"... and the order is late", isLaterClaimed, 300, 900 * time.Millisecond, 300, 0},
+		{"the dispatcher's clock runs ahead", isLaterClaimed, 900, 100 * time.Millisecond, 5000, 0},
+		{"no later term is claimed", func(*testing.T, *fixture) {}, 900, 0, 0, 1},
+		{"the store fails the agent, too", isUnreachable, 900, 0, 0, 1},
+		{"the dispatcher has just written", isLaterClaimed, 300, 0, 0, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newFixture(t)
@@ -93,6 +98,7 @@
 			tc.prepare(t, s)
 			o := startOrders(3)
 			o.StoreContactAgeMS, o.ConfirmedAgeMS, o.LastPing = tc.confirmedAgeMS, tc.confirmedAgeMS, 8
+			o.PingAgeMS = tc.pingAgeMS
 			s.agent.pingTimes.Note(8, clock.Steady().Add(-tc.pingAge))
 			s.agent.handleOrders(t.Context(), o)
 			s.agent.group.Wait()
