Let accepted jobs go on once their queue is dropped

Callers saw accepted jobs that stood still for good: a version of the configuration did not name their queue any more, and the scheduler, which knew queues by that version alone, passed them over, under later dispatchers, too.

Entries now keep a queue that a version drops, as the last version described it, while it has jobs that have not ended. A version that names the queue again replaces both.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -69,6 +69,7 @@
 	e, ok := c.jobs.Job(sub.ID)
 	known := ok && e.Submission() != nil
 	sub.Term = c.candidate.Claim().Term
+	c.addQueueTerms(sub)
 	c.mu.Unlock()
 	if known {
 		return nil
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -44,6 +45,11 @@
 	return best, best != nil
 }
 
+// names reports whether the configuration has a queue with a name.
+func (c *Config) names(queue string) bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Name == queue })
+}
+
 // queues returns the queues of all routes by name.
 func (c *Config) queues() map[string]dispatch.Queue {
 	out := make(map[string]dispatch.Queue, len(c.Routes))
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -92,6 +92,8 @@
 	config    *Config
 	rawConfig []byte
 	jobs      workflow.JobTable
+	// droppedQueues holds the queues that config does not name and that have jobs, by name.
+	droppedQueues map[string]droppedQueue
 	// evacuations is what is known of the evacuated data centres.
 	evacuations evacuations
 	// storedInterference is the value of the newest record of the interference that dispatchers
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -324,10 +324,8 @@
 		c.mu.Unlock()
 		return
 	}
-	c.config, c.rawConfig = config, data
-	if c.term != nil {
-		c.term.scheduler.SetQueues(config.queues())
-	}
+	c.rawConfig = data
+	c.replaceConfig(config)
 	c.mu.Unlock()
 	notify(c.wakeLead)
 	c.gauge("config-version", int64(config.Version))
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -120,7 +120,7 @@
 		return false
 	}
 	gapless = gapless && !e.MayHaveEarlierSubmission()
-	changed := t.syncSubmission(now, e.Submission(), e, gapless)
+	changed := t.syncSubmission(now, c, e.Submission(), e, gapless)
 	if _, told := t.told[id]; told {
 		delete(t.told, id)
 		if gapless && e.Submission().Term == t.number {
@@ -139,7 +139,7 @@
 		e = new(workflow.Job)
 	}
 	known := t.scheduler.HasJob(s.ID)
-	if t.syncSubmission(now, s, e, false) && !known && t.scheduler.UnreportedWorkers() > 0 {
+	if t.syncSubmission(now, c, s, e, false) && !known && t.scheduler.UnreportedWorkers() > 0 {
 		if t.told == nil {
 			t.told = make(map[string]struct{})
 		}
@@ -150,10 +150,13 @@
 
 // syncSubmission is syncJob for a job whose submission s may not be in its entry e of the job table yet. first is
 // set if s is certainly the job's first submission. The caller holds mu and has noted the term of s, see noteTerm.
-func (t *term) syncSubmission(now time.Time, s *workflow.Submission, e *workflow.Job, first bool) bool {
+func (t *term) syncSubmission(now time.Time, c *Coordinator, s *workflow.Submission, e *workflow.Job, first bool) bool {
 	id := s.ID
 	changed := !t.scheduler.HasJob(id)
 	if changed {
+		if isOpen(e) || e.Submission() == nil {
+			c.noteQueueTerms(s)
+		}
 		// If the first entry that submitted the job did not know this term yet, an earlier
 		// dispatcher may have read and started the job.
 		t.scheduler.Admit(now, clock.WallMS(), s, e.Progress(), !first || s.Term < t.number)
@@ -175,8 +178,13 @@
 	t.scheduler.SetRemoteRackSlowdown(c.settings.RemoteRackSlowdown)
 	t.scheduler.SetMaxProgressBytes(c.settings.RecordLimits.Record)
 	t.scheduler.SetEvacuated(c.evacuations.applied)
+	c.jobs.Each(func(_ string, e *workflow.Job) {
+		if isOpen(e) {
+			c.noteQueueTerms(e.Submission())
+		}
+	})
 	if c.config != nil {
-		t.scheduler.SetQueues(c.config.queues())
+		t.scheduler.SetQueues(c.queuesInForce())
 	}
 	if limits, err := decodeInterference(c.storedInterference); err == nil {
 		t.scheduler.MergeInterferenceLimits(limits)
--- a/pkg/workflow/progress.go
+++ b/pkg/workflow/progress.go
@@ -42,6 +42,26 @@
 	// dispatcher of a later term has to assume that an earlier dispatcher may have started the
 	// job.
 	Term uint64 `cbor:"5,keyasint,omitempty"`
+	// QueueTerms are the terms of the queue when it accepted the job. They hold once the configuration does not name the
+	// queue any more. Submissions that were stored by earlier versions have none.
+	QueueTerms *QueueTerms `cbor:"6,keyasint,omitempty"`
+}
+
+// QueueTerms are what a version of the configuration says of a queue.
+type QueueTerms struct {
+	ConfigVersion   uint64           `cbor:"1,keyasint"`
+	Service         string           `cbor:"2,keyasint"`
+	Priority        int              `cbor:"3,keyasint,omitempty"`
+	FailedRunLimit  int              `cbor:"4,keyasint,omitempty"`
+	Stretch         float64          `cbor:"5,keyasint,omitempty"`
+	TargetLatencyMS int64            `cbor:"6,keyasint,omitempty"`
+	Policy          *QueuePolicyTerm `cbor:"7,keyasint,omitempty"`
+}
+
+// QueuePolicyTerm is the placement policy of a queue: how long the policy service takes to decide.
+type QueuePolicyTerm struct {
+	DecisionMS  int64 `cbor:"1,keyasint,omitempty"`
+	PerWorkerMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Progress is the stored state of a job, apart from its submission.
