Tell a read of the claim that came too late from a lost store

A start whose reads of the newest claim were outdated before they were judged, as where the agent's process was suspended, was refused as if only the dispatcher had lost the store; the dispatcher then logged that it held its starts. It is refused with a reason of its own now. The read under way is a channel in place of a type of its own.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -182,11 +182,12 @@
 	pingTimes peer.SentTimes
 	// connReportedAt is when the agent sent the first report on conn.
 	connReportedAt time.Time
-	// termCheck holds what reads of the newest claim have shown of the present term, and termRead the read that is under
-	// way, if any. dispatcherLostStore is set while the store has not answered the dispatcher for long; watchedConn is the
-	// connection to the dispatcher whose term was last checked for that reason.
-	termCheck           leadership.TermCheck
-	termRead            *termRead
+	// termCheck holds what reads of the newest claim have shown of the present term. termRead is closed at the end of the
+	// read that is under way; nil if there is none.
+	termCheck leadership.TermCheck
+	termRead  chan struct{}
+	// dispatcherLostStore is set while the store has not answered the dispatcher for long. watchedConn is the connection to
+	// the dispatcher whose term watchTerm checks for that reason.
 	dispatcherLostStore bool
 	watchedConn         *peer.Conn
 	// evacuated are the evacuated data centres as the dispatcher last named them.
--- a/internal/runneragent/termcheck.go
+++ b/internal/runneragent/termcheck.go
@@ -26,14 +26,10 @@
 var (
 	errSuperseded  = errors.New("a later dispatcher has claimed leadership")
 	errUnconfirmed = errors.New("the store serves this worker, and has not answered the dispatcher for long")
+	errUnchecked   = errors.New("the newest leadership claim was not read in time")
 	errStopping    = errors.New("the agent is stopping")
 )
 
-// termRead is a read of the newest claim that is under way.
-type termRead struct {
-	done chan struct{}
-}
-
 // orderBasis returns what orders prove. They were sent PingAgeMS after the ping with the number LastPing had arrived, or after
 // the first report on the connection if that is 0, and so at least as long after the agent sent it. The caller holds mu.
 func (a *Agent) orderBasis(now time.Time, o *peer.Orders) leadership.OrderBasis {
@@ -63,16 +59,16 @@
 // leaves the dispatcher that it serves.
 func (a *Agent) checkTerm(ctx context.Context) {
 	a.mu.Lock()
-	if r := a.termRead; r != nil {
+	if done := a.termRead; done != nil {
 		a.mu.Unlock()
-		<-r.done
+		<-done
 		return
 	}
-	r := &termRead{done: make(chan struct{})}
-	a.termRead = r
+	done := make(chan struct{})
+	a.termRead = done
 	term := a.term
 	a.mu.Unlock()
-	defer close(r.done)
+	defer close(done)
 	callCtx, cancel := context.WithTimeout(ctx, checkTermTimeout)
 	defer cancel()
 	sent := clock.Steady()
@@ -153,8 +149,10 @@
 			return errStopping
 		case decision == leadership.OrderProceed:
 			return nil
-		case decision == leadership.OrderRefuse || checks == maxStartChecks:
+		case decision == leadership.OrderRefuse:
 			return errUnconfirmed
+		case checks == maxStartChecks:
+			return errUnchecked // the process was suspended meanwhile
 		}
 		a.checkTerm(ctx)
 	}
