Test how agents learn of a dispatcher's store contact, and look queues up once

- No test failed if a dispatcher did not keep the arrival of the last ping, so that old orders seemed new, did not say in its answers to pings how old its contact with the store is, or ignored a refusal, nor if an agent ignored these answers.
TestDispatcherTellsAgentsOfItsStoreContact and TestAgentJoinsTheLaterDispatcher fail with each of the five faults put back ("got ms, want 1000 to 1000", "got 0 ms, want 3000 or more", "got false, want true", "got 0, want 1").
- Each hand-in built a map of all queues to look one up.
A takeover searched all routes for each open job.
- The gauge queues-dropped left out queues that are known from submissions.
- Durations of messages were bounded at three places; peer.Duration does it now.
Three blocks that hold starts are one.

--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -45,9 +45,14 @@
 	return best, best != nil
 }
 
-// names reports whether the configuration has a queue with a name.
-func (c *Config) names(queue string) bool {
-	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Name == queue })
+// queue returns the queue with a name. Of several routes with the name the last one counts.
+func (c *Config) queue(name string) (dispatch.Queue, bool) {
+	for _, r := range slices.Backward(c.Routes) {
+		if r.Name == name {
+			return r.Queue, true
+		}
+	}
+	return dispatch.Queue{}, false
 }
 
 // queues returns the queues of all routes by name.
--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -45,7 +45,7 @@
 	if c.departures == nil {
 		c.departures = make(map[string]departure)
 	}
-	noted := departure{number: d.Number, notedAt: now, endsBy: leadership.DepartureEndsBy(now, time.Duration(min(d.LeasesEndMS, maxSentAge.Milliseconds()))*time.Millisecond)}
+	noted := departure{number: d.Number, notedAt: now, endsBy: leadership.DepartureEndsBy(now, peer.Duration(d.LeasesEndMS))}
 	c.departures[d.Worker] = noted
 	c.log.Info().Str("worker", d.Worker).Uint64("registration", d.Number).Int64("leases-end-ms", d.LeasesEndMS).Msg("worker has left in order")
 	if c.dispatcherConn != nil {
--- a/internal/coordinator/dropped_queues.go
+++ b/internal/coordinator/dropped_queues.go
@@ -41,14 +41,17 @@
 // noteDroppedQueue records what a version of the configuration says of a queue, if the one in force does not name it, and
 // reports whether that is news. The caller holds mu.
 func (c *Coordinator) noteDroppedQueue(name string, queue dispatch.Queue, version uint64) bool {
-	d, known := c.droppedQueues[name]
-	if c.config == nil || c.config.names(name) || known && d.version >= version {
+	if d, known := c.droppedQueues[name]; c.config == nil || known && d.version >= version {
+		return false
+	}
+	if _, named := c.config.queue(name); named {
 		return false
 	}
 	if c.droppedQueues == nil {
 		c.droppedQueues = make(map[string]droppedQueue)
 	}
 	c.droppedQueues[name] = droppedQueue{queue: queue, version: version}
+	c.gauge("queues-dropped", int64(len(c.droppedQueues)))
 	return true
 }
 
@@ -65,7 +68,7 @@
 		}
 	})
 	for name, d := range c.droppedQueues {
-		if open[name] == 0 || c.config.names(name) {
+		if _, named := c.config.queue(name); named || open[name] == 0 {
 			delete(c.droppedQueues, name)
 			continue
 		}
@@ -99,7 +102,7 @@
 	if c.config == nil {
 		return
 	}
-	if q, ok := c.config.queues()[s.Queue]; ok {
+	if q, ok := c.config.queue(s.Queue); ok {
 		s.QueueTerms = q.QueueTerms(c.config.Version)
 	}
 }
--- a/internal/coordinator/evacuation.go
+++ b/internal/coordinator/evacuation.go
@@ -29,8 +29,6 @@
 	// shows that the process was suspended, which says nothing of the store. A read that ends by then is still less than
 	// maxEvacuationAge later than the read before it. Processes with a share of a processor run late in bursts.
 	lateReadSlack = 700 * time.Millisecond
-	// maxSentAge bounds the age that is taken from another entry's message, so that it cannot overflow.
-	maxSentAge = time.Hour
 )
 
 // evacuationSet is a set of evacuated data centres.
@@ -227,7 +225,7 @@
 	}
 	names := slices.Clone(m.Names)
 	slices.Sort(names)
-	c.evacuations.notePeer(evacuationSet{names: names, end: m.End, asOf: sentAfter.Add(-time.Duration(min(m.AgeMS, maxSentAge.Milliseconds())) * time.Millisecond), source: "peer " + from})
+	c.evacuations.notePeer(evacuationSet{names: names, end: m.End, asOf: sentAfter.Add(-peer.Duration(m.AgeMS)), source: "peer " + from})
 	c.applyEvacuations(now)
 }
 
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -71,16 +71,8 @@
 		c.count("tasks-abandoned", 1)
 		c.log.Warn().Str("task", a.Task.String()).Int("crashes", a.Crashes).Str("worker", a.Worker).Msg("task abandoned: runners crash when they start it")
 	}
-	if !t.leaderLease.Valid(now) {
-		t.backlog.oldest = time.Time{} // no decision is due before the store answers again
-		return
-	}
-	if c.holdsUnconfirmed(now, t) {
-		t.backlog.oldest = time.Time{}
-		return
-	}
-	if c.holdsStarts(now, t) {
-		t.backlog.oldest = time.Time{} // no decision is due before the evacuated data centres are read
+	if !t.leaderLease.Valid(now) || c.holdsUnconfirmed(now, t) || c.holdsStarts(now, t) {
+		t.backlog.oldest = time.Time{} // no decision is due before the store has answered
 		return
 	}
 	orders := t.scheduler.Decide(now, clock.WallMS())
--- a/internal/coordinator/orders_test.go
+++ b/internal/coordinator/orders_test.go
@@ -1,12 +1,15 @@
 package coordinator
 
 import (
+	"net"
+	"sync"
 	"testing"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/leadership"
@@ -47,6 +50,46 @@
 	}
 }
 
+// Guards against ages that are not kept up to date, so that old orders seem new, or that agents are not told of, and against
+// refusals that go unnoticed.
+func TestDispatcherTellsAgentsOfItsStoreContact(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	here, there := net.Pipe()
+	conn, agent := peer.NewConn(here), peer.NewConn(there)
+	received := make(chan *peer.Message, 16)
+	var group sync.WaitGroup
+	group.Go(func() { _ = conn.Run(&group, func(*peer.Message) {}) })
+	group.Go(func() { _ = agent.Run(&group, func(m *peer.Message) { received <- m }) })
+	t.Cleanup(func() { conn.Close(); agent.Close(); group.Wait() })
+	c.health.lastSuccess = clock.Steady().Add(-3 * time.Second)
+	h := &peer.Hello{Role: peer.RoleAgent, Name: "w1", NewestTerm: ownTerm, Connection: 1}
+	c.handleHello(conn, h)
+	pingAge := func() int64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.newOrders(clock.Steady().Add(time.Second), current, "w1").PingAgeMS
+	}
+	for _, m := range []*peer.Message{{Report: reportOf("w1")}, {Ping: &peer.Ping{Seq: 1, Worker: &reportOf("w1").Worker}}} {
+		before := clock.Steady()
+		c.handleAgentMessage(conn, h, m)
+		if got, most := pingAge(), (clock.Steady().Sub(before) + time.Second).Milliseconds(); got < 1000 || got > most {
+			t.Errorf("age of the last message: got %d ms, want 1000 to %d", got, most)
+		}
+	}
+	for m := range received {
+		if m.Pong != nil {
+			if got := m.Pong.StoreContactAgeMS; got < 3000 {
+				t.Errorf("age of the store contact in the answer to a ping: got %d ms, want 3000 or more", got)
+			}
+			break
+		}
+	}
+	c.handleAgentMessage(conn, h, &peer.Message{OrderRefused: &peer.OrderRefused{Life: 1, Task: workflow.TaskID{Job: "a"}, Run: 1, Unconfirmed: true}})
+	if current.unconfirmedSince.IsZero() {
+		t.Error("starts held after a refusal: got false, want true")
+	}
+}
+
 // Guards against agents that take the store's answers to a dispatcher, or its newest write, for newer than they are.
 func TestDispatcherSaysHowOldItsStoreContactIs(t *testing.T) {
 	c, current := newDispatcher(t, &standin.Store{})
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -178,12 +178,15 @@
 	t.scheduler.SetRemoteRackSlowdown(c.settings.RemoteRackSlowdown)
 	t.scheduler.SetMaxProgressBytes(c.settings.RecordLimits.Record)
 	t.scheduler.SetEvacuated(c.evacuations.applied)
-	c.jobs.Each(func(_ string, e *workflow.Job) {
-		if isOpen(e) {
-			c.noteQueueTerms(e.Submission())
-		}
-	})
 	if c.config != nil {
+		named := c.config.queues()
+		c.jobs.Each(func(_ string, e *workflow.Job) {
+			if isOpen(e) {
+				if _, ok := named[e.Submission().Queue]; !ok {
+					c.noteQueueTerms(e.Submission())
+				}
+			}
+		})
 		t.scheduler.SetQueues(c.queuesInForce())
 	}
 	if limits, err := decodeInterference(c.storedInterference); err == nil {
--- a/internal/explore/term/departure_steps.go
+++ b/internal/explore/term/departure_steps.go
@@ -135,7 +135,8 @@
 	return number == 0 || h.registration != number
 }
 
-// renewsLease reports whether a ping of a worker's agent renews its lease as far as its registration goes.
+// renewsLease reports whether a ping of a worker's agent renews its lease as far as its registration goes. Without
+// AgentStops nothing relies on the end of a lease that an unregistered worker has, and it is renewed.
 func (e *entry) renewsLease(worker string) bool {
 	held := e.term.held[worker]
 	return held == nil || e.w.kinds&AgentStops == 0 || e.w.rules.RenewUnregistered || !e.needsName(held)
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -138,7 +138,7 @@
 			conn.Close()
 		case m.Pong != nil:
 			a.handlePong(conn, m.Pong)
-			a.noteContactAge(ctx, conn, milliseconds(m.Pong.StoreContactAgeMS))
+			a.noteContactAge(ctx, conn, peer.Duration(m.Pong.StoreContactAgeMS))
 		case m.Orders != nil:
 			a.handleOrders(ctx, m.Orders)
 		case m.Ack != nil:
--- a/internal/runneragent/link_test.go
+++ b/internal/runneragent/link_test.go
@@ -24,6 +24,12 @@
 // startEntry starts an entry that passes the name of each agent that connects to its channel and answers
 // with what welcome returns, and then sends more.
 func startEntry(t *testing.T, group *sync.WaitGroup, welcome func() *peer.Welcome, more ...*peer.Message) *fakeEntry {
+	t.Helper()
+	return startAnsweringEntry(t, group, nil, welcome, more...)
+}
+
+// startAnsweringEntry is startEntry for an entry that also answers pings, with what pong says beside their numbers.
+func startAnsweringEntry(t *testing.T, group *sync.WaitGroup, pong *peer.Pong, welcome func() *peer.Welcome, more ...*peer.Message) *fakeEntry {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,6 +46,11 @@
 			conn := peer.NewConn(c)
 			group.Go(func() {
 				_ = conn.Run(group, func(m *peer.Message) {
+					if m.Ping != nil && pong != nil {
+						answer := *pong
+						answer.Seq = m.Ping.Seq
+						conn.Send(&peer.Message{Pong: &answer})
+					}
 					if m.Hello == nil {
 						return
 					}
--- a/internal/runneragent/termcheck.go
+++ b/internal/runneragent/termcheck.go
@@ -41,18 +41,10 @@
 		}
 		sentAfter = sent
 	}
-	if sentAfter = sentAfter.Add(milliseconds(o.PingAgeMS)); sentAfter.After(now) {
+	if sentAfter = sentAfter.Add(peer.Duration(o.PingAgeMS)); sentAfter.After(now) {
 		sentAfter = now
 	}
-	return leadership.NewOrderBasis(sentAfter, milliseconds(o.StoreContactAgeMS), milliseconds(o.ConfirmedAgeMS))
-}
-
-// maxSentAge bounds the age that is taken from a message, so that it cannot overflow.
-const maxSentAge = time.Hour
-
-// milliseconds returns the age that a message gives in milliseconds.
-func milliseconds(ms int64) time.Duration {
-	return time.Duration(min(max(ms, 0), maxSentAge.Milliseconds())) * time.Millisecond
+	return leadership.NewOrderBasis(sentAfter, peer.Duration(o.StoreContactAgeMS), peer.Duration(o.ConfirmedAgeMS))
 }
 
 // checkTerm reads the newest claim, or waits for such a read that is under way. If a later term has been claimed, the agent
--- a/internal/runneragent/termcheck_test.go
+++ b/internal/runneragent/termcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -140,6 +141,29 @@
 	}
 }
 
+// An agent must learn from the answers to its pings that the store does not answer its dispatcher, and join the later one.
+func TestAgentJoinsTheLaterDispatcher(t *testing.T) {
+	var group sync.WaitGroup
+	later := startEntry(t, &group, func() *peer.Welcome { return &peer.Welcome{Name: "b", NewestTerm: 4, IsDispatcher: true} })
+	pong := &peer.Pong{DispatcherTerm: 3, WorkerLeaseRenewed: true, StoreContactAgeMS: lostStoreAgeMS}
+	first := startAnsweringEntry(t, &group, pong, func() *peer.Welcome { return &peer.Welcome{Name: "a", NewestTerm: 3, IsDispatcher: true} })
+	s := newFixture(t)
+	s.claim(t, later.address)
+	s.agent.mu.Lock()
+	s.agent.conn = nil
+	clear(s.agent.entries)
+	s.agent.entries[first.address] = true
+	s.agent.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	group.Go(func() { s.agent.connect(ctx) })
+	select {
+	case <-later.hellos:
+	case <-time.After(10 * time.Second):
+		t.Error("connections to the later dispatcher: got 0, want 1")
+	}
+}
+
 // A stop that an earlier dispatcher ordered must not end a run that the later one wants.
 func TestStopOfASupersededDispatcher(t *testing.T) {
 	for _, tc := range []struct {
