Log what tells the hypotheses on TWICE with real processes apart

The logs could not say whether a runner was taken for lost while another poll of it was open, whether a start reached another life of the runner, how old the proof was on which a start was carried out, and which starts had none since the store failed the agent. Agents log and count these; the answer to a start says the runner's clock, which begins anew with each life. No decision changes.

--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -47,13 +47,13 @@
 	return Runner{Start: f.start, Stop: f.stop, Renew: f.renew, SetPace: f.pace}
 }
 
-func (f *fakeRunner) start(_ context.Context, _ Call, s *dispatch.Start, _ int64) error {
+func (f *fakeRunner) start(_ context.Context, _ Call, s *dispatch.Start, _ int64) (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.startTakesEffect {
 		f.listing.Runs = append(f.listing.Runs, dispatch.RunStatus{Task: s.Task, Run: s.Run})
 	}
-	return f.startErr
+	return f.listing.ClockMS, f.startErr
 }
 
 func (f *fakeRunner) stop(_ context.Context, _ Call, task workflow.TaskID, run uint64) error {
--- a/internal/runneragent/departure_test.go
+++ b/internal/runneragent/departure_test.go
@@ -194,11 +194,11 @@
 	s.runner.startTakesEffect = true
 	began, finish := make(chan struct{}), make(chan struct{})
 	start := s.agent.runner.Start
-	s.agent.runner.Start = func(ctx context.Context, c Call, o *dispatch.Start, leaseEndMS int64) error {
+	s.agent.runner.Start = func(ctx context.Context, c Call, o *dispatch.Start, leaseEndMS int64) (int64, error) {
 		close(began)
 		<-finish
 		if ctx.Err() != nil {
-			return ErrNoAnswer
+			return 0, ErrNoAnswer
 		}
 		return start(ctx, c, o, leaseEndMS)
 	}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -129,11 +129,13 @@
 	// A process that stops waits for the answer, so that the outcome of the start is known.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	err := a.runner.Start(callCtx, c, s, leaseEndMS)
+	lastClockMS := a.lastClockMS(s.Life)
+	clockMS, err := a.runner.Start(callCtx, c, s, leaseEndMS)
 	switch {
 	case err == nil:
 		a.count("starts")
 		a.mu.Lock()
+		a.logStartAnswer(clock.Steady(), s, lastClockMS, clockMS, terms)
 		delete(a.unansweredStarts, key)
 		a.startAnsweredAt = clock.Steady()
 		a.mu.Unlock()
@@ -161,6 +163,37 @@
 	}
 }
 
+// logStartAnswer logs if a start was answered at clockMS on the runner's clock, before lastClockMS, the reading known when
+// the start was sent: it has reached another life, whose clock began anew. It also logs if the proof that the order rests
+// on had become too old by then, or if there is none since the store fails this worker. The caller holds mu.
+func (a *Agent) logStartAnswer(now time.Time, s *dispatch.Start, lastClockMS, clockMS int64, terms *orderTerms) {
+	if clockMS > 0 && clockMS < lastClockMS {
+		a.count("starts-in-another-life")
+		a.log.Warn().Str("task", s.Task.String()).Uint64("run", s.Run).Uint64("life", s.Life).Int64("clock-ms", clockMS).Int64("last-clock-ms", lastClockMS).
+			Msg("start reached another life of the runner")
+	}
+	switch terms.basis.DecideStart(now, &a.termCheck) {
+	case leadership.OrderProceed:
+		if !terms.basis.Confirmed(now) && a.termCheck.Fails(now) {
+			a.count("starts-without-store")
+			a.log.Info().Str("task", s.Task.String()).Uint64("run", s.Run).Uint64("term", terms.term).Dur("proof", terms.basis.ConfirmedAge(now)).Msg("started a run while the store fails this worker")
+		}
+	case leadership.OrderCheck, leadership.OrderRefuse:
+		a.count("starts-on-old-proof")
+		a.log.Warn().Str("task", s.Task.String()).Uint64("run", s.Run).Uint64("term", terms.term).Dur("proof", terms.basis.ConfirmedAge(now)).Msg("the proof that an order rests on was too old when its start was answered")
+	}
+}
+
+// lastClockMS returns the latest known reading of the clock of the runner in a life; 0 if that life is not the present one.
+func (a *Agent) lastClockMS(life uint64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.life != life {
+		return 0
+	}
+	return a.runnerClockMS
+}
+
 // reportTrial polls the runner a short time after the start of a trial and pings the dispatcher, which waits
 // to see whether the runner still works.
 func (a *Agent) reportTrial(ctx context.Context) {
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -104,7 +104,14 @@
 func (a *Agent) renew(ctx context.Context, r RenewRequest) (*Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+r.MaxWait)
 	defer cancel()
-	return a.runner.Renew(ctx, r)
+	a.mu.Lock()
+	a.openPolls++
+	a.mu.Unlock()
+	l, err := a.runner.Renew(ctx, r)
+	a.mu.Lock()
+	a.openPolls--
+	a.mu.Unlock()
+	return l, err
 }
 
 // checkRenewal logs an answer to a renewal sent at sent that comes from another life than the renewal was meant for,
@@ -148,7 +155,7 @@
 		return
 	}
 	a.count("runners-lost")
-	a.log.Warn().Err(err).Uint64("life", a.life).Msg("runner lost; its runs have ended")
+	a.log.Warn().Err(err).Uint64("life", a.life).Int("runs", len(a.runs)).Int("open-polls", a.openPolls).Msg("runner lost; its runs have ended")
 	a.sendEmptyReport(clock.Steady(), emptyStateOf(err))
 }
 
@@ -199,6 +206,7 @@
 	}
 	a.applyListing(now, sent, l)
 	if a.reportedEmpty {
+		a.logListingAfterEmptyReport(now, sent, l)
 		a.endEmptyReport()
 		return
 	}
@@ -206,6 +214,17 @@
 	a.setPaces(ctx, now)
 }
 
+// logListingAfterEmptyReport logs a listing of runs or run ends in a life of the runner that the dispatcher was told has
+// ended. The poll that it answers was sent at the given time. The caller holds mu.
+func (a *Agent) logListingAfterEmptyReport(now, sent time.Time, l *Listing) {
+	if len(a.runs)+len(a.runEnds) == 0 {
+		return
+	}
+	a.count("listings-after-empty-report")
+	a.log.Warn().Uint64("life", a.life).Int("runs", len(a.runs)).Int("ends", len(a.runEnds)).Int64("clock-ms", l.ClockMS).Dur("took", now.Sub(sent)).
+		Msg("runner listed runs after it was reported to have ended")
+}
+
 // applyListing replaces the known state of the runner by the listing that answers a poll sent at the given time. The
 // caller holds mu.
 func (a *Agent) applyListing(now, sent time.Time, l *Listing) {
--- a/internal/runneragent/silent_runner_test.go
+++ b/internal/runneragent/silent_runner_test.go
@@ -20,7 +20,7 @@
 		return ErrNoAnswer
 	}
 	s.agent.runner.Renew = func(ctx context.Context, _ RenewRequest) (*Listing, error) { return nil, hung(ctx) }
-	s.agent.runner.Start = func(ctx context.Context, _ Call, _ *dispatch.Start, _ int64) error { return hung(ctx) }
+	s.agent.runner.Start = func(ctx context.Context, _ Call, _ *dispatch.Start, _ int64) (int64, error) { return 0, hung(ctx) }
 	s.agent.runner.Stop = func(ctx context.Context, _ Call, _ workflow.TaskID, _ uint64) error { return hung(ctx) }
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/runneragent/stale_listing_test.go
+++ b/internal/runneragent/stale_listing_test.go
@@ -45,12 +45,12 @@
 	return s, r
 }
 
-func (r *standinRunner) start(_ context.Context, c Call, s *dispatch.Start, leaseEndMS int64) error {
+func (r *standinRunner) start(_ context.Context, c Call, s *dispatch.Start, leaseEndMS int64) (int64, error) {
 	now := clock.Steady()
 	if !r.Admit(now, c.Term, leaseEndMS) || r.Start(now, s.Task.String(), s.Run, leaseEndMS, "") != "" {
-		return ErrNotRun
+		return 0, ErrNotRun
 	}
-	return nil
+	return r.ClockMS(now), nil
 }
 
 func (r *standinRunner) stop(_ context.Context, _ Call, task workflow.TaskID, run uint64) error {
--- a/internal/runneragent/unanswered_start_test.go
+++ b/internal/runneragent/unanswered_start_test.go
@@ -130,10 +130,10 @@
 func TestUnansweredStartCountsFromTheEndOfItsCall(t *testing.T) {
 	s := newFixture(t)
 	frozen, sent := make(chan struct{}), make(chan struct{})
-	s.agent.runner.Start = func(context.Context, Call, *dispatch.Start, int64) error {
+	s.agent.runner.Start = func(context.Context, Call, *dispatch.Start, int64) (int64, error) {
 		close(sent)
 		<-frozen
-		return ErrNoAnswer
+		return 0, ErrNoAnswer
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/pkg/leadership/order.go
+++ b/pkg/leadership/order.go
@@ -50,11 +50,17 @@
 // isCurrent reports whether the agent has found lately that there is no later claim.
 func (c *TermCheck) isCurrent(now time.Time) bool { return now.Sub(c.currentAt) <= MaxOrderAge }
 
-// fails reports whether the store has failed the agent lately, and has not answered since.
-func (c *TermCheck) fails(now time.Time) bool {
+// Fails reports whether the store has failed the agent lately, and has not answered since.
+func (c *TermCheck) Fails(now time.Time) bool {
 	return c.failedAt.After(c.currentAt) && now.Sub(c.failedAt) <= MaxOrderAge
 }
 
+// ConfirmedAge returns the age of the newest proof that no later term had begun.
+func (b OrderBasis) ConfirmedAge(now time.Time) time.Duration { return now.Sub(b.confirmedAt) }
+
+// Confirmed reports whether that proof is recent enough for an order to take effect.
+func (b OrderBasis) Confirmed(now time.Time) bool { return b.ConfirmedAge(now) <= MaxOrderAge }
+
 // OrderDecision is what an agent does with an order.
 type OrderDecision uint8
 
@@ -72,7 +78,7 @@
 // the agent, other entries may have acknowledged what the dispatcher has not heard of.
 func (b OrderBasis) DecideStart(now time.Time, check *TermCheck) OrderDecision {
 	decision := b.DecideStop(now, check)
-	if decision == OrderProceed && now.Sub(b.contactAt) > MaxStoreContactAge && !check.fails(now) {
+	if decision == OrderProceed && now.Sub(b.contactAt) > MaxStoreContactAge && !check.Fails(now) {
 		if check.isCurrent(now) {
 			return OrderRefuse
 		}
@@ -84,7 +90,7 @@
 // DecideStop decides about a stop that would take effect now: it needs a proof that the term was the newest a moment ago, or
 // a store that fails the agent.
 func (b OrderBasis) DecideStop(now time.Time, check *TermCheck) OrderDecision {
-	if now.Sub(b.confirmedAt) <= MaxOrderAge || check.isCurrent(now) || check.fails(now) {
+	if b.Confirmed(now) || check.isCurrent(now) || check.Fails(now) {
 		return OrderProceed
 	}
 	return OrderCheck
