Take a refused connection for the runner's end only once earlier polls have ended

In the tests a task is started again although its run has ended as done, or is still at work: the dispatcher is told that the worker runs nothing, and the listing with the end arrives after that.

Cause: the agent concluded from one refused poll that nothing runs, while another poll of the same runner was open. Its answer may wait in a socket or a goroutine, and a runner that shuts down closes its listener before it answers the polls that are open. Polls overlap when a connection to a dispatcher begins, after starts without an answer, at fences, trials and announced lives. The same conclusion was the ground for departures and for the refusal of overdue starts.

Change: a refusal proves the end once every poll that had begun by then has failed. Each ends within its timeout (2 s at most), and polls that begin later are not waited for, so that the proof cannot starve. An answer refutes it, and so does a later poll that fails otherwise: it may have reached the next life.

Evidence: the tests failed before: --- FAIL: TestRefusedPollIsNoProofWhileAnotherIsOpen (0.00s) --- FAIL: TestRefusedPollIsNoProofWhileAnotherIsOpen/another_poll (0.00s) open_polls_test.go:87: empty reports while a poll is open: got 1, want none open_polls_test.go:91: messages with run ends: got 0, want 1 open_polls_test.go:95: empty reports after the next refused poll: got 0, want 1 --- FAIL: TestRefusedPollIsNoProofWhileAnotherIsOpen/the_first_poll_for_another_connection (0.00s) open_polls_test.go:84: while a poll is open: got state 2 of the runner, want none open_polls_test.go:87: empty reports while a poll is open: got 1, want none open_polls_test.go:91: messages with run ends: got 0, want 1 open_polls_test.go:95: empty reports after the next refused poll: got 0, want 1 --- FAIL: TestWorkerDoesNotLeaveWhileAPollIsOpen (0.50s) open_polls_test.go:122: told an entry while a poll is open: got true, want false open_polls_test.go:126: told an entry after the next refused poll: got false, want true --- FAIL: TestOverdueStartIsNotRefusedWhileAPollIsOpen (0.00s) open_polls_test.go:144: refusals while a poll is open: got 1, want none open_polls_test.go:148: refusals after it has failed: got 0, want 1

Why this works: what a runner says before it ends arrives in the answer to a poll that had begun before the refusal was handled, and those answers are now handled first.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -165,8 +165,8 @@
 	// pendingWhenEmpty are the starts that the last empty report listed as pending and that have not been refused
 	// since, with the time until which they may take effect.
 	pendingWhenEmpty map[runKey]time.Time
-	// openPolls is the number of polls that the runner has neither answered nor failed.
-	openPolls int
+	// endProof holds what polls have shown of the end of the runner.
+	endProof endProof
 	// startAnsweredAt is when the runner last answered that it has carried out a start.
 	startAnsweredAt time.Time
 	// registration is the number of the registration of the worker that the dispatcher has told this process; 0 if there
--- a/internal/runneragent/departure.go
+++ b/internal/runneragent/departure.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
 )
@@ -35,16 +33,16 @@
 	a.ping(clock.Steady()) // the dispatcher renews the worker lease only of registered workers
 }
 
-// hasLeft reports whether a poll that began at the given time and failed with err shows that the runner has ended as it
-// had announced, and that no start may still take effect there. The caller holds mu.
-func (a *Agent) hasLeft(began time.Time, err error) bool {
-	if a.registration == 0 || !errors.Is(err, ErrNotListening) || !a.provesEmpty(began, err) {
+// hasLeft reports whether polls prove that the runner has ended as it had announced, and that no start may still take
+// effect there. The caller holds mu.
+func (a *Agent) hasLeft() bool {
+	if a.registration == 0 || !a.runnerHasEnded() {
 		return false
 	}
 	if !a.heartbeat.Draining || a.heartbeat.StartedAtMS != a.life {
 		return false
 	}
-	return !a.hasPendingStart(began)
+	return !a.hasPendingStart(a.endProof.proven.began)
 }
 
 // depart gives up the registration of the worker and tells entries so: the dispatcher may be gone, or the store may not
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -193,11 +193,11 @@
 			return runnerAnswers, true
 		}
 		a.mu.Lock()
-		ended := a.provesEmpty(began, err)
+		ended, state := a.provesEmpty(began), a.emptyState()
 		a.mu.Unlock()
 		if ended {
 			a.log.Warn().Err(err).Msg("no runner; reporting a worker without runs")
-			return emptyStateOf(err), true
+			return state, true
 		}
 		if !clock.WaitForWake(ctx, conn.Done(), retryDelay) {
 			return runnerAnswers, false
--- /dev/null
+++ b/internal/runneragent/open_polls_test.go
@@ -0,0 +1,151 @@
+package runneragent
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryhoist.example/savoryhoist/internal/clock"
+	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+)
+
+// openPoll is a poll that the runner has neither answered nor failed.
+type openPoll struct {
+	finish chan func() (*Listing, error)
+	group  sync.WaitGroup
+}
+
+// end lets the poll return what answer returns, and waits until the agent has handled that.
+func (p *openPoll) end(answer func() (*Listing, error)) {
+	p.finish <- answer
+	p.group.Wait()
+}
+
+// beginPoll begins a poll that stays open. Other polls go to the fixture's runner meanwhile.
+func (s *fixture) beginPoll(t *testing.T) *openPoll {
+	t.Helper()
+	p := &openPoll{finish: make(chan func() (*Listing, error), 1)}
+	began := make(chan struct{})
+	renew := s.agent.runner.Renew
+	s.agent.runner.Renew = func(context.Context, RenewRequest) (*Listing, error) {
+		s.agent.runner.Renew = renew
+		close(began)
+		return (<-p.finish)()
+	}
+	p.group.Go(func() { _ = s.agent.poll(context.Background(), pollWait) })
+	<-began
+	return p
+}
+
+// setGone makes the runner refuse connections.
+func (s *fixture) setGone() {
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	s.runner.gone = true
+}
+
+// listDoneRun returns a later listing of the present life with a run that has ended as done.
+func (s *fixture) listDoneRun() (*Listing, error) {
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	s.runner.listing.ClockMS++
+	l := s.runner.listing
+	l.RunEnds = []dispatch.RunEnd{{Number: 1, Task: task, Run: 1, How: dispatch.OutcomeDone}}
+	return &l, nil
+}
+
+func isEmptyReport(m *peer.Message) bool { return m.Report != nil && m.Report.Worker.Life == 0 }
+
+// Tasks were started again whose ends a runner had listed in an answer that was under way when another poll was refused.
+func TestRefusedPollIsNoProofWhileAnotherIsOpen(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		other func(t *testing.T, s *fixture) (state runnerState, ok bool)
+	}{
+		{"another poll", func(t *testing.T, s *fixture) (runnerState, bool) {
+			t.Helper()
+			return runnerAnswers, s.agent.poll(context.Background(), 0) == nil
+		}},
+		{"the first poll for another connection", func(t *testing.T, s *fixture) (runnerState, bool) {
+			t.Helper()
+			conn := peer.NewConn(nil)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*retryDelay+retryDelay/2)
+			defer cancel()
+			return s.agent.firstPoll(ctx, conn)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newFixture(t)
+			p := s.beginPoll(t)
+			s.setGone()
+			if state, ok := tc.other(t, s); ok {
+				t.Errorf("while a poll is open: got state %d of the runner, want none", state)
+			}
+			if got := s.sentSoFar(t, isEmptyReport); len(got) != 0 {
+				t.Errorf("empty reports while a poll is open: got %d, want none", len(got))
+			}
+			p.end(s.listDoneRun)
+			if got := s.sentSoFar(t, func(m *peer.Message) bool { return m.RunEnds != nil }); len(got) != 1 {
+				t.Errorf("messages with run ends: got %d, want 1", len(got))
+			}
+			_ = s.agent.poll(context.Background(), 0)
+			if got := s.sentSoFar(t, isEmptyReport); len(got) != 1 {
+				t.Errorf("empty reports after the next refused poll: got %d, want 1", len(got))
+			}
+		})
+	}
+}
+
+func TestEndOfTheRunnerIsProvenOnceOpenPollsHaveFailed(t *testing.T) {
+	s := newFixture(t)
+	p := s.beginPoll(t)
+	s.setGone()
+	_ = s.agent.poll(context.Background(), 0)
+	p.end(func() (*Listing, error) { return nil, errors.Mark(errors.New("EOF"), ErrNoAnswer) })
+	if got := s.sentSoFar(t, isEmptyReport); len(got) != 1 || !got[0].Report.RunnerEnded {
+		t.Errorf("empty reports: got %v, want one of a runner that has ended", got)
+	}
+}
+
+func TestWorkerDoesNotLeaveWhileAPollIsOpen(t *testing.T) {
+	s := newFixture(t)
+	address, told := listenForDepartures(t)
+	s.agent.handleRegistered(s.agent.conn, &peer.Registered{Number: 5})
+	s.agent.mu.Lock()
+	s.agent.entries[address] = true
+	s.agent.heartbeat.Draining = true
+	s.agent.mu.Unlock()
+	p := s.beginPoll(t)
+	if s.departs(t, told) {
+		t.Error("told an entry while a poll is open: got true, want false")
+	}
+	p.end(s.listDoneRun)
+	if !s.departs(t, told) {
+		t.Error("told an entry after the next refused poll: got false, want true")
+	}
+}
+
+func TestOverdueStartIsNotRefusedWhileAPollIsOpen(t *testing.T) {
+	s := newFixture(t)
+	key := runKey{task, 2}
+	s.agent.mu.Lock()
+	s.agent.addUnanswered(clock.Steady(), key)
+	s.agent.mu.Unlock()
+	s.setGone()
+	_ = s.agent.poll(context.Background(), 0)
+	p := s.beginPoll(t)
+	s.agent.mu.Lock()
+	s.agent.pendingWhenEmpty[key] = clock.Steady()
+	s.agent.mu.Unlock()
+	_ = s.agent.poll(context.Background(), 0)
+	if got := s.sentSoFar(t, isRefusal); len(got) != 0 {
+		t.Errorf("refusals while a poll is open: got %d, want none", len(got))
+	}
+	p.end(func() (*Listing, error) { return nil, ErrNoAnswer })
+	if got := s.sentSoFar(t, isRefusal); len(got) != 1 {
+		t.Errorf("refusals after it has failed: got %d, want 1", len(got))
+	}
+}
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -62,6 +62,7 @@
 // poll renews the leases of all runs at the runner and applies its listing. The
 // runner may delay its answer for up to wait, until a run ends.
 func (a *Agent) poll(ctx context.Context, wait time.Duration) error {
+	number := a.beginPoll()
 	sent, request := a.newRenewal(wait)
 	l, err := a.renew(ctx, request)
 	if errors.Is(err, ErrNotSent) {
@@ -69,14 +70,37 @@
 		l, err = a.renew(ctx, request)
 	}
 	if err != nil {
+		a.endFailedPoll(number, sent, err)
 		a.handlePollFailure(ctx, sent, err)
 		return err
 	}
 	a.checkRenewal(sent, clock.Steady(), &request, l)
 	a.handleListing(ctx, sent, l)
+	a.endAnsweredPoll(number)
 	return nil
 }
 
+// beginPoll records that a poll begins, and returns its number.
+func (a *Agent) beginPoll() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.endProof.begin()
+}
+
+// endFailedPoll records that a poll that began at the given time has failed with err.
+func (a *Agent) endFailedPoll(number uint64, began time.Time, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.endProof.failed(number, began, errors.Is(err, ErrNotListening))
+}
+
+// endAnsweredPoll records that the answer to a poll has been handled.
+func (a *Agent) endAnsweredPoll(number uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.endProof.answered(number)
+}
+
 // newRenewal returns a renewal and the time at which it was built. It renews leases, acknowledges run ends and may wait
 // only if it is certain to reach the present life of the runner.
 func (a *Agent) newRenewal(wait time.Duration) (time.Time, RenewRequest) {
@@ -104,14 +128,7 @@
 func (a *Agent) renew(ctx context.Context, r RenewRequest) (*Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+r.MaxWait)
 	defer cancel()
-	a.mu.Lock()
-	a.openPolls++
-	a.mu.Unlock()
-	l, err := a.runner.Renew(ctx, r)
-	a.mu.Lock()
-	a.openPolls--
-	a.mu.Unlock()
-	return l, err
+	return a.runner.Renew(ctx, r)
 }
 
 // checkRenewal logs an answer to a renewal sent at sent that comes from another life than the renewal was meant for,
@@ -145,30 +162,41 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sameLifeUntil = time.Time{}
-	if a.hasLeft(began, err) {
+	if a.hasLeft() {
 		a.depart(ctx)
 	}
 	if a.reportedEmpty {
-		a.refuseOverdue(began, err)
+		a.refuseOverdue(began)
 	}
-	if a.reportedEmpty || a.conn == nil || !a.provesEmpty(began, err) {
+	if a.reportedEmpty || a.conn == nil || !a.provesEmpty(began) {
 		return
 	}
 	a.count("runners-lost")
-	a.log.Warn().Err(err).Uint64("life", a.life).Int("runs", len(a.runs)).Int("open-polls", a.openPolls).Msg("runner lost; its runs have ended")
-	a.sendEmptyReport(clock.Steady(), emptyStateOf(err))
+	a.log.Warn().Err(err).Uint64("life", a.life).Int("runs", len(a.runs)).Int("open-polls", len(a.endProof.open)).Msg("runner lost; its runs have ended")
+	a.sendEmptyReport(clock.Steady(), a.emptyState())
+}
+
+// provesEmpty reports whether it is certain, after a poll that began at the given time has failed, that nothing runs. The
+// caller holds mu.
+func (a *Agent) provesEmpty(began time.Time) bool {
+	return a.runnerHasEnded() || !a.hasAnswered(began) && a.leasesExpired()
+}
+
+// runnerHasEnded reports whether polls prove that the runner has ended. The caller holds mu.
+func (a *Agent) runnerHasEnded() bool {
+	refused := a.endProof.proven.began
+	return !refused.IsZero() && !a.hasAnswered(refused)
 }
 
-// provesEmpty reports whether a poll that began at the given time and failed with err proves that nothing runs. It does
-// not if the runner has answered another poll or a start since then: it may be in its next life. The caller holds mu.
-func (a *Agent) provesEmpty(began time.Time, err error) bool {
-	return !a.runnerClockReadAt.After(began) && !a.startAnsweredAt.After(began) && a.allRunsEnded(err)
+// hasAnswered reports whether the runner has answered a poll or a start since the given time: it may be in its next life.
+// The caller holds mu.
+func (a *Agent) hasAnswered(since time.Time) bool {
+	return a.runnerClockReadAt.After(since) || a.startAnsweredAt.After(since)
 }
 
-// allRunsEnded reports whether it is certain, after a poll that failed with err, that nothing
-// runs: no runner listens, or the last run lease has expired. The caller holds mu.
-func (a *Agent) allRunsEnded(err error) bool {
-	return errors.Is(err, ErrNotListening) || clock.Steady().After(a.lastRunLeaseEnd.Add(leaseSlack))
+// leasesExpired reports whether the last run lease has expired. The caller holds mu.
+func (a *Agent) leasesExpired() bool {
+	return clock.Steady().After(a.lastRunLeaseEnd.Add(leaseSlack))
 }
 
 // leaseSlack is added to the end of the last run lease before the lease counts as expired. It
--- a/internal/runneragent/report.go
+++ b/internal/runneragent/report.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
@@ -20,9 +18,9 @@
 	runnerEnded
 )
 
-// emptyStateOf returns the state of a runner whose runs have all ended, from the error of the last poll.
-func emptyStateOf(err error) runnerState {
-	if errors.Is(err, ErrNotListening) {
+// emptyState returns the state of a runner whose runs have all ended. The caller holds mu.
+func (a *Agent) emptyState() runnerState {
+	if a.runnerHasEnded() {
 		return runnerEnded
 	}
 	return runnerSilent
@@ -47,13 +45,10 @@
 }
 
 // refuseOverdue refuses the starts of the last empty report that can no longer run, after a poll that began at the given
-// time has failed with err: they took no effect in time, and nothing listens or any lease has expired. The caller holds mu.
-func (a *Agent) refuseOverdue(began time.Time, err error) {
+// time has failed: they took no effect in time, and the runner has ended since or any lease has expired. The caller holds mu.
+func (a *Agent) refuseOverdue(began time.Time) {
 	for key, mayStartUntil := range a.pendingWhenEmpty {
-		if !errors.Is(err, ErrNotListening) {
-			mayStartUntil = mayStartUntil.Add(maxRunLease + leaseSlack)
-		}
-		if !began.Before(mayStartUntil) {
+		if !began.Before(mayStartUntil.Add(maxRunLease+leaseSlack)) || a.runnerHasEnded() && !a.endProof.proven.began.Before(mayStartUntil) {
 			delete(a.pendingWhenEmpty, key)
 			a.refuse(0, key, errRunnerGone)
 		}
