Report the run ends of a runner's ended life until they are acknowledged

In the tests a task is started again whose end as done the agent knows.

Cause: an empty report named no run ends, and a new life dropped those of the life before. If the connection to the dispatcher broke before they arrived there, or the dispatcher was a new one, it was told that nothing runs and never heard that a run had ended as done.

Change: each report shows the ends of ended lives that are not acknowledged, with the life that listed them. The dispatcher takes them in before it concludes that runs are gone or another life has begun, whether or not it knew that life; ends of jobs that it does not know are held. Acknowledgements are kept per life, so that ends of an ended life are acknowledged once they are stored, and held ones once their job is known. Since ends are now repeated more often, one that is read again no longer replaces the checkpoint of a later run. The field is new: messages without it decode as before, and older dispatchers skip it.

Why this works: the ends travel in the same message as the conclusion that would contradict them, and are applied first.

--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -236,6 +237,9 @@
 		ends = m.RunEnds.Ends
 	case m.Report != nil:
 		ends = m.Report.RunEnds
+		for i := range m.Report.EndedLives {
+			ends = slices.Concat(ends, m.Report.EndedLives[i].Ends)
+		}
 	}
 	for i := range ends {
 		if !ends[i].How.Known() {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -164,6 +164,8 @@
 	RunnerEnded bool `cbor:"5,keyasint,omitempty"`
 	// Registration is the number of the registration under which the agent carries out starts; 0 if it was told of none.
 	Registration uint64 `cbor:"6,keyasint,omitempty"`
+	// EndedLives are the lives of the runner that have ended with run ends that no dispatcher has acknowledged.
+	EndedLives []dispatch.EndedLife `cbor:"7,keyasint,omitempty"`
 }
 
 // Registered tells an agent the number of the registration of its worker under which it gets tasks, see
--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -137,6 +137,8 @@
 	// runs and runEnds are from the latest listing; runEnds leaves out acknowledged run ends.
 	runs    []dispatch.RunStatus
 	runEnds []dispatch.RunEnd
+	// keptEnds are run ends of ended lives that no dispatcher has acknowledged, of the oldest life first.
+	keptEnds []dispatch.EndedLife
 	// moreEnds is Listing.MoreEnds of the latest listing, reportedMoreEnds that of the last report.
 	moreEnds         bool
 	reportedMoreEnds bool
@@ -296,6 +298,7 @@
 	if a.heartbeat.StartedAtMS == a.life {
 		a.heartbeat = a.presentHeartbeat
 	}
+	a.keepEnds(a.life, a.unackedEnds())
 	a.life, a.lifeKnownAt = startedAtMS, clock.Steady()
 	a.reportedEmpty = false
 	clear(a.pendingWhenEmpty)
--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -294,13 +294,14 @@
 }
 
 // handleAck handles an acknowledgement: the number of the last run end that the dispatcher has
-// stored. It ignores one for another life, the time between two restarts of the runner.
+// stored in one life, the time between two restarts of the runner.
 func (a *Agent) handleAck(ack *peer.RunEndsAck) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if ack.Life == a.life {
 		a.lastAckedEnd = max(a.lastAckedEnd, ack.LastAckedEnd)
 	}
+	a.dropKeptEnds(ack)
 }
 
 // AddEntries adds peer addresses of entries.
--- a/internal/runneragent/open_polls_test.go
+++ b/internal/runneragent/open_polls_test.go
@@ -40,13 +40,6 @@
 	return p
 }
 
-// setGone makes the runner refuse connections.
-func (s *fixture) setGone() {
-	s.runner.mu.Lock()
-	defer s.runner.mu.Unlock()
-	s.runner.gone = true
-}
-
 // listDoneRun returns a later listing of the present life with a run that has ended as done.
 func (s *fixture) listDoneRun() (*Listing, error) {
 	s.runner.mu.Lock()
@@ -80,7 +73,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			s := newFixture(t)
 			p := s.beginPoll(t)
-			s.setGone()
+			s.endRunner()
 			if state, ok := tc.other(t, s); ok {
 				t.Errorf("while a poll is open: got state %d of the runner, want none", state)
 			}
@@ -102,7 +95,7 @@
 func TestEndOfTheRunnerIsProvenOnceOpenPollsHaveFailed(t *testing.T) {
 	s := newFixture(t)
 	p := s.beginPoll(t)
-	s.setGone()
+	s.endRunner()
 	_ = s.agent.poll(context.Background(), 0)
 	p.end(func() (*Listing, error) { return nil, errors.Mark(errors.New("EOF"), ErrNoAnswer) })
 	if got := s.sentSoFar(t, isEmptyReport); len(got) != 1 || !got[0].Report.RunnerEnded {
@@ -134,7 +127,7 @@
 	s.agent.mu.Lock()
 	s.agent.addUnanswered(clock.Steady(), key)
 	s.agent.mu.Unlock()
-	s.setGone()
+	s.endRunner()
 	_ = s.agent.poll(context.Background(), 0)
 	p := s.beginPoll(t)
 	s.agent.mu.Lock()
--- a/internal/runneragent/report.go
+++ b/internal/runneragent/report.go
@@ -27,11 +27,12 @@
 }
 
 // sendEmptyReport tells the dispatcher that the worker runs nothing, and pings it. Start orders that are under
-// way meanwhile are refused, since the dispatcher regards their runs as ended. Starts that a runner which has ended did
+// way meanwhile are refused, since the dispatcher regards their runs as ended. Run ends that are not acknowledged are
+// listed, since no later listing of their life may come. Starts that a runner which has ended did
 // not answer are listed as pending: they may still take effect in its next life. The caller holds mu.
 func (a *Agent) sendEmptyReport(now time.Time, state runnerState) {
 	a.reportedEmpty = true
-	r := &peer.Report{Registration: a.registration, Worker: dispatch.Worker{Name: a.settings.Name}, Sent: a.sentRuns(), RunnerEnded: state == runnerEnded}
+	r := &peer.Report{Registration: a.registration, Worker: dispatch.Worker{Name: a.settings.Name}, Sent: a.sentRuns(), RunnerEnded: state == runnerEnded, EndedLives: a.endedLives(true)}
 	clear(a.pendingWhenEmpty)
 	for key, mayStartUntil := range a.unansweredStarts {
 		if r.RunnerEnded && now.Before(mayStartUntil) {
@@ -126,7 +127,7 @@
 
 // newReport returns a report of the worker's whole state. The caller holds mu.
 func (a *Agent) newReport() *peer.Report {
-	r := &peer.Report{Registration: a.registration, Worker: a.describeWorker(), Runs: append([]dispatch.RunStatus(nil), a.runs...), RunEnds: append([]dispatch.RunEnd(nil), a.runEnds...), Sent: a.earlierRuns}
+	r := &peer.Report{Registration: a.registration, Worker: a.describeWorker(), Runs: append([]dispatch.RunStatus(nil), a.runs...), RunEnds: append([]dispatch.RunEnd(nil), a.runEnds...), Sent: a.earlierRuns, EndedLives: a.endedLives(false)}
 	for k := range a.unlistedStarts {
 		r.Runs = append(r.Runs, dispatch.RunStatus{Task: k.task, Run: k.run, Pending: true})
 	}
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -108,6 +108,7 @@
 		w.lifeBeganAt = now
 	}
 	w.everReported, w.endAnnounced = true, false
+	w.endLife()
 	w.life = life
 }
 
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -422,7 +422,7 @@
 // workers once that progress is stored.
 type Change struct {
 	jobs map[string]*workflow.Progress
-	acks map[string]ackPosition
+	acks map[ackedLife]uint64
 }
 
 // Jobs returns the progress to store, by job ID.
@@ -431,11 +431,11 @@
 // Empty reports whether there is nothing to store or acknowledge.
 func (c *Change) Empty() bool { return len(c.jobs) == 0 && len(c.acks) == 0 }
 
-// EachAck calls fn for each worker with the life of its runner and the number of the last run end
+// EachAck calls fn for each worker with a life of its runner and the number of the last run end in it
 // that the worker may forget.
 func (c *Change) EachAck(fn func(worker string, life, endNumber uint64)) {
-	for w, n := range c.acks {
-		fn(w, n.life, n.end)
+	for l, end := range c.acks {
+		fn(l.worker, l.life, end)
 	}
 }
 
@@ -453,7 +453,7 @@
 		c.jobs[j.submission.ID] = j.progress()
 	}
 	sc.changedJobs = make(map[*jobState]struct{})
-	sc.pendingAcks = make(map[string]ackPosition)
+	sc.pendingAcks = make(map[ackedLife]uint64)
 	sc.urgentChange = false
 	return c
 }
--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -87,6 +87,7 @@
 	crashed := ended && w != nil && w.life != 0 && !w.endAnnounced // a runner that was gone before does not crash again
 	n := sc.loseWorker(now, wallMS, name, crashed, ConclusionRunnerGone)
 	if w != nil {
+		w.endLife()
 		w.life = 0
 	}
 	return n
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -120,12 +120,10 @@
 		w.health = workerHealth{}
 		sc.noteHealth(w)
 		sc.noteChange(w)
-		w.lastEndNumber = 0
-		w.unknownJobs.settle()
 	}
 	sc.forgetReported(w)
 	sc.setWorkerInfo(now, w, info)
-	sc.applyEnds(now, wallMS, w, ends)
+	sc.applyEnds(now, wallMS, w, w.life, ends)
 	w.lastEndNumber = max(w.lastEndNumber, info.LastSentEnd)
 	listed := make(map[unwantedRun]bool, len(runs))
 	for i := range runs {
@@ -305,18 +303,17 @@
 	if w.life != life || after > w.lastEndNumber {
 		return 0, false
 	}
-	return sc.applyEnds(now, wallMS, w, ends), true
+	return sc.applyEnds(now, wallMS, w, life, ends), true
 }
 
-// applyEnds takes in the next run ends in the present life of a worker's runner, and returns how many of them belong
-// to no task.
-func (sc *Scheduler) applyEnds(now time.Time, wallMS int64, w *workerState, ends []RunEnd) (ignored int) {
+// applyEnds takes in the next run ends in a life of a worker's runner, and returns how many of them belong to no task.
+func (sc *Scheduler) applyEnds(now time.Time, wallMS int64, w *workerState, life uint64, ends []RunEnd) (ignored int) {
 	for i := range ends {
 		e := &ends[i]
-		w.lastEndNumber = max(w.lastEndNumber, e.Number)
+		w.noteEnd(life, e.Number)
 		sc.forgetUnwanted(w, unwantedRun{e.Task, e.Run})
 		if sc.jobs[e.Task.Job] == nil {
-			sc.holdEnd(now, w, e)
+			sc.holdEnd(now, w, life, e)
 			continue
 		}
 		sc.createListedOccurrence(now, wallMS, e.Task)
@@ -362,12 +359,14 @@
 	if current {
 		t.previous = PreviousRun{Run: e.Run, Worker: w.name, How: e.How}
 	}
-	t.lastRunNumber = max(t.lastRunNumber, e.Run)
-	if e.Saved != "" {
+	switch {
+	case !current && e.Run < t.lastRunNumber && t.checkpoint != "": // a later run has saved more
+	case e.Saved != "":
 		t.checkpoint = e.Saved
-	} else if r != nil && r.checkpoint != "" {
+	case r != nil && r.checkpoint != "":
 		t.checkpoint = r.checkpoint
 	}
+	t.lastRunNumber = max(t.lastRunNumber, e.Run)
 	j := s.occurrence.job
 	j.begun = j.begun || e.How < OutcomeRefused
 	switch e.How {
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -78,9 +78,9 @@
 	runsReviewedAt time.Time
 	// changedJobs are jobs whose progress has to be stored.
 	changedJobs map[*jobState]struct{}
-	// pendingAcks holds, by worker name, the number of the last run end that has been processed
-	// and is still to be acknowledged to the worker.
-	pendingAcks map[string]ackPosition
+	// pendingAcks holds the numbers of the last run ends that have been processed and are still to be acknowledged to
+	// their workers.
+	pendingAcks map[ackedLife]uint64
 	// urgentChange is set if one of changedJobs has ended or a task of one has become suspicious.
 	urgentChange bool
 	// pendingStops are the stop orders that the next call of Decide returns.
@@ -132,11 +132,10 @@
 	workersWithUnknownJobs map[*workerState]struct{}
 }
 
-// ackPosition is the number of the last run end to acknowledge (end), in one life of a worker's
-// runner.
-type ackPosition struct {
-	life uint64
-	end  uint64
+// ackedLife is a life of the runner of a worker whose run ends are acknowledged.
+type ackedLife struct {
+	worker string
+	life   uint64
 }
 
 // runsPerTerm is the distance between the run numbers of two terms: no task is expected to be
@@ -163,7 +162,7 @@
 	sc.unreported = make(map[string]bool)
 	sc.readySteps = make(map[*stepState]struct{})
 	sc.changedJobs = make(map[*jobState]struct{})
-	sc.pendingAcks = make(map[string]ackPosition)
+	sc.pendingAcks = make(map[ackedLife]uint64)
 	sc.workersWithUnknownJobs = make(map[*workerState]struct{})
 	if term > 1 {
 		sc.runNumberBase = (term - 1) * runsPerTerm
--- a/pkg/dispatch/unknown.go
+++ b/pkg/dispatch/unknown.go
@@ -13,26 +13,22 @@
 // the job.
 type unknownJobReport struct {
 	runs []RunStatus
-	ends []RunEnd
+	ends []heldEnd
 	// lastListedAt is when the newest of the runs and ends was listed.
 	lastListedAt time.Time
 }
 
-// settledEnd is the number of a held end of an earlier life of the runner, which needs no acknowledgement.
-const settledEnd = math.MaxUint64
-
-// settle keeps the held ends after the life of the runner that listed them, since what they say remains true.
-func (u *unknownJobReport) settle() {
-	for i := range u.ends {
-		u.ends[i].Number = settledEnd
-	}
+// heldEnd is a held run end, of a life of the worker's runner. It is kept after that life, since what it says remains true.
+type heldEnd struct {
+	life uint64
+	RunEnd
 }
 
 // forgetReported drops what a worker listed in the present life of its runner, before a report lists it anew.
 func (sc *Scheduler) forgetReported(w *workerState) {
 	u := &w.unknownJobs
 	u.runs = nil
-	u.ends = slices.DeleteFunc(u.ends, func(e RunEnd) bool { return e.Number != settledEnd })
+	u.ends = slices.DeleteFunc(u.ends, func(e heldEnd) bool { return e.life == w.life })
 	if u.empty() {
 		delete(sc.workersWithUnknownJobs, w)
 	}
@@ -40,12 +36,14 @@
 
 func (u *unknownJobReport) empty() bool { return len(u.runs)+len(u.ends) == 0 }
 
-// firstEndNumber returns the lowest number of the held ends, which must not be acknowledged, or the
-// largest uint64 if no end is held.
-func (u *unknownJobReport) firstEndNumber() uint64 {
+// firstEndNumber returns the lowest number of the held ends of a life, which must not be acknowledged, or the
+// largest uint64 if no end of it is held.
+func (u *unknownJobReport) firstEndNumber(life uint64) uint64 {
 	first := uint64(math.MaxUint64)
 	for i := range u.ends {
-		first = min(first, u.ends[i].Number)
+		if u.ends[i].life == life {
+			first = min(first, u.ends[i].Number)
+		}
 	}
 	return first
 }
@@ -63,25 +61,40 @@
 }
 
 // holdEnd holds the end of a run of an unknown job until the job is read from the store.
-func (sc *Scheduler) holdEnd(now time.Time, w *workerState, e *RunEnd) {
+func (sc *Scheduler) holdEnd(now time.Time, w *workerState, life uint64, e *RunEnd) {
 	w.unknownJobs.dropRun(e.Task, e.Run)
 	for i := range w.unknownJobs.ends {
-		if w.unknownJobs.ends[i].Number == e.Number {
+		if held := &w.unknownJobs.ends[i]; held.life == life && held.Number == e.Number {
 			return
 		}
 	}
-	w.unknownJobs.ends = append(w.unknownJobs.ends, *e)
+	w.unknownJobs.ends = append(w.unknownJobs.ends, heldEnd{life, *e})
 	w.unknownJobs.lastListedAt = now
 	sc.workersWithUnknownJobs[w] = struct{}{}
 }
 
-// acknowledge lets a worker forget its run ends up to the last one processed, but none from the first
-// end of an unknown job's run on.
+// acknowledge lets a worker forget its run ends up to the last one processed in each life of its runner, but none from
+// the first end of an unknown job's run on.
 func (sc *Scheduler) acknowledge(w *workerState) {
-	upTo := min(w.lastEndNumber, w.unknownJobs.firstEndNumber()-1)
-	if n := sc.pendingAcks[w.name]; upTo > 0 && (n.life != w.life || n.end < upTo) {
-		sc.pendingAcks[w.name] = ackPosition{life: w.life, end: upTo}
+	if w.life != 0 {
+		sc.acknowledgeLife(w, w.life, w.lastEndNumber)
+	}
+	for life, last := range w.endedLives {
+		if sc.acknowledgeLife(w, life, last) {
+			delete(w.endedLives, life)
+		}
+	}
+}
+
+// acknowledgeLife is acknowledge for one life, in which last is the last end processed. It reports whether no end is left
+// to be acknowledged later.
+func (sc *Scheduler) acknowledgeLife(w *workerState, life, last uint64) bool {
+	first := w.unknownJobs.firstEndNumber(life)
+	upTo := min(last, first-1)
+	if key := (ackedLife{w.name, life}); upTo > sc.pendingAcks[key] {
+		sc.pendingAcks[key] = upTo
 	}
+	return last < first
 }
 
 // applyHeld applies the held runs and run ends of a job that has become known.
@@ -92,7 +105,7 @@
 		for i := range u.ends {
 			if u.ends[i].Task.Job == job {
 				sc.createListedOccurrence(now, wallMS, u.ends[i].Task)
-				sc.endRun(now, wallMS, w, &u.ends[i])
+				sc.endRun(now, wallMS, w, &u.ends[i].RunEnd)
 			} else {
 				w.unknownJobs.ends = append(w.unknownJobs.ends, u.ends[i])
 			}
--- a/pkg/dispatch/worker_state.go
+++ b/pkg/dispatch/worker_state.go
@@ -82,6 +82,9 @@
 	// lastEndNumber is the number up to which all run ends of the present life have been taken in or were
 	// acknowledged before.
 	lastEndNumber uint64
+	// endedLives holds the number of the last end that has been taken in of each ended life of the runner whose ends are
+	// still to be acknowledged.
+	endedLives map[uint64]uint64
 	// moreEnds is set while the last report said that the runner may list more ends.
 	moreEnds    bool
 	unknownJobs unknownJobReport
