--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -137,6 +137,8 @@
 	// runs and runEnds are from the latest listing; runEnds leaves out acknowledged run ends.
 	runs    []dispatch.RunStatus
 	runEnds []dispatch.RunEnd
+	// keptEnds are run ends of ended lives that no dispatcher has acknowledged, of the oldest life first.
+	keptEnds []dispatch.EndedLife
 	// moreEnds is Listing.MoreEnds of the latest listing, reportedMoreEnds that of the last report.
 	moreEnds         bool
 	reportedMoreEnds bool
@@ -165,8 +167,8 @@
 	// pendingWhenEmpty are the starts that the last empty report listed as pending and that have not been refused
 	// since, with the time until which they may take effect.
 	pendingWhenEmpty map[runKey]time.Time
-	// openPolls is the number of polls that the runner has neither answered nor failed.
-	openPolls int
+	// endProof holds what polls have shown of the end of the runner.
+	endProof endProof
 	// startAnsweredAt is when the runner last answered that it has carried out a start.
 	startAnsweredAt time.Time
 	// registration is the number of the registration of the worker that the dispatcher has told this process; 0 if there
@@ -296,6 +298,7 @@
 	if a.heartbeat.StartedAtMS == a.life {
 		a.heartbeat = a.presentHeartbeat
 	}
+	a.keepEnds(a.life, a.unackedEnds())
 	a.life, a.lifeKnownAt = startedAtMS, clock.Steady()
 	a.reportedEmpty = false
 	clear(a.pendingWhenEmpty)
