Let an entry listen at another address than the one for its peers

An entry bound the address that it gives its peers, so that no proxy or address translation could stand in front of it: the soak could cut no link between entries and agents, and connections that arrive at another address of the VM found nobody listening.

Claims, hellos and lists of entries name the address of the settings' ip as before, which identifies the entry to its peers.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -47,6 +48,8 @@
 	Zone string
 	// Listen is the address, IP and port, at which entries and agents reach this entry.
 	Listen string
+	// Bind is the address to listen at, if it is not Listen.
+	Bind string
 	// Entries are the peer addresses of entries to try first; some may be down.
 	Entries []string
 	// Strength is what the VM can do for the dispatcher, in thousandths of a processor: the
@@ -151,7 +154,7 @@
 
 // New returns an entry that listens for its peers but does not serve them yet.
 func New(s Settings, storeClient store.Client, logger *log.Logger, registry gometrics.Registry) (*Coordinator, error) {
-	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen)
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", cmp.Or(s.Bind, s.Listen))
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
