Let a departure name the run ends that no dispatcher has acknowledged

In the test a task is started again whose end as done the agent of a worker that had left knew.

Cause: a departure says that nothing runs at a worker any more, so that the next dispatcher does not wait for a report. The ends that the agent had read and no dispatcher had acknowledged came with that report only: too late, or never if the machine was removed with the runner.

Change: departures name these ends as far as they are done or failed, without checkpoints. Entries keep and pass them on with the departure, and the dispatcher takes them in first, also at the beginning of a term. A worker of which only ends are known still counts as one that has not reported. TestDepartureReachesTheNextDispatcher compares with reflect.DeepEqual, as the message has a slice now.

Evidence: the tests failed before (with the new field declared and not used): --- FAIL: TestDepartureNamesUnacknowledgedEnds (0.00s) --- FAIL: TestDepartureNamesUnacknowledgedEnds/partly_acknowledged (0.00s) departure_test.go:139: ends in the departure: got 0, want 1 --- FAIL: TestDepartureNamesUnacknowledgedEnds/done (0.01s) departure_test.go:139: ends in the departure: got 0, want 1 --- FAIL: TestDepartureNamesUnacknowledgedEnds/failed (0.01s) departure_test.go:139: ends in the departure: got 0, want 2 --- FAIL: TestDepartureNamesUnacknowledgedEnds/as_many_as_runners_have (0.00s) departure_test.go:139: ends in the departure: got 0, want 40 --- FAIL: TestDepartureNamesUnacknowledgedEnds/too_many_for_a_departure (0.01s) departure_test.go:139: ends in the departure: got 0, want -1 --- FAIL: TestEndThatADepartureNamesCounts (0.00s) --- FAIL: TestEndThatADepartureNamesCounts/before_the_term (0.00s) departures_test.go:117: starts of a task that is done: got 1, want none departures_test.go:120: phase: got running, want completed --- FAIL: TestEndThatADepartureNamesCounts/by_the_dispatcher_that_knew_the_run (0.00s) departures_test.go:120: phase: got running, want completed --- FAIL: TestEndThatADepartureNamesCounts/in_the_term (0.00s) departures_test.go:117: starts of a task that is done: got 1, want none departures_test.go:120: phase: got running, want completed --- FAIL: TestDepartureWithAnUnknownOutcomeIsNotConfirmed (0.00s) departures_test.go:134: connection closed, departures: got false, 1, want true, 0 --- FAIL: TestDepartureReachesTheNextDispatcher (0.00s) departures_test.go:82: passed on: got &{w2 7 0 []}, want {w2 7 0 [{1 [{{} 3 a.0.0.0 1 done }]}]}

Why this works: whoever concludes from a departure that a run has ended has been told how, if any agent knew.

--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
 	"savoryhoist.example/savoryhoist/pkg/leadership"
 )
 
@@ -21,11 +23,26 @@
 	number  uint64
 	notedAt time.Time
 	endsBy  time.Time
+	// endedLives are the run ends that the worker's agent has read and no dispatcher had acknowledged.
+	endedLives []dispatch.EndedLife
 }
 
 // message returns the departure for another entry.
 func (d *departure) message(now time.Time, worker string) *peer.Message {
-	return &peer.Message{Departure: &peer.Departure{Worker: worker, Number: d.number, LeasesEndMS: max(0, (d.endsBy.Sub(now) + time.Millisecond - 1).Milliseconds())}}
+	return &peer.Message{Departure: &peer.Departure{Worker: worker, Number: d.number, EndedLives: d.endedLives, LeasesEndMS: max(0, (d.endsBy.Sub(now) + time.Millisecond - 1).Milliseconds())}}
+}
+
+// confirmDeparture notes a departure and sends it back on conn. It closes conn if the departure names an outcome that this
+// version does not know.
+func (c *Coordinator) confirmDeparture(conn *peer.Conn, d *peer.Departure) {
+	if err := checkEndedLives(d.EndedLives); err != nil {
+		c.count("messages-skipped", 1)
+		c.log.Warn().Err(err).Str("worker", d.Worker).Msg("skipped a departure and closed its connection")
+		conn.Close()
+		return
+	}
+	c.noteDeparture(clock.Steady(), d)
+	conn.Send(&peer.Message{Departure: d})
 }
 
 // noteDeparture keeps the departure of a worker for the terms to come, passes it on to the dispatcher if it is new, and
@@ -45,13 +62,14 @@
 	if c.departures == nil {
 		c.departures = make(map[string]departure)
 	}
-	noted := departure{number: d.Number, notedAt: now, endsBy: leadership.DepartureEndsBy(now, peer.Duration(d.LeasesEndMS))}
+	noted := departure{number: d.Number, notedAt: now, endsBy: leadership.DepartureEndsBy(now, peer.Duration(d.LeasesEndMS)), endedLives: d.EndedLives}
 	c.departures[d.Worker] = noted
 	c.log.Info().Str("worker", d.Worker).Uint64("registration", d.Number).Int64("leases-end-ms", d.LeasesEndMS).Msg("worker has left in order")
 	if c.dispatcherConn != nil {
 		c.dispatcherConn.conn.Send(noted.message(now, d.Worker))
 	}
 	if c.term != nil {
+		c.term.applyEndedLives(now, c, d.Worker, d.EndedLives)
 		c.term.applyDeparture(now, c, d.Worker, noted)
 	}
 }
--- a/internal/coordinator/departures_test.go
+++ b/internal/coordinator/departures_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"reflect"
 	"sync"
 	"testing"
 
@@ -11,6 +12,8 @@
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
 // A worker that has left may have reported the ends of runs to a later dispatcher before. A dispatcher that does not know
@@ -48,7 +51,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c.group.Go(func() { c.acceptPeers(ctx) })
 	t.Cleanup(func() { stop(); c.group.Wait() })
-	sent := peer.Departure{Worker: "w2", Number: 7}
+	sent := peer.Departure{Worker: "w2", Number: 7, EndedLives: endedLife(1, workflow.TaskID{Job: "a"})}
 	conn, err := peer.Dial(ctx, c.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -60,7 +63,7 @@
 		confirmed = m.Departure
 		conn.Close()
 	})
-	if confirmed == nil || *confirmed != sent {
+	if !reflect.DeepEqual(confirmed, &sent) {
 		t.Errorf("confirmation: got %v, want %v", confirmed, sent)
 	}
 	here, there := net.Pipe()
@@ -75,11 +78,63 @@
 		dispatcher.Close()
 	})
 	group.Wait()
-	if passedOn == nil || *passedOn != sent {
+	if !reflect.DeepEqual(passedOn, &sent) {
 		t.Errorf("passed on: got %v, want %v", passedOn, sent)
 	}
 }
 
+// The task of a run that its worker's agent knew to be done was started again, as the agent had left before it met the next
+// dispatcher.
+func TestEndThatADepartureNamesCounts(t *testing.T) {
+	for _, noted := range []string{"before the term", "in the term", "by the dispatcher that knew the run"} {
+		t.Run(noted, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			report := reportOf("w2")
+			report.Runs = []dispatch.RunStatus{{Task: workflow.TaskID{Job: "a"}, Run: 1}}
+			r.report(report)
+			d := &peer.Departure{Worker: "w2", Number: r.told["w2"], EndedLives: endedLife(1, workflow.TaskID{Job: "a"})}
+			next := r.entries[0]
+			switch noted {
+			case "before the term":
+				next.noteDeparture(clock.Steady(), d)
+				r.nextTerm(t)
+			case "in the term":
+				r.nextTerm(t)
+				r.at.noteDeparture(clock.Steady(), d)
+			default:
+				r.at.noteDeparture(clock.Steady(), d)
+			}
+			current := r.at.term
+			r.write()
+			r.at.mu.Lock()
+			defer r.at.mu.Unlock()
+			current.checkWorkers(clock.Steady(), r.at)
+			if got, want := current.scheduler.UnreportedWorkers(), 0; got != want {
+				t.Errorf("workers that are waited for: got %d, want %d", got, want)
+			}
+			if got := len(current.scheduler.Decide(clock.Steady(), clock.WallMS()).Starts()); got != 0 {
+				t.Errorf("starts of a task that is done: got %d, want none", got)
+			}
+			if got, _ := current.scheduler.Phase("a"); got != workflow.PhaseCompleted {
+				t.Errorf("phase: got %s, want %s", got, workflow.PhaseCompleted)
+			}
+		})
+	}
+}
+
+func TestDepartureWithAnUnknownOutcomeIsNotConfirmed(t *testing.T) {
+	t.Parallel()
+	c := newTestEntry(t, "entry-a", &standin.Store{})
+	d := &peer.Departure{Worker: "w2", Number: 7, EndedLives: endedLife(1, workflow.TaskID{Job: "a"})}
+	d.EndedLives[0].Ends[0].How = 77
+	conn := pipedConn(t)
+	c.confirmDeparture(conn, d)
+	if !isClosed(conn) || len(c.departures) != 0 {
+		t.Errorf("connection closed, departures: got %v, %d, want true, 0", isClosed(conn), len(c.departures))
+	}
+}
+
 func TestDeparturesAreBounded(t *testing.T) {
 	t.Parallel()
 	c := newTestEntry(t, "entry-a", &standin.Store{})
--- a/internal/coordinator/ended_life_test.go
+++ b/internal/coordinator/ended_life_test.go
@@ -15,10 +15,15 @@
 
 // withEndedLife returns r with a run of a task that had ended as done in a life of the runner that is over.
 func withEndedLife(r *peer.Report, life uint64, task workflow.TaskID) *peer.Report {
-	r.EndedLives = []dispatch.EndedLife{{Life: life, Ends: []dispatch.RunEnd{{Number: 3, Task: task, Run: 1, How: dispatch.OutcomeDone}}}}
+	r.EndedLives = endedLife(life, task)
 	return r
 }
 
+// endedLife returns a life in which run 1 of a task has ended as done.
+func endedLife(life uint64, task workflow.TaskID) []dispatch.EndedLife {
+	return []dispatch.EndedLife{{Life: life, Ends: []dispatch.RunEnd{{Number: 3, Task: task, Run: 1, How: dispatch.OutcomeDone}}}}
+}
+
 // lifeOf returns a report of a life of the runner of worker w1, without runs; life 0 stands for a runner that is gone.
 func lifeOf(life uint64) *peer.Report {
 	r := reportOf("w1")
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,8 +66,7 @@
 			hello = m.Hello
 			c.handleHello(conn, hello)
 		case hello == nil && m.Departure != nil:
-			c.noteDeparture(clock.Steady(), m.Departure)
-			conn.Send(m)
+			c.confirmDeparture(conn, m.Departure)
 		case hello == nil:
 			conn.Close()
 		case hello.Role == peer.RoleAgent:
@@ -231,16 +229,30 @@
 // checkAgentMessage returns an error that names the first value of a message that this version does not
 // know.
 func checkAgentMessage(m *peer.Message) error {
-	var ends []dispatch.RunEnd
 	switch {
 	case m.RunEnds != nil:
-		ends = m.RunEnds.Ends
+		return checkEnds(m.RunEnds.Ends)
 	case m.Report != nil:
-		ends = m.Report.RunEnds
-		for i := range m.Report.EndedLives {
-			ends = slices.Concat(ends, m.Report.EndedLives[i].Ends)
+		if err := checkEndedLives(m.Report.EndedLives); err != nil {
+			return err
 		}
+		return checkEnds(m.Report.RunEnds)
 	}
+	return nil
+}
+
+// checkEndedLives is checkEnds for the ends of ended lives.
+func checkEndedLives(lives []dispatch.EndedLife) error {
+	for i := range lives {
+		if err := checkEnds(lives[i].Ends); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkEnds returns an error that names the first outcome that this version does not know.
+func checkEnds(ends []dispatch.RunEnd) error {
 	for i := range ends {
 		if !ends[i].How.Known() {
 			return errors.Newf("run end %d of task %s: unknown outcome %d", ends[i].Number, ends[i].Task, ends[i].How)
@@ -307,6 +319,11 @@
 	case m.Config != nil:
 		c.applyConfig(m.Config.Data, "peer "+h.Name)
 	case m.Departure != nil:
+		if err := checkEndedLives(m.Departure.EndedLives); err != nil {
+			c.count("messages-skipped", 1)
+			c.log.Warn().Err(err).Str("entry", h.Name).Str("worker", m.Departure.Worker).Msg("skipped a departure of another entry")
+			return
+		}
 		c.noteDeparture(now, m.Departure)
 	case m.RelayAppend != nil:
 		c.group.Go(func() { c.storeForPeer(ctx, conn, m.RelayAppend) })
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -208,6 +208,9 @@
 			t.scheduler.Cancel(now, wall, id)
 		}
 	})
+	for worker, d := range c.departures {
+		t.applyEndedLives(now, c, worker, d.endedLives)
+	}
 }
 
 // applyReport applies a report of a worker's whole state. The life in a report identifies
@@ -217,7 +220,7 @@
 	if r.Worker.Life == 0 || r.Worker.Life != t.scheduler.RunnerLife(r.Worker.Name) {
 		t.scheduler.ConfirmSent(r.Worker.Name, r.Sent) // a report of a known life names the runs of the life before
 	}
-	t.applyEndedLives(now, c, r)
+	t.applyEndedLives(now, c, r.Worker.Name, r.EndedLives)
 	if r.Worker.Life == 0 {
 		n := t.scheduler.RunnerGone(now, clock.WallMS(), r.Worker.Name, r.RunnerEnded)
 		t.scheduler.AdoptPending(now, clock.WallMS(), r.Worker.Name, r.Runs)
@@ -240,14 +243,13 @@
 		Uint64("term", t.number).Msg("worker reported")
 }
 
-// applyEndedLives takes in the run ends that a report lists of lives of the worker's runner that have ended. The caller
-// holds mu.
-func (t *term) applyEndedLives(now time.Time, c *Coordinator, r *peer.Report) {
-	ignored := t.scheduler.ApplyEndedLives(now, clock.WallMS(), r.Worker.Name, r.EndedLives)
-	for i := range r.EndedLives {
-		l := &r.EndedLives[i]
+// applyEndedLives takes in run ends of lives of a worker's runner that have ended. The caller holds mu.
+func (t *term) applyEndedLives(now time.Time, c *Coordinator, worker string, lives []dispatch.EndedLife) {
+	ignored := t.scheduler.ApplyEndedLives(now, clock.WallMS(), worker, lives)
+	for i := range lives {
+		l := &lives[i]
 		c.count("run-ends-of-ended-lives", len(l.Ends))
-		c.log.Info().Str("worker", r.Worker.Name).Uint64("life", l.Life).Int("ends", len(l.Ends)).Int("ignored", ignored).Msg("worker reported run ends of a life of its runner that has ended")
+		c.log.Info().Str("worker", worker).Uint64("life", l.Life).Int("ends", len(l.Ends)).Int("ignored", ignored).Msg("worker reported run ends of a life of its runner that has ended")
 	}
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -8,6 +8,8 @@
 package peer
 
 import (
+	"github.com/fxamacker/cbor/v2"
+
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 	"savoryhoist.example/savoryhoist/pkg/leadership"
 	"savoryhoist.example/savoryhoist/pkg/workflow"
@@ -183,6 +185,15 @@
 	// LeasesEndMS is the time, in milliseconds, within which the leases of the last runs end; 0 if nothing runs any more. An
 	// agent that stops renews none.
 	LeasesEndMS int64 `cbor:"3,keyasint,omitempty"`
+	// EndedLives are the run ends that no dispatcher has acknowledged, as far as they are done or failed, without
+	// checkpoints.
+	EndedLives []dispatch.EndedLife `cbor:"4,keyasint,omitempty"`
+}
+
+// Fits reports whether the departure can be the first message on a connection.
+func (d *Departure) Fits() bool {
+	data, err := cbor.Marshal(&Message{Departure: d})
+	return err == nil && len(data) <= firstMessageBytes
 }
 
 // RunEnds lists the ends of runs at a worker that the agent has not sent yet.
--- a/internal/runneragent/departure.go
+++ b/internal/runneragent/departure.go
@@ -9,6 +9,7 @@
 
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
+	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
 
 const (
@@ -33,8 +34,8 @@
 	a.ping(clock.Steady()) // the dispatcher renews the worker lease only of registered workers
 }
 
-// hasLeft reports whether polls prove that the runner has ended as it had announced, and that no start may still take
-// effect there. The caller holds mu.
+// hasLeft reports whether polls prove that the runner has ended as it had announced, that no start may still take
+// effect there, and that a departure can name the ends that are not acknowledged. The caller holds mu.
 func (a *Agent) hasLeft() bool {
 	if a.registration == 0 || !a.runnerHasEnded() {
 		return false
@@ -42,7 +43,7 @@
 	if !a.heartbeat.Draining || a.heartbeat.StartedAtMS != a.life {
 		return false
 	}
-	return !a.hasPendingStart(a.endProof.proven.began)
+	return !a.hasPendingStart(a.endProof.proven.began) && a.departure().Fits()
 }
 
 // depart gives up the registration of the worker and tells entries so: the dispatcher may be gone, or the store may not
@@ -52,10 +53,29 @@
 	a.group.Go(func() { a.tellDeparture(ctx, d, entries) })
 }
 
+// departure returns the departure of the worker under its present registration. It names the ends that no dispatcher has
+// acknowledged and after which a task must not start again, or counts a failure: the agent may be gone before it meets the next
+// dispatcher. A checkpoint would come too late to a task that has started again since. The caller holds mu.
+func (a *Agent) departure() *peer.Departure {
+	d := &peer.Departure{Worker: a.settings.Name, Number: a.registration}
+	for _, l := range a.endedLives(true) {
+		var ends []dispatch.RunEnd
+		for _, e := range l.Ends {
+			if e.Saved = ""; e.How == dispatch.OutcomeDone || e.How == dispatch.OutcomeFailed {
+				ends = append(ends, e)
+			}
+		}
+		if len(ends) > 0 {
+			d.EndedLives = append(d.EndedLives, dispatch.EndedLife{Life: l.Life, Ends: ends})
+		}
+	}
+	return d
+}
+
 // giveUpRegistration returns the departure of the worker under its present registration, which does not count any more. The
 // caller holds mu.
 func (a *Agent) giveUpRegistration() *peer.Departure {
-	d := &peer.Departure{Worker: a.settings.Name, Number: a.registration}
+	d := a.departure()
 	a.departed, a.registration = a.registration, 0
 	return d
 }
@@ -72,11 +92,11 @@
 
 // announceStop tells entries by when the leases of the last runs end, as this process renews none any more: the machine may
 // be removed together with the dispatcher's, and the next dispatcher waits no longer than that. It says nothing if
-// a start may still take effect later, or if the worker has no registration.
+// a start may still take effect later, if too many run ends are not acknowledged, or if the worker has no registration.
 func (a *Agent) announceStop() {
 	a.mu.Lock()
 	now := clock.Steady()
-	if a.registration == 0 || a.hasPendingStart(now) {
+	if a.registration == 0 || a.hasPendingStart(now) || !a.departure().Fits() {
 		a.log.Info().Uint64("registration", a.registration).Int("unanswered", len(a.unansweredStarts)).Msg("stopping without a word to the entries")
 		a.mu.Unlock()
 		return
@@ -145,7 +165,7 @@
 	confirmed := false
 	conn.Send(&peer.Message{Departure: d})
 	err = conn.Run(&a.group, func(m *peer.Message) {
-		confirmed = m.Departure != nil && *m.Departure == *d
+		confirmed = m.Departure != nil && m.Departure.Worker == d.Worker && m.Departure.Number == d.Number
 		conn.Close()
 	})
 	if confirmed {
--- a/internal/runneragent/departure_test.go
+++ b/internal/runneragent/departure_test.go
@@ -93,6 +93,55 @@
 	}
 }
 
+// The next dispatcher started tasks again that were done: it heard of the departure, and of their ends only later or never.
+func TestDepartureNamesUnacknowledgedEnds(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		ends  int
+		how   dispatch.Outcome
+		acked uint64
+		// want is the number of ends that the departure names, -1 if there must be none.
+		want int
+	}{
+		{"done", 1, dispatch.OutcomeDone, 0, 1},
+		{"failed", 2, dispatch.OutcomeFailed, 0, 2},
+		{"stopped", 1, dispatch.OutcomeStopped, 0, 0},
+		{"acknowledged", 2, dispatch.OutcomeDone, 2, 0},
+		{"partly acknowledged", 2, dispatch.OutcomeDone, 1, 1},
+		{"as many as runners have", 40, dispatch.OutcomeDone, 0, 40},
+		{"too many for a departure", 500, dispatch.OutcomeDone, 0, -1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t)
+			address, told := listenForDepartures(t)
+			s.agent.handleRegistered(s.agent.conn, &peer.Registered{Number: 5})
+			s.agent.mu.Lock()
+			s.agent.entries[address] = true
+			s.agent.heartbeat.Draining = true
+			s.agent.mu.Unlock()
+			s.runner.mu.Lock()
+			for n := range uint64(tc.ends) {
+				s.runner.listing.RunEnds = append(s.runner.listing.RunEnds, dispatch.RunEnd{Number: n + 1, Task: task, Run: 1000 + n, How: tc.how, Saved: "00000bb87a21d94b"})
+			}
+			s.runner.mu.Unlock()
+			s.poll(t)
+			s.agent.handleAck(&peer.RunEndsAck{Life: 7, LastAckedEnd: tc.acked})
+			s.endRunner()
+			_ = s.agent.poll(context.Background(), 0)
+			got := -1
+			select {
+			case d := <-told:
+				got = len(endedLives(&peer.Report{EndedLives: d.EndedLives})[7])
+			case <-time.After(500 * time.Millisecond):
+			}
+			if got != tc.want {
+				t.Errorf("ends in the departure: got %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
 // A start under a registration that the agent has given up would run at a worker that the next dispatcher does not wait for.
 func TestAgentStartsNothingUnderARegistrationThatItHasGivenUp(t *testing.T) {
 	s := newFixture(t)
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -195,7 +195,7 @@
 // EarlierRunsEnded records that no run started in an earlier term is or will be running on a worker. It reports whether
 // the worker was waited for. A worker that has reported, but may list more ends, is still waited for.
 func (sc *Scheduler) EarlierRunsEnded(worker string) bool {
-	if !sc.unreported[worker] || sc.workers[worker] != nil {
+	if w := sc.workers[worker]; !sc.unreported[worker] || w != nil && w.everReported {
 		return false
 	}
 	delete(sc.unreported, worker)
