Count the run ends of a held report that is dropped

In the test a task is started again although the dispatcher had been told that its run has ended as done.

Cause: the report of a worker whose name is not stored yet is held, with the ends that arrive meanwhile. It was dropped, ends and all, when the worker's lease expired, when ends arrived after a gap, and when another report took its place: one of a new agent process may not show them, if the runner has ended since.

Change: the ends of a held report that is dropped are taken in, since what they say remains true, like the held ends of unknown jobs.

Evidence: the test failed before: --- FAIL: TestEndsInAHeldReportCountWhenItIsDropped (0.00s) --- FAIL: TestEndsInAHeldReportCountWhenItIsDropped/with_the_lease (0.00s) held_report_test.go:170: starts of a task that is done: got [a.0.0.0], want none held_report_test.go:173: phase: got running, want completed --- FAIL: TestEndsInAHeldReportCountWhenItIsDropped/a_new_agent_process_reports_a_runner_that_has_gone (0.00s) held_report_test.go:170: starts of a task that is done: got [a.0.0.0], want none held_report_test.go:173: phase: got running, want completed --- FAIL: TestEndsInAHeldReportCountWhenItIsDropped/a_new_agent_process_reports_another_life (0.00s) held_report_test.go:170: starts of a task that is done: got [a.0.0.0], want none held_report_test.go:173: phase: got running, want completed --- FAIL: TestEndsInAHeldReportCountWhenItIsDropped/ends_arrive_after_a_gap,_and_the_runner_is_gone (0.00s) held_report_test.go:170: starts of a task that is done: got [a.0.0.0], want none held_report_test.go:173: phase: got running, want completed

Why this works: only the runs of a report have to wait until the worker is registered; its ends are facts in any case.

--- a/internal/coordinator/held_report.go
+++ b/internal/coordinator/held_report.go
@@ -63,6 +63,21 @@
 	}
 }
 
+// dropHeldReport drops the held report of a worker, if there is one. The run ends that it lists count nonetheless: no later
+// report may show them. The caller holds mu.
+func (t *term) dropHeldReport(now time.Time, c *Coordinator, worker string) {
+	held := t.heldReports[worker]
+	if held == nil {
+		return
+	}
+	delete(t.heldReports, worker)
+	lives := held.EndedLives
+	if len(held.RunEnds) > 0 {
+		lives = append(slices.Clone(lives), dispatch.EndedLife{Life: held.Worker.Life, Ends: held.RunEnds})
+	}
+	t.applyEndedLives(now, c, worker, lives)
+}
+
 // updateHeldReport replaces the description of a worker in its held report, if the life of its runner is the
 // same: the name may take long to be stored, and the worker may have shrunk or begun to drain since. The
 // caller holds mu.
@@ -74,12 +89,11 @@
 	}
 }
 
-// addHeldEnds adds run ends to the held report of a worker. It returns false, and drops the report, if the ends
-// are of another life or ends before them are missing: the worker has to report again. The caller holds mu.
+// addHeldEnds adds run ends to the held report of a worker. It returns false if the ends are of another life or ends
+// before them are missing: the worker has to report again. The caller holds mu.
 func (t *term) addHeldEnds(held *peer.Report, r *peer.RunEnds) bool {
 	w := &held.Worker
 	if w.Life != r.Life || r.After > w.LastSentEnd {
-		delete(t.heldReports, w.Name)
 		return false
 	}
 	for i := range r.Ends {
--- a/internal/coordinator/held_report_test.go
+++ b/internal/coordinator/held_report_test.go
@@ -126,6 +126,56 @@
 	}
 }
 
+// A task that the dispatcher had been told is done was started again, as the report that said so was dropped.
+func TestEndsInAHeldReportCountWhenItIsDropped(t *testing.T) {
+	task := workflow.TaskID{Job: "a"}
+	for _, tc := range []struct {
+		name string
+		// drop makes the dispatcher drop the held report that arrived on conn.
+		drop func(c *Coordinator, current *term, conn *peer.Conn, hello *peer.Hello)
+	}{
+		{"with the lease", func(c *Coordinator, current *term, _ *peer.Conn, _ *peer.Hello) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			now := clock.Steady()
+			current.agents["w1"].lastContact = now.Add(-time.Minute)
+			current.leaderLease.Renew(now)
+			current.checkWorkers(now, c)
+		}},
+		{"a new agent process reports a runner that has gone", func(c *Coordinator, _ *term, conn *peer.Conn, hello *peer.Hello) {
+			c.handleAgentMessage(conn, hello, &peer.Message{Report: lifeOf(0)})
+		}},
+		{"a new agent process reports another life", func(c *Coordinator, _ *term, conn *peer.Conn, hello *peer.Hello) {
+			c.handleAgentMessage(conn, hello, &peer.Message{Report: lifeOf(2)})
+		}},
+		{"ends arrive after a gap, and the runner is gone", func(c *Coordinator, _ *term, conn *peer.Conn, hello *peer.Hello) {
+			c.handleAgentMessage(conn, hello, done(7, workflow.TaskID{Job: "b"}))
+			c.handleAgentMessage(conn, hello, &peer.Message{Report: lifeOf(0)})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, current := newDispatcher(t, &standin.Store{})
+			admitSingle(current, "a")
+			conn, hello := pipedConn(t), &peer.Hello{Role: peer.RoleAgent, Name: "w1"}
+			r := reportOf("w1")
+			r.Runs = []dispatch.RunStatus{{Task: task, Run: 1}}
+			c.handleAgentMessage(conn, hello, &peer.Message{Report: r})
+			c.handleAgentMessage(conn, hello, done(0, task))
+			tc.drop(c, current, conn, hello)
+			c.registerWorkers(context.Background(), current)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			current.applyReport(clock.Steady(), c, reportOf("w2"))
+			if got := startsAfter(current); len(got) != 0 {
+				t.Errorf("starts of a task that is done: got %v, want none", got)
+			}
+			if got, _ := current.scheduler.Phase("a"); got != workflow.PhaseCompleted {
+				t.Errorf("phase: got %s, want %s", got, workflow.PhaseCompleted)
+			}
+		})
+	}
+}
+
 // A ping describes the worker as it is now, not what the held report shows.
 func TestPingAddsNoEndsToAHeldReport(t *testing.T) {
 	c, current := newDispatcher(t, &standin.Store{})
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -168,12 +168,12 @@
 		}
 		a.lastContact, a.leaseExpired = now, false
 		m.Report.Worker.Name, m.Report.Worker.DataCentre, a.dataCentre = h.Name, h.Zone, h.Zone
+		t.dropHeldReport(now, c, h.Name)
 		if t.mustHold(c, m.Report) {
 			t.heldReports[h.Name] = m.Report
 			notify(c.wakeWriter)
 			return
 		}
-		delete(t.heldReports, h.Name)
 		t.applyReport(now, c, m.Report)
 	case a.conn != conn:
 		return // the agent has not sent a report on this connection in this term
@@ -210,7 +210,9 @@
 func (c *Coordinator) applyRunEnds(now time.Time, t *term, conn *peer.Conn, name string, r *peer.RunEnds) {
 	ignored, complete := 0, false
 	if held := t.heldReports[name]; held != nil {
-		complete = t.addHeldEnds(held, r)
+		if complete = t.addHeldEnds(held, r); !complete {
+			t.dropHeldReport(now, c, name)
+		}
 	} else {
 		ignored, complete = t.scheduler.ApplyEnds(now, clock.WallMS(), name, r.Life, r.After, r.Ends)
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -243,13 +243,13 @@
 		Uint64("term", t.number).Msg("worker reported")
 }
 
-// applyEndedLives takes in run ends of lives of a worker's runner that have ended. The caller holds mu.
+// applyEndedLives takes in run ends of lives of a worker's runner that have ended, or may have. The caller holds mu.
 func (t *term) applyEndedLives(now time.Time, c *Coordinator, worker string, lives []dispatch.EndedLife) {
 	ignored := t.scheduler.ApplyEndedLives(now, clock.WallMS(), worker, lives)
 	for i := range lives {
 		l := &lives[i]
 		c.count("run-ends-of-ended-lives", len(l.Ends))
-		c.log.Info().Str("worker", worker).Uint64("life", l.Life).Int("ends", len(l.Ends)).Int("ignored", ignored).Msg("worker reported run ends of a life of its runner that has ended")
+		c.log.Info().Str("worker", worker).Uint64("life", l.Life).Int("ends", len(l.Ends)).Int("ignored", ignored).Msg("took in run ends of an ended life, or of a report that does not count")
 	}
 }
 
@@ -267,7 +267,7 @@
 		}
 		if t.leasesExpired(now, c, leadership.WorkerLeaseEndsBy(a.lastContact)) {
 			a.leaseExpired = true
-			delete(t.heldReports, a.name) // the runs that it shows have ended
+			t.dropHeldReport(now, c, a.name) // the runs that it shows have ended
 			c.count("workers-lost", 1)
 			n := t.scheduler.WorkerLeaseExpired(now, a.name)
 			c.log.Warn().Str("worker", a.name).Dur("silent", silence).Int("runs", n).Msg("worker lost; the leases of its runs have expired")
