Hear the life before out when a runner's next life is listed

In the test a task is started again that had ended as done just before its runner was restarted.

Cause: calls of one agent overtake each other, and a runner that is killed may be back within milliseconds. If the listing of the next life was handled before the answer to a poll that was open, the dispatcher was told at once that another life had begun, and took all runs for gone. The late answer, with its ends, was dropped as one of another life.

Change: the listing of another life waits for polls that began before, 0.1 s at most: those to the life before end within that, as its process is gone, and a late start in the next life has to be fenced soon (TestAnnouncedLifeIsPolledAtOnce). Ends in an answer of another life that comes later still are kept and reported like those of ended lives.

Evidence: the test failed before: --- FAIL: TestNextLifeIsReportedAfterOpenPollsHaveEnded (0.05s) --- FAIL: TestNextLifeIsReportedAfterOpenPollsHaveEnded/a_poll_that_began_before (0.05s) open_polls_test.go:85: reports while the poll is open: got 1, want none open_polls_test.go:90: reports: got none, want one --- FAIL: TestNextLifeIsReportedAfterOpenPollsHaveEnded/a_poll_that_began_after,_and_reached_the_life_before (0.00s) open_polls_test.go:91: ends in the last report: got map[], want one of life 7

Why this works: no answer of the life before is thrown away, and those under way when it ends are handled before anything is concluded from its end.

--- a/internal/runneragent/ended_life_test.go
+++ b/internal/runneragent/ended_life_test.go
@@ -114,7 +114,11 @@
 	s.agent.mu.Lock()
 	defer s.agent.mu.Unlock()
 	for life := range uint64(12) {
-		s.agent.keepEnds(life, make([]dispatch.RunEnd, perLife))
+		var ends []dispatch.RunEnd
+		for n := range uint64(perLife) {
+			ends = append(ends, dispatch.RunEnd{Number: n + 1})
+		}
+		s.agent.keepEnds(life, ends)
 	}
 	kept := s.agent.endedLives(false)
 	if got, want := len(kept), maxKeptEnds/perLife; got != want {
--- a/internal/runneragent/endproof.go
+++ b/internal/runneragent/endproof.go
@@ -61,3 +61,13 @@
 	}
 	p.proven, p.pending = p.pending, refusal{}
 }
+
+// openBefore reports whether a poll is open that began before the one with the given number.
+func (p *endProof) openBefore(number uint64) bool {
+	for o := range p.open {
+		if o < number {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/runneragent/keptends.go
+++ b/internal/runneragent/keptends.go
@@ -16,7 +16,18 @@
 	if len(ends) == 0 {
 		return
 	}
-	a.keptEnds = append(a.keptEnds, dispatch.EndedLife{Life: life, Ends: slices.Clone(ends)})
+	i := slices.IndexFunc(a.keptEnds, func(l dispatch.EndedLife) bool { return l.Life == life })
+	if i < 0 {
+		i = len(a.keptEnds)
+		a.keptEnds = append(a.keptEnds, dispatch.EndedLife{Life: life})
+	}
+	kept := slices.Clone(a.keptEnds[i].Ends)
+	for _, e := range ends {
+		if !slices.ContainsFunc(kept, func(k dispatch.RunEnd) bool { return k.Number == e.Number }) {
+			kept = append(kept, e)
+		}
+	}
+	a.keptEnds[i].Ends = kept
 	total := 0
 	for i := range a.keptEnds {
 		total += len(a.keptEnds[i].Ends)
@@ -29,6 +40,20 @@
 	}
 }
 
+// keepLateEnds keeps and reports the run ends of a listing of another life that was handled after the present one was
+// known. The caller holds mu.
+func (a *Agent) keepLateEnds(l *Listing) {
+	a.keepEnds(l.StartedAtMS, l.RunEnds)
+	if len(l.RunEnds) == 0 {
+		return
+	}
+	a.count("late-ends")
+	a.log.Warn().Uint64("life", a.life).Uint64("listed", l.StartedAtMS).Int("ends", len(l.RunEnds)).Msg("listing of another life came late; its run ends are reported")
+	if !a.reportedEmpty {
+		a.sendReport()
+	}
+}
+
 // unackedEnds returns the run ends of the latest listing that are not acknowledged. The caller holds mu.
 func (a *Agent) unackedEnds() []dispatch.RunEnd {
 	return slices.DeleteFunc(slices.Clone(a.runEnds), func(e dispatch.RunEnd) bool { return e.Number <= a.lastAckedEnd })
--- a/internal/runneragent/open_polls_test.go
+++ b/internal/runneragent/open_polls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,6 +51,49 @@
 	return &l, nil
 }
 
+// A task was started again that had ended as done just before its runner was restarted: the report of the next life came
+// before the answer that listed the end.
+func TestNextLifeIsReportedAfterOpenPollsHaveEnded(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// later is set if the open poll began after the one that reaches the next life.
+		later bool
+	}{{"a poll that began before", false}, {"a poll that began after, and reached the life before", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newFixture(t)
+			next := func() {
+				s.runner.mu.Lock()
+				s.runner.listing = Listing{ClockMS: 1, StartedAtMS: 8}
+				s.runner.mu.Unlock()
+			}
+			ended := func() (*Listing, error) {
+				return &Listing{ClockMS: 1002, StartedAtMS: 7, RunEnds: []dispatch.RunEnd{{Number: 1, Task: task, Run: 1, How: dispatch.OutcomeDone}}}, nil
+			}
+			var group sync.WaitGroup
+			var open *openPoll
+			if tc.later {
+				first := s.beginPoll(t)
+				open = s.beginPoll(t)
+				next()
+				first.end(func() (*Listing, error) { return s.runner.renew(context.Background(), RenewRequest{}) })
+			} else {
+				open = s.beginPoll(t)
+				next()
+				group.Go(func() { _ = s.agent.poll(context.Background(), 0) })
+				time.Sleep(10 * earlierPollCheckEvery)
+				if got := s.sentSoFar(t, isReport); len(got) != 0 {
+					t.Errorf("reports while the poll is open: got %d, want none", len(got))
+				}
+			}
+			open.end(ended)
+			group.Wait()
+			if got := endedLives(s.lastReport(t)); len(got[7]) != 1 {
+				t.Errorf("ends in the last report: got %v, want one of life 7", got)
+			}
+		})
+	}
+}
+
 func isEmptyReport(m *peer.Message) bool { return m.Report != nil && m.Report.Worker.Life == 0 }
 
 // Tasks were started again whose ends a runner had listed in an answer that was under way when another poll was refused.
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -75,6 +75,7 @@
 		return err
 	}
 	a.checkRenewal(sent, clock.Steady(), &request, l)
+	a.awaitEarlierPolls(ctx, number, l)
 	a.handleListing(ctx, sent, l)
 	a.endAnsweredPoll(number)
 	return nil
@@ -101,6 +102,27 @@
 	a.endProof.answered(number)
 }
 
+const (
+	// maxEarlierPollWait bounds the time for which a new life is neither reported nor fenced since earlier polls are open. Those
+	// that have reached the life before end soon, as its process is gone.
+	maxEarlierPollWait = 100 * time.Millisecond
+	// earlierPollCheckEvery is how often such polls are looked at.
+	earlierPollCheckEvery = 5 * time.Millisecond
+)
+
+// awaitEarlierPolls waits for the polls that began before the one with the given number, if that was answered with a
+// listing of another life than the present one: their answers may list ends of the present one.
+func (a *Agent) awaitEarlierPolls(ctx context.Context, number uint64, l *Listing) {
+	for began := clock.Steady(); clock.Steady().Sub(began) < maxEarlierPollWait; {
+		a.mu.Lock()
+		wait := a.life != 0 && l.StartedAtMS != a.life && a.endProof.openBefore(number)
+		a.mu.Unlock()
+		if !wait || !clock.WaitForWake(ctx, nil, earlierPollCheckEvery) {
+			return
+		}
+	}
+}
+
 // newRenewal returns a renewal and the time at which it was built. It renews leases, acknowledges run ends and may wait
 // only if it is certain to reach the present life of the runner.
 func (a *Agent) newRenewal(wait time.Duration) (time.Time, RenewRequest) {
@@ -212,7 +234,8 @@
 	now := clock.Steady()
 	if l.StartedAtMS != a.life {
 		if a.life != 0 && !sent.After(a.lifeKnownAt) {
-			return // it may be of an earlier life; start times do not tell, since the clock may have been set back
+			a.keepLateEnds(l) // it may be of an earlier life; start times do not tell, since the clock may have been set back
+			return
 		}
 		a.beginLife(l.StartedAtMS)
 		unresolved := a.collectUnresolvedStarts(now)
