Poll again before a silent runner's leases prove an empty worker

In the test an agent that was frozen beyond the leases of its runs reports an empty worker, although the answer to its poll has arrived meanwhile.

Cause: a failed poll counted as silence until now, whenever it had begun. After a freeze, a poll fails by its timeout at once.

Change: only a poll that began after the last lease had ended shows that nothing runs.

Why this works: a process that was itself stopped asks anew before it concludes anything from the clock.

--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -290,11 +290,11 @@
 	s := newFixture(t)
 	s.agent.mu.Lock()
 	defer s.agent.mu.Unlock()
-	if s.agent.leasesExpired() {
+	if s.agent.leasesExpired(clock.Steady()) {
 		t.Error("within the lease: got ended, want not")
 	}
 	s.agent.lastRunLeaseEnd = clock.Steady().Add(-time.Second)
-	if !s.agent.leasesExpired() {
+	if !s.agent.leasesExpired(clock.Steady()) {
 		t.Error("after the lease: got not ended, want ended")
 	}
 }
--- a/internal/runneragent/lives_test.go
+++ b/internal/runneragent/lives_test.go
@@ -135,7 +135,7 @@
 	s.agent.handleOrders(context.Background(), &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: 7, Task: workflow.TaskID{Job: "a"}, Run: 1}}})
 	s.agent.mu.Lock()
 	defer s.agent.mu.Unlock()
-	if got := s.agent.leasesExpired(); got {
+	if got := s.agent.leasesExpired(clock.Steady()); got {
 		t.Error("all runs ended while the lease of a start lasts: got true, want false")
 	}
 }
--- a/internal/runneragent/open_polls_test.go
+++ b/internal/runneragent/open_polls_test.go
@@ -186,3 +186,22 @@
 		t.Errorf("refusals after it has failed: got %d, want 1", len(got))
 	}
 }
+
+// An agent that had been frozen reported its worker as empty, although the answer to its poll had arrived meanwhile.
+func TestFrozenAgentPollsAgainBeforeItReportsAnEmptyWorker(t *testing.T) {
+	s := newFixture(t)
+	p := s.beginPoll(t)
+	s.agent.mu.Lock()
+	s.agent.lastRunLeaseEnd = clock.Steady().Add(-leaseSlack)
+	s.agent.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	p.end(func() (*Listing, error) { return nil, errors.Mark(context.DeadlineExceeded, ErrNoAnswer) })
+	if got := s.sentSoFar(t, isEmptyReport); len(got) != 0 {
+		t.Errorf("empty reports after a poll that began within the lease: got %d, want none", len(got))
+	}
+	p = s.beginPoll(t)
+	p.end(func() (*Listing, error) { return nil, ErrNoAnswer })
+	if got := s.sentSoFar(t, isEmptyReport); len(got) != 1 || got[0].Report.RunnerEnded {
+		t.Errorf("empty reports after a poll that began later: got %v, want one of a silent runner", got)
+	}
+}
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -198,10 +198,10 @@
 	a.sendEmptyReport(clock.Steady(), a.emptyState())
 }
 
-// provesEmpty reports whether it is certain, after a poll that began at the given time has failed, that nothing runs. The
-// caller holds mu.
+// provesEmpty reports whether it is certain, after a poll that began at the given time has failed, that nothing runs. A poll
+// that began before the leases had expired may have been answered while this process was frozen. The caller holds mu.
 func (a *Agent) provesEmpty(began time.Time) bool {
-	return a.runnerHasEnded() || !a.hasAnswered(began) && a.leasesExpired()
+	return a.runnerHasEnded() || !a.hasAnswered(began) && a.leasesExpired(began)
 }
 
 // runnerHasEnded reports whether polls prove that the runner has ended. The caller holds mu.
@@ -216,10 +216,8 @@
 	return a.runnerClockReadAt.After(since) || a.startAnsweredAt.After(since)
 }
 
-// leasesExpired reports whether the last run lease has expired. The caller holds mu.
-func (a *Agent) leasesExpired() bool {
-	return clock.Steady().After(a.lastRunLeaseEnd.Add(leaseSlack))
-}
+// leasesExpired reports whether the last run lease has expired at the given time. The caller holds mu.
+func (a *Agent) leasesExpired(at time.Time) bool { return at.After(a.lastRunLeaseEnd.Add(leaseSlack)) }
 
 // leaseSlack is added to the end of the last run lease before the lease counts as expired. It
 // covers the time that a call takes to reach the runner.
