Cut every link in the soak, at a site of 3 entries and 11 workers

The soak could not see causes of tasks that run twice that are known and fixed: it cut links to the store only, of one process at a time, with three workers in one data centre.

Every link goes through a proxy; the one in front of an entry tells its clients apart by their hello, so that any pair can be cut: reset, refused, silent in both or one direction, or held. A runner restarts within milliseconds, shuts down with its listener closed first, or leaves as its last run ends. Processes are stopped in bursts, rolled and killed in series. The seeds before keep their faults, now through the proxies.

The log lines that show a step towards a second run are counted; a conclusion that OPERATIONS.md calls a fault is a violation. Two seeds run at a time. A job that has failed ends the wait for it, as it cannot be completed any more.

SOAK_PROGRAM runs another build.

--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -4,11 +4,10 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/clock"
@@ -18,39 +17,52 @@
 // drainTime is how long a runner that leaves says so before it ends; heartbeats come every half second.
 const drainTime = 700 * time.Millisecond
 
-// runnerHost is a runner with its address, where nothing listens while the runner is away.
+// runnerHost is a runner behind a proxy at its address, where nothing listens while the runner is away.
 type runnerHost struct {
 	runner *standin.Runner
 	ip     string
+	proxy  *proxy
+	// changing is held while a fault has the runner leave, restart or stop.
+	changing sync.Mutex
 
 	mu sync.Mutex
 	// phase is what the runner says in its heartbeats; empty while it is away.
-	phase  string
-	server *http.Server
-	group  sync.WaitGroup
+	phase string
 }
 
-// listen has the runner listen at its address.
-func (h *runnerHost) listen() error {
-	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", h.ip, portApp))
-	if err != nil {
-		return err
+// newRunnerHost returns the host of a runner that is there.
+func newRunnerHost(t *testing.T, r *standin.Runner, ip string) *runnerHost {
+	t.Helper()
+	h := &runnerHost{runner: r, ip: ip, phase: "ready", proxy: newProxy(t, fmt.Sprintf("%s:%d", ip, portApp), serve(t, "127.0.0.1:0", r))}
+	r.Restart(clock.Steady())
+	if !h.proxy.listen() {
+		t.Fatalf("nothing listens at %s", h.proxy.address)
 	}
-	server := &http.Server{Handler: h.runner, ReadHeaderTimeout: time.Minute}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.server = server
-	h.group.Go(func() { _ = server.Serve(ln) })
-	return nil
+	return h
 }
 
-// close ends the runner's connections and has it listen no more.
-func (h *runnerHost) close() {
-	h.mu.Lock()
-	server := h.server
-	h.mu.Unlock()
-	_ = server.Close()
-	h.group.Wait()
+// leave ends the runner: its runs and its connections end, and nothing listens at its address.
+func (h *runnerHost) leave() {
+	h.proxy.unlisten()
+	h.end()
+}
+
+// end ends the runs and the connections of a runner at whose address nothing listens any more.
+func (h *runnerHost) end() {
+	h.setPhase("")
+	h.proxy.resetAll()
+	h.runner.Restart(clock.Steady()) // ends what still runs
+}
+
+// comeBack begins another life of a runner that has left.
+func (d *deployment) comeBack(h *runnerHost) {
+	h.runner.Restart(clock.Steady())
+	for !h.proxy.listen() {
+		if d.pause(drainTime); d.running.Err() != nil {
+			return
+		}
+	}
+	h.setPhase("ready")
 }
 
 func (h *runnerHost) setPhase(phase string) {
@@ -69,28 +81,21 @@
 // does, and another life of the runner come back.
 func (d *deployment) runnerLeaves(random *rand.Rand) string {
 	i := random.IntN(len(d.hosts))
-	h, agent := d.hosts[i], d.machines[entryCount+i]
+	h, agent := d.hosts[i], d.agents()[i]
 	away, stops := time.Duration(1200+random.IntN(2500))*time.Millisecond, random.IntN(2) == 0
-	if h.currentPhase() != "ready" {
+	if !h.changing.TryLock() {
 		return h.runner.Name + " leaves already"
 	}
 	h.setPhase("draining")
 	d.group.Go(func() {
+		defer h.changing.Unlock()
 		d.pause(drainTime)
-		h.close()
-		h.setPhase("")
-		h.runner.Restart(clock.Steady()) // ends what still runs
+		h.leave()
 		if d.pause(time.Second); stops {
 			agent.signal(syscall.SIGTERM)
 		}
 		d.pause(away - time.Second)
-		h.runner.Restart(clock.Steady())
-		for h.listen() != nil {
-			if d.pause(drainTime); d.running.Err() != nil {
-				return
-			}
-		}
-		h.setPhase("ready")
+		d.comeBack(h)
 	})
 	return fmt.Sprintf("%s leaves for %v, agent stopped: %v", h.runner.Name, away, stops)
 }
@@ -106,7 +111,7 @@
 // countDepartures returns how often agents have logged that they told entries of a departure.
 func (d *deployment) countDepartures() int {
 	n := 0
-	for _, m := range d.machines[entryCount:] {
+	for _, m := range d.agents() {
 		data, _ := os.ReadFile(m.log.Name()) // a log that cannot be read fails checkLogs
 		n += bytes.Count(data, []byte(`"message":"worker has left in order"`))
 	}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -25,20 +25,36 @@
 
 // Ports of every process: an entry serves callers on portFront and readiness checks on
 // portReady; an agent receives its runner's heartbeats on portControl, and its runner
-// listens on portApp. portPeers is the first of the two ports for peers and metrics.
-// Processes differ by their loopback address.
+// listens on portApp. portPeers is the first of the two ports for peers and metrics. A
+// process reaches the store through portStore, and peers reach an entry through a proxy
+// on portPeers, behind which the entry listens on portBehind. Processes differ by their
+// loopback address.
 const (
-	portFront, portReady, portControl, portApp, portPeers = 19481, 19482, 19483, 19484, 19485
-	entryCount, runnerCount                               = 3, 3
+	portFront, portReady, portControl, portApp, portPeers, portStore, portBehind = 19481, 19482, 19483, 19484, 19485, 19487, 19488
+	entryCount                                                                   = 3
+)
+
+// shape is the size of a deployment. Entries and runners are spread over the data centres, and how long tasks run over
+// the runners.
+type shape struct {
+	runners       int
+	zones         []string
+	taskDurations []time.Duration
+}
+
+var (
+	smallShape = shape{3, []string{"a"}, []time.Duration{150 * time.Millisecond}}
+	siteShape  = shape{11, []string{"a", "b", "c"}, []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}}
 )
 
 // machine is one process of the system with a loopback address of its own. The process
-// is started again whenever it ends, until the machine is stopped.
+// is started again whenever it ends, until the machine is stopped. It reaches the store
+// through one proxy, and peers reach an entry through the other.
 type machine struct {
-	role, name, ip string
-	configFile     string
-	log            *os.File
-	proxy          *proxy
+	role, name, ip, zone string
+	configFile           string
+	log                  *os.File
+	store, peers         *proxy
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -58,6 +74,7 @@
 	machines []*machine
 	entries  []string
 	client   http.Client
+	faults   faultLog
 	group    sync.WaitGroup
 	running  context.Context
 }
@@ -78,7 +95,7 @@
 }
 
 // newDeployment starts the stand-ins and the processes of a deployment.
-func newDeployment(t *testing.T, program string, seed uint64) *deployment {
+func newDeployment(t *testing.T, program string, seed uint64, size shape) *deployment {
 	t.Helper()
 	running, cancel := context.WithCancel(context.Background())
 	d := &deployment{program: program, dir: t.TempDir(), running: running, client: http.Client{Timeout: 4 * time.Second}}
@@ -89,20 +106,12 @@
 	// Two soak tests may run on one machine, so addresses depend on process and seed.
 	network := fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, seed%200)
 	for i := range entryCount {
-		d.add(t, "entry", fmt.Sprintf("entry-%d", i), fmt.Sprintf("%s.%d", network, 1+i), storeAddress)
+		d.add(t, "entry", fmt.Sprintf("entry-%d", i), fmt.Sprintf("%s.%d", network, 1+i), size.zones[i%len(size.zones)], storeAddress)
 	}
-	for i := range runnerCount {
-		ip := fmt.Sprintf("%s.%d", network, 101+i)
-		r := newRunner(fmt.Sprintf("worker-%d", i), &d.history)
-		r.Restart(clock.Steady())
-		d.runners = append(d.runners, r)
-		h := &runnerHost{runner: r, ip: ip, phase: "ready"}
-		if err := h.listen(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(h.close)
-		d.hosts = append(d.hosts, h)
-		d.add(t, "agent", r.Name, ip, storeAddress)
+	for i := range size.runners {
+		h := newRunnerHost(t, newRunner(fmt.Sprintf("worker-%d", i), size.taskDurations[i%len(size.taskDurations)], &d.history), fmt.Sprintf("%s.%d", network, 101+i))
+		d.hosts, d.runners = append(d.hosts, h), append(d.runners, h.runner)
+		d.add(t, "agent", h.runner.Name, h.ip, size.zones[i%len(size.zones)], storeAddress)
 		d.group.Go(func() { d.driveRunner(h) })
 	}
 	t.Cleanup(func() {
@@ -122,19 +131,26 @@
 }
 
 // add writes the configuration of a machine and adds it without starting it.
-func (d *deployment) add(t *testing.T, role, name, ip, storeAddress string) {
+func (d *deployment) add(t *testing.T, role, name, ip, zone, storeAddress string) {
 	t.Helper()
-	m := &machine{role: role, name: name, ip: ip, configFile: filepath.Join(d.dir, name+".json"), proxy: newProxy(t, storeAddress)}
 	addressAt := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	m := &machine{role: role, name: name, ip: ip, zone: zone, configFile: filepath.Join(d.dir, name+".json"), store: newProxy(t, addressAt(portStore), storeAddress)}
+	if !m.store.listen() {
+		t.Fatalf("nothing listens at %s", m.store.address)
+	}
+	if role == "entry" {
+		m.peers = newProxy(t, addressAt(portPeers), addressAt(portBehind))
+		m.peers.readsHello = true
+	}
 	var seedAddresses []string
 	for i := range entryCount {
 		seedAddresses = append(seedAddresses, fmt.Sprintf("%s.%d:%d", ip[:strings.LastIndexByte(ip, '.')], 1+i, portControl))
 	}
 	data, err := json.Marshal(map[string]any{
-		"node-name": name, "ip": ip, "zone": "a", "port-range": []int{portPeers, portPeers + 1}, "seeds": seedAddresses, "app": addressAt(portApp),
-		"listen":   map[string]string{"front": addressAt(portFront), "ready": addressAt(portReady), "control": addressAt(portControl)},
+		"node-name": name, "ip": ip, "zone": zone, "port-range": []int{portPeers, portPeers + 1}, "seeds": seedAddresses, "app": addressAt(portApp),
+		"listen":   map[string]string{"front": addressAt(portFront), "ready": addressAt(portReady), "control": addressAt(portControl), "peers": addressAt(portBehind)},
 		"bounds":   map[string]any{"status_s": 120, "spread-factor": 1.5, "grace-s": 6},
-		"platform": map[string]string{"address": m.proxy.address, "form": "log"},
+		"platform": map[string]string{"address": m.store.address, "form": "log"},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -167,12 +183,36 @@
 			if cmd.Process == nil || err != nil {
 				return
 			}
+			var listening sync.WaitGroup
+			ended := make(chan struct{})
+			listening.Go(func() { m.listenForPeers(ended) })
 			_ = cmd.Wait() // processes are killed, so the exit status says nothing
+			close(ended)
+			listening.Wait()
 			time.Sleep(200 * time.Millisecond)
 		}
 	})
 }
 
+// listenForPeers has the proxy in front of an entry listen while the entry's process does.
+func (m *machine) listenForPeers(ended <-chan struct{}) {
+	for listening := m.peers == nil; !listening; {
+		select {
+		case <-ended:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		c, err := net.DialTimeout("tcp", m.peers.target, time.Second)
+		if err == nil {
+			_ = c.Close()
+			listening = m.peers.listen()
+		}
+	}
+	if <-ended; m.peers != nil {
+		m.peers.unlisten()
+	}
+}
+
 func (m *machine) signal(sig os.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -190,16 +230,16 @@
 	m.signal(syscall.SIGKILL)
 }
 
+// agents returns the machines of the agents, in the order of their runners.
+func (d *deployment) agents() []*machine { return d.machines[entryCount:] }
+
 // injectFault injects one fault and returns a description of it.
 func (d *deployment) injectFault(random *rand.Rand) string {
 	m := d.machines[random.IntN(len(d.machines))]
 	duration := time.Duration(200+random.IntN(2500)) * time.Millisecond
 	afterDuration := func(fn func()) {
 		d.group.Go(func() {
-			select {
-			case <-time.After(duration):
-			case <-d.running.Done():
-			}
+			d.pause(duration)
 			fn()
 		})
 	}
@@ -223,12 +263,10 @@
 		afterDuration(func() { d.store.SetOutage(standin.NoOutage) })
 		return fmt.Sprintf("store loses responses for %v", duration)
 	case 5:
-		m.proxy.setMode(proxyResetting)
-		afterDuration(func() { m.proxy.setMode(proxyForwarding) })
+		afterDuration(m.store.impose("", linkReset))
 		return fmt.Sprintf("%s cut off from the store for %v", m.name, duration)
 	case 6:
-		m.proxy.setMode(proxySilent)
-		afterDuration(func() { m.proxy.setMode(proxyForwarding) })
+		afterDuration(m.store.impose("", linkHeld))
 		return fmt.Sprintf("calls of %s to the store hang for %v", m.name, duration)
 	default:
 		r := d.runners[random.IntN(len(d.runners))]
@@ -241,7 +279,7 @@
 func (d *deployment) endFaults() {
 	d.store.SetOutage(standin.NoOutage)
 	for _, m := range d.machines {
-		m.proxy.setMode(proxyForwarding)
+		m.store.liftAll()
 		m.signal(syscall.SIGCONT)
 	}
 }
@@ -323,10 +361,13 @@
 			t.Error(err)
 		}
 	}
+	if err := os.WriteFile(filepath.Join(dir, "faults.log"), []byte(d.faults.String()), 0o600); err != nil {
+		t.Error(err)
+	}
 	t.Logf("logs are in %s", dir)
 }
 
-// newRunner returns a runner whose tasks run for 150 ms.
-func newRunner(name string, history *product.History) *standin.Runner {
-	return &standin.Runner{TaskRunner: product.TaskRunner{Name: name, TaskDuration: 150 * time.Millisecond, History: history}}
+// newRunner returns a runner whose tasks run for a while.
+func newRunner(name string, duration time.Duration, history *product.History) *standin.Runner {
+	return &standin.Runner{TaskRunner: product.TaskRunner{Name: name, TaskDuration: duration, History: history}}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,14 +13,19 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
 
 // ciSeeds are the seeds of every run of the test, together with the seeds that once
 // failed, which are in testdata/regressions.txt. If the variable SOAK_SEEDS is set, the
-// test instead runs that many seeds, from SOAK_SEED on.
-const ciSeeds = "1"
+// test instead runs that many seeds, from SOAK_SEED on. SOAK_PROGRAM is the path of the
+// program to run; without it the test builds the program.
+const ciSeeds = "1 10002"
+
+// parallelSeeds is the number of seeds that run at the same time.
+const parallelSeeds = 2
 
 // maxSettleTime is how long accepted jobs may take to be completed after the last
 // fault. The longest wait for the workers of a lost dispatcher is 15.5 s, and a job
@@ -31,6 +36,9 @@
 // had.
 const firstDepartureSeed = 1000
 
+// firstDaySeed is the first seed that plays one of the days, at a site of 3 entries and 11 workers in 3 data centres.
+const firstDaySeed = 10000
+
 // visibleAfter is how long after a job's acceptance every entry must know the job.
 const visibleAfter = 3 * time.Second
 
@@ -69,21 +77,29 @@
 }
 
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "savoryhoist")
-	if out, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	total := result{}
-	for _, seed := range seeds(t) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			r := runSeed(t, program, seed)
-			total.Seeds++
-			total.Violations += r.Violations
-			total.Faults += r.Faults
-			total.Departures += r.Departures
-			total.Jobs += r.Jobs
-		})
+	program := os.Getenv("SOAK_PROGRAM")
+	if program == "" {
+		program = filepath.Join(t.TempDir(), "savoryhoist")
+		if out, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput(); err != nil {
+			t.Fatalf("build: %v\n%s", err, out)
+		}
 	}
+	total := result{NearMisses: make(map[string]int)}
+	var mu sync.Mutex
+	turns := make(chan struct{}, parallelSeeds)
+	t.Run("seeds", func(t *testing.T) {
+		for _, seed := range seeds(t) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				turns <- struct{}{}
+				defer func() { <-turns }()
+				r := runSeed(t, program, seed)
+				mu.Lock()
+				defer mu.Unlock()
+				total.add(&r)
+			})
+		}
+	})
 	line, err := json.Marshal(total)
 	if err != nil {
 		t.Fatal(err)
@@ -99,6 +115,20 @@
 	// Departures is the number of departures that agents have told entries.
 	Departures int `json:"departures"`
 	Jobs       int `json:"jobs"`
+	// NearMisses is the number of log lines of each kind in nearMisses.
+	NearMisses map[string]int `json:"near-misses"`
+}
+
+// add adds the result of a seed.
+func (r *result) add(other *result) {
+	r.Seeds++
+	r.Violations += other.Violations
+	r.Faults += other.Faults
+	r.Departures += other.Departures
+	r.Jobs += other.Jobs
+	for kind, count := range other.NearMisses {
+		r.NearMisses[kind] += count
+	}
 }
 
 // jobOutcome is what the caller of a job knows of the job.
@@ -114,46 +144,63 @@
 // runners and log lines show.
 func runSeed(t *testing.T, program string, seed uint64) result {
 	t.Helper()
-	random, departures := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
-	d := newDeployment(t, program, seed)
+	size := smallShape
+	if seed >= firstDaySeed {
+		size = siteShape
+	}
+	d := newDeployment(t, program, seed, size)
+	if seed >= firstDaySeed {
+		d.keepConnections()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	defer cancel()
 	d.awaitReady(ctx, t)
 	jobs := make(map[string]*jobOutcome)
-	r := result{}
+	if seed >= firstDaySeed {
+		d.playDay(ctx, seed, jobs)
+	} else {
+		d.injectFaults(ctx, seed, jobs)
+	}
+	d.endFaults()
+	r := result{Jobs: len(jobs), Departures: d.countDepartures(), Faults: d.faults.len()}
+	found := append(d.check(ctx, jobs), d.checkLogs(ctx, seed)...)
+	found = append(found, d.checkConclusions()...)
+	r.NearMisses = d.countNearMisses()
+	t.Logf("%s\nnear misses: %v", &d.faults, r.NearMisses)
+	for _, v := range found {
+		r.Violations++
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	if t.Failed() {
+		d.keepLogs(t, seed)
+	}
+	return r
+}
+
+// injectFaults submits one job after the other, and injects one fault at a time.
+func (d *deployment) injectFaults(ctx context.Context, seed uint64, jobs map[string]*jobOutcome) {
+	random, departures := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
 	end := time.Now().Add(faultDuration)
 	for number := 0; time.Now().Before(end); number++ {
 		id := fmt.Sprintf("%016x", seed<<32|uint64(number))
 		jobs[id] = &jobOutcome{}
-		d.submit(ctx, random, id, jobs[id])
+		d.submit(ctx, random, id, smallJob, jobs[id])
 		if random.IntN(6) == 0 {
-			fault := d.injectFault(random)
-			t.Logf("%s: %s", time.Now().Format(time.StampMilli), fault)
-			r.Faults++
+			d.faults.add(d.injectFault(random))
 		}
 		if seed >= firstDepartureSeed && departures.IntN(25) == 0 {
-			t.Logf("%s: %s", time.Now().Format(time.StampMilli), d.runnerLeaves(departures))
-			r.Faults++
+			d.faults.add(d.runnerLeaves(departures))
 		}
 		time.Sleep(time.Duration(30+random.IntN(80)) * time.Millisecond)
 	}
-	d.endFaults()
-	r.Jobs = len(jobs)
-	r.Departures = d.countDepartures()
-	for _, v := range append(d.check(ctx, jobs), d.checkLogs(ctx, seed)...) {
-		r.Violations++
-		t.Errorf("seed %d: %s", seed, v)
-	}
-	if t.Failed() {
-		d.keepLogs(t, seed)
-	}
-	return r
 }
 
+// smallJob is the job of seeds below firstDaySeed.
+const smallJob = `{"task-spec":"` + payloadMarker + `","steps":[{"count":3,"cpu":500,"est-runtime-ms":150},{"count":1,"cpu":500,"after":[0],"est-runtime-ms":150}]}`
+
 // submit submits a job at up to three random entries until one accepts it, as a
 // caller does.
-func (d *deployment) submit(ctx context.Context, random *rand.Rand, id string, outcome *jobOutcome) {
-	body := `{"task-spec":"` + payloadMarker + `","steps":[{"count":3,"cpu":500,"est-runtime-ms":150},{"count":1,"cpu":500,"after":[0],"est-runtime-ms":150}]}`
+func (d *deployment) submit(ctx context.Context, random *rand.Rand, id, body string, outcome *jobOutcome) {
 	for range 3 {
 		status, _ := d.call(ctx, http.MethodPost, d.entries[random.IntN(len(d.entries))], id, body)
 		switch status {
@@ -175,7 +222,7 @@
 	var out []string
 	for id, outcome := range jobs {
 		phase := ""
-		for outcome.accepted && phase != "completed" && ctx.Err() == nil {
+		for outcome.accepted && phase != "completed" && phase != "failed" && ctx.Err() == nil {
 			requestedAt := time.Now()
 			var status int
 			// The names of most phases differ in length, so that different entries are asked in
