Have the runner refuse starts that reach it late

What callers saw: a task could run twice. An agent process that was stopped between the check of an order and its start sent the start when it went on, and a runner that carries calls out late did so up to 12 s later. The only bound was the run lease, up to 5 s: a later dispatcher may have acknowledged the end of the task's run more than a second before.

Cause: how old an order is was only checked by the agent, before the call.

Change: the until-ms of a start is the time by which it has to take effect (one second after the newest proof that no later term had begun, three after the store's last answer to the dispatcher, the bound of evacuations, and never more than the end of the worker lease), on the runner's clock. The runner refuses it from then on. Renewals alone keep the leases: if the last one that the runner has answered lasts less than 2 s more, the agent renews before it starts.

Why this works: the runner compares until-ms with its own clock when it carries out the call, wherever the call has waited.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -52,6 +52,12 @@
 	// trialReportDelay is how long after the start of a trial the agent reports whether the run is at
 	// work; the dispatcher asks for 250 ms.
 	trialReportDelay = 300 * time.Millisecond
+	// minGrantedLease is how much of the run leases must be left at the runner when a start is sent, which does not extend
+	// them; the poll loop renews them once within this time.
+	minGrantedLease = 2 * time.Second
+	// maxLeasePolls bounds the polls that one start waits for: the first one may show that the life of the runner is the present
+	// one, and the next one renews the leases.
+	maxLeasePolls = 2
 	// minLeaseLeft is how much of the worker lease must be left for a run to be started.
 	minLeaseLeft = 500 * time.Millisecond
 	// maxRunnerSilence is how long after the last listing starts are still passed to the runner.
@@ -167,6 +173,9 @@
 	pendingWhenEmpty map[runKey]time.Time
 	// openPolls is the number of polls that the runner has neither answered nor failed.
 	openPolls int
+	// grantedLeaseEndMS is the end of the run leases on the runner's clock that answered renewals have asked the present life
+	// for; 0 if none has.
+	grantedLeaseEndMS int64
 	// startAnsweredAt is when the runner last answered that it has carried out a start.
 	startAnsweredAt time.Time
 	// registration is the number of the registration of the worker that the dispatcher has told this process; 0 if there
@@ -299,7 +308,7 @@
 	a.life, a.lifeKnownAt = startedAtMS, clock.Steady()
 	a.reportedEmpty = false
 	clear(a.pendingWhenEmpty)
-	a.runnerClockMS, a.answeredAfter, a.runnerClockReadAt = 0, time.Time{}, time.Time{}
+	a.runnerClockMS, a.answeredAfter, a.runnerClockReadAt, a.grantedLeaseEndMS = 0, time.Time{}, time.Time{}, 0
 	a.runs, a.runEnds = nil, nil
 	a.lastReportedEnd, a.lastAckedEnd, a.oldestListedEnd, a.lastListedEnd = 0, 0, 0, 0
 	a.guard = guard{}
@@ -340,7 +349,15 @@
 	if left <= 0 || a.runnerClockReadAt.IsZero() {
 		return 0
 	}
-	d := now.Add(left).Sub(a.runnerClockReadAt)
-	d -= d / clockDriftDivisor
+	return a.toRunnerClockMS(now.Add(left))
+}
+
+// toRunnerClockMS returns a reading of the runner's clock, in milliseconds, that the clock shows at time t or earlier. The
+// agent must have read that clock. The caller holds mu.
+func (a *Agent) toRunnerClockMS(t time.Time) int64 {
+	d := t.Sub(a.runnerClockReadAt)
+	if d > 0 {
+		d -= d / clockDriftDivisor
+	}
 	return a.runnerClockMS + d.Milliseconds()
 }
--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -110,7 +110,7 @@
 }
 
 // newFixture returns an agent that is connected to the dispatcher of term 3, has a worker lease,
-// and has polled life 7 of its runner.
+// and has polled life 7 of its runner and renewed its leases.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	s := &fixture{runner: &fakeRunner{listing: Listing{ClockMS: 1000, StartedAtMS: 7}}, store: &standin.Store{}, received: make(chan *peer.Message, 64)}
@@ -139,6 +139,7 @@
 	s.agent.workerLease.Renew(clock.Steady())
 	s.agent.connReportedAt = clock.Steady()
 	s.agent.mu.Unlock()
+	s.poll(t)
 	return s
 }
 
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -16,6 +16,7 @@
 
 var (
 	errLeaseTooShort   = errors.New("too little of the worker lease is left for a start")
+	errNoRunLease      = errors.New("the runner did not confirm a lease for the run")
 	errSilentRunner    = errors.New("the runner does not answer")
 	errOtherLife       = errors.New("the order is for another life of the runner")
 	errDeparted        = errors.New("the worker has left and is not registered anew")
@@ -105,32 +106,47 @@
 	}
 }
 
-// refuseUnsent refuses a start that has not been sent to the runner.
+// refuseUnsent refuses a start that has not been sent to the runner. One for an earlier life is listed as pending in the report
+// of the present life, and refused once it is fenced there.
 func (a *Agent) refuseUnsent(life uint64, key runKey, reason error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.unansweredStarts, key)
+	if a.life != life {
+		a.log.Info().Str("task", key.task.String()).Uint64("run", key.run).Uint64("life", life).Str("reason", reason.Error()).Msg("start for an earlier life not sent")
+		return
+	}
 	a.refuse(life, key, reason)
 }
 
-// startRun has the runner start the run of a start order, with a lease that ends at leaseEndMS
-// on the runner's clock. If the runner does not answer and the next listing does not show the
+// startRun has the runner start the run of a start order while what the order rests on counts, and before leaseEndMS, the
+// end of the run lease on the runner's clock. If the runner does not answer and the next listing does not show the
 // run, startRun makes sure that the run never starts later. It refuses the start if its order is too old, its term is over,
 // or the data centre has been evacuated since the order was handled.
 func (a *Agent) startRun(ctx context.Context, c Call, s *dispatch.Start, leaseEndMS int64, terms *orderTerms) {
 	key := runKey{s.Task, s.Run}
-	if err := a.confirmStart(ctx, terms.term, terms.basis); err != nil {
+	if err := a.ensureRunLease(ctx, leaseEndMS); err != nil {
+		a.refuseUnsent(s.Life, key, err)
+		return
+	}
+	deadline, err := a.confirmStart(ctx, terms.term, terms.basis)
+	if err != nil {
 		a.refuseUnsent(s.Life, key, err)
 		return
 	}
 	if !a.mayStillStart(s.Life, key, terms.startBefore) {
 		return
 	}
+	deadlineMS, err := a.startDeadlineMS(s.Life, deadline, terms.startBefore)
+	if err != nil {
+		a.refuseUnsent(s.Life, key, err)
+		return
+	}
 	// A process that stops waits for the answer, so that the outcome of the start is known.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	lastClockMS := a.lastClockMS(s.Life)
-	clockMS, err := a.runner.Start(callCtx, c, s, leaseEndMS)
+	clockMS, err := a.runner.Start(callCtx, c, s, min(leaseEndMS, deadlineMS))
 	switch {
 	case err == nil:
 		a.count("starts")
@@ -163,6 +179,39 @@
 	}
 }
 
+// ensureRunLease renews the run leases unless the runner has granted enough for a run to last until the poll loop renews
+// them: a start says by when it has to take effect, and gives no longer lease. leaseEndMS is the latest end that is allowed.
+func (a *Agent) ensureRunLease(ctx context.Context, leaseEndMS int64) error {
+	for polls := 0; ; polls++ {
+		a.mu.Lock()
+		enough := a.grantedLeaseEndMS >= min(leaseEndMS, a.toRunnerClockMS(clock.Steady().Add(minGrantedLease)))
+		a.mu.Unlock()
+		switch {
+		case enough:
+			return nil
+		case polls == maxLeasePolls:
+			return errNoRunLease
+		}
+		if err := a.poll(ctx, 0); err != nil {
+			return err
+		}
+	}
+}
+
+// startDeadlineMS returns the time on the clock of the runner in a life by which a start has to take effect: deadline or,
+// unless that is zero, startBefore.
+func (a *Agent) startDeadlineMS(life uint64, deadline, startBefore time.Time) (int64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.life != life {
+		return 0, errOtherLife
+	}
+	if !startBefore.IsZero() && startBefore.Before(deadline) {
+		deadline = startBefore
+	}
+	return a.toRunnerClockMS(deadline), nil
+}
+
 // logStartAnswer logs if a start was answered at clockMS on the runner's clock, before lastClockMS, the reading known when
 // the start was sent: it has reached another life, whose clock began anew. It also logs if the proof that the order rests
 // on had become too old by then, or if there is none since the store fails this worker. The caller holds mu.
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -73,10 +73,20 @@
 		return err
 	}
 	a.checkRenewal(sent, clock.Steady(), &request, l)
+	a.noteGrantedLease(&request, l)
 	a.handleListing(ctx, sent, l)
 	return nil
 }
 
+// noteGrantedLease records the lease that a renewal has asked for once the present life of the runner has answered it.
+func (a *Agent) noteGrantedLease(r *RenewRequest, l *Listing) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l.StartedAtMS == a.life {
+		a.grantedLeaseEndMS = max(a.grantedLeaseEndMS, r.LeaseEndMS)
+	}
+}
+
 // newRenewal returns a renewal and the time at which it was built. It renews leases, acknowledges run ends and may wait
 // only if it is certain to reach the present life of the runner.
 func (a *Agent) newRenewal(wait time.Duration) (time.Time, RenewRequest) {
--- a/internal/runneragent/runner.go
+++ b/internal/runneragent/runner.go
@@ -67,9 +67,10 @@
 
 // Runner holds the functions that call the runner of the agent's worker.
 type Runner struct {
-	// Start starts a run with a lease that ends at leaseEndMS, in milliseconds on the runner's clock. It returns the
-	// reading of that clock in the answer; 0 if the answer has none.
-	Start func(ctx context.Context, c Call, s *dispatch.Start, leaseEndMS int64) (clockMS int64, err error)
+	// Start starts a run unless the runner's clock shows deadlineMS, in milliseconds, or later by then. The leases of all
+	// runs at the runner last at least until deadlineMS. It returns the reading of that clock in the answer; 0 if the answer
+	// has none.
+	Start func(ctx context.Context, c Call, s *dispatch.Start, deadlineMS int64) (clockMS int64, err error)
 	// Stop stops a run, or makes sure that it never starts.
 	Stop func(ctx context.Context, c Call, task workflow.TaskID, run uint64) error
 	// Renew renews the leases of all runs and lists them.
--- a/internal/runneragent/stale_listing_test.go
+++ b/internal/runneragent/stale_listing_test.go
@@ -22,7 +22,9 @@
 	// beforeSending is called, if set, between the building of the next renewal and its sending, beforeHandling between
 	// the runner's next answer to a renewal and its handling.
 	beforeSending, beforeHandling func()
-	renewals                      []RenewRequest
+	// beforeStart is called, if set, before the runner handles a start.
+	beforeStart func()
+	renewals    []RenewRequest
 }
 
 // completeRun has the agent start a run, and lets it end as done.
@@ -41,11 +43,15 @@
 	r.Restart(clock.Steady())
 	s.agent.runner = Runner{Start: r.start, Stop: r.stop, Renew: r.renew}
 	s.poll(t)
+	s.poll(t) // renews the leases
 	s.agent.handleAck(&peer.RunEndsAck{Life: r.StartedAtMS(), LastAckedEnd: 1})
 	return s, r
 }
 
 func (r *standinRunner) start(_ context.Context, c Call, s *dispatch.Start, leaseEndMS int64) (int64, error) {
+	if hold := r.beforeStart; hold != nil {
+		hold()
+	}
 	now := clock.Steady()
 	if !r.Admit(now, c.Term, leaseEndMS) || r.Start(now, s.Task.String(), s.Run, leaseEndMS, "") != "" {
 		return 0, ErrNotRun
--- a/internal/runneragent/termcheck.go
+++ b/internal/runneragent/termcheck.go
@@ -128,23 +128,25 @@
 	}
 }
 
-// confirmStart returns nil once a start that rests on a basis may be sent to the runner, or why it must not be sent.
-func (a *Agent) confirmStart(ctx context.Context, term uint64, basis leadership.OrderBasis) error {
+// confirmStart returns the time before which a start that rests on a basis has to take effect once it may be sent to the
+// runner, or why it must not be sent.
+func (a *Agent) confirmStart(ctx context.Context, term uint64, basis leadership.OrderBasis) (time.Time, error) {
 	for checks := 0; ; checks++ {
 		a.mu.Lock()
-		decision, superseded := basis.DecideStart(clock.Steady(), &a.termCheck), a.term != term
+		now := clock.Steady()
+		decision, deadline, superseded := basis.DecideStart(now, &a.termCheck), basis.StartDeadline(now, &a.termCheck), a.term != term
 		a.mu.Unlock()
 		switch {
 		case superseded:
-			return errSuperseded
+			return time.Time{}, errSuperseded
 		case ctx.Err() != nil:
-			return errStopping
+			return time.Time{}, errStopping
 		case decision == leadership.OrderProceed:
-			return nil
+			return deadline, nil
 		case decision == leadership.OrderRefuse:
-			return errUnconfirmed
+			return time.Time{}, errUnconfirmed
 		case checks == maxStartChecks:
-			return errUnchecked // the process was suspended meanwhile
+			return time.Time{}, errUnchecked // the process was suspended meanwhile
 		}
 		a.checkTerm(ctx)
 	}
--- a/pkg/leadership/order.go
+++ b/pkg/leadership/order.go
@@ -4,13 +4,18 @@
 
 // Bounds on what an order may rest on.
 const (
-	// MaxStoreContactAge is how long after the store has last answered a dispatcher a start that it orders may take effect
-	// while the store serves others. Another entry may have acknowledged the cancellation of the job since, which has to
-	// hold after three seconds.
+	// MaxStoreContactAge is how long after the store has last answered a dispatcher a start that it orders may be sent to a
+	// runner while the store serves others.
 	MaxStoreContactAge = 2400 * time.Millisecond
-	// MaxOrderAge is how long after the newest proof that no later term had begun an order may take effect. A later
-	// dispatcher may have acknowledged the end of the task's run since, which has to hold after a second.
+	// MaxOrderAge is how long after the newest proof that no later term had begun an order may be sent to a runner.
 	MaxOrderAge = 800 * time.Millisecond
+	// cancellationHoldsAfter is how long after the store has last answered a dispatcher a start that it orders may take
+	// effect while the store serves others. Another entry may have acknowledged the cancellation of the job since, which has
+	// to hold after three seconds.
+	cancellationHoldsAfter = 3 * time.Second
+	// endHoldsAfter is how long after the newest proof that no later term had begun a start may take effect. A later
+	// dispatcher may have acknowledged the end of the task's run since, which has to hold after a second.
+	endHoldsAfter = time.Second
 )
 
 // OrderBasis is what a message of the dispatcher proves of its term, on the clock of the agent that received it. The zero
@@ -87,6 +92,31 @@
 	return decision
 }
 
+// StartDeadline returns the time before which a start that may be sent now has to take effect.
+func (b OrderBasis) StartDeadline(now time.Time, check *TermCheck) time.Time {
+	proof := later(b.confirmedAt, check.currentAt)
+	if check.Fails(now) {
+		return later(proof, check.failedAt).Add(endHoldsAfter)
+	}
+	return earlier(proof.Add(endHoldsAfter), b.contactAt.Add(cancellationHoldsAfter))
+}
+
+// later returns the later of two times.
+func later(x, y time.Time) time.Time {
+	if y.After(x) {
+		return y
+	}
+	return x
+}
+
+// earlier returns the earlier of two times.
+func earlier(x, y time.Time) time.Time {
+	if y.Before(x) {
+		return y
+	}
+	return x
+}
+
 // DecideStop decides about a stop that would take effect now: it needs a proof that the term was the newest a moment ago, or
 // a store that fails the agent.
 func (b OrderBasis) DecideStop(now time.Time, check *TermCheck) OrderDecision {
--- a/pkg/leadership/order_test.go
+++ b/pkg/leadership/order_test.go
@@ -27,6 +27,8 @@
 			// Want is the decision about a start, and WantStop that about a stop.
 			Want     string `json:"want"`
 			WantStop string `json:"want-stop"`
+			// DeadlineMS is the time before which a start that proceeds has to take effect.
+			DeadlineMS int64 `json:"deadline-ms"`
 		} `json:"events"`
 	}
 	if err := json.Unmarshal(data, &cases); err != nil {
@@ -51,6 +53,9 @@
 					if got := basis.DecideStart(at(e.AtMS), &check); got != want {
 						t.Errorf("event %d: start: got %d, want %d (%s)", i, got, want, e.Want)
 					}
+					if got, want := basis.StartDeadline(at(e.AtMS), &check), at(e.DeadlineMS); want.After(at(0)) && !got.Equal(want) {
+						t.Errorf("event %d: deadline: got %s after the order, want %s", i, got.Sub(at(0)), want.Sub(at(0)))
+					}
 					if got := basis.DecideStop(at(e.AtMS), &check); got != wantStop {
 						t.Errorf("event %d: stop: got %d, want %d (%s)", i, got, wantStop, e.WantStop)
 					}
