Send calls that name a life of the runner only on connections to that life

What callers saw: a task could run twice after a supervisor had restarted its runner. A renewal built for the earlier life acknowledged ends of the next one that nobody had seen, and granted leases beyond the worker lease; a start ran there with the longest lease.

Cause: the instance ID may stay the same, and calls were told apart only by the assumption that a restart takes longer than 250 ms. Starts and stops had no bound at all.

Change: the agent asks each new connection which life answers there, by a renewal without acknowledgement, lease or wait, and closes the connection unsent if a call that has got it names another life. Such a call counts as not run, and a poll then asks for the present life at once. A runner that does not identify itself gets no call on that connection. Runners that close each connection after one answer keep the bound of 250 ms, now for starts and stops, too.

Why this works: a connection ends with the process that accepted it, so that its next life never reads from it.

TestEndOfANewLifeIsNotAcknowledgedFromAStaleListing: "run 3 of 5c.0.1.0 started at w1 after the success of a run was acknowledged". TestLeaseOfAnEarlierLifeIsNotGrantedToTheNext: "lease end sent to the new life: got 4898, want 0". TestStartDoesNotReachTheNextLife: "runs of the next life: got [{5c.0.1.0 2}], want none".

TestEmptyReportListsStartsWithoutAnswer waited for the order to be handled, not for the start to fail, and failed once in some 15 runs under the race detector ("refusals once the start cannot take effect: got [], want one"); it now waits for the fence.

--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -35,7 +35,7 @@
 	// callTimeout bounds a call to the runner, which runs on the same machine.
 	callTimeout = time.Second
 	// sameLifeFor is how long after it sent a listing the runner is assumed not to have
-	// restarted: calls to a runner that ends fail, and a restart takes longer than this.
+	// restarted, where its connections do not tell its lives apart.
 	sameLifeFor = 250 * time.Millisecond
 	// clockResolution is the resolution of the runner's clock.
 	clockResolution = time.Millisecond
@@ -333,7 +333,7 @@
 
 // newCall returns the fields common to all calls to the runner. The caller holds mu.
 func (a *Agent) newCall() Call {
-	c := Call{Term: a.term}
+	c := Call{Term: a.term, Life: a.life}
 	if a.heartbeat.StartedAtMS == a.life {
 		c.Instance = a.heartbeat.Instance
 	}
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -65,7 +65,7 @@
 	sent, request := a.newRenewal(wait)
 	l, err := a.renew(ctx, request)
 	if errors.Is(err, ErrNotSent) {
-		sent, request = a.newRenewal(wait)
+		sent, request = a.newPlainRenewal()
 		l, err = a.renew(ctx, request)
 	}
 	if err != nil {
@@ -82,7 +82,7 @@
 func (a *Agent) noteGrantedLease(r *RenewRequest, l *Listing) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if l.StartedAtMS == a.life {
+	if l.StartedAtMS == a.life && r.Life == a.life {
 		a.grantedLeaseEndMS = max(a.grantedLeaseEndMS, r.LeaseEndMS)
 	}
 }
@@ -94,7 +94,9 @@
 	defer a.mu.Unlock()
 	now := clock.Steady()
 	request := RenewRequest{Call: a.newCall()}
+	request.Life = 0
 	if now.Before(a.sameLifeUntil) && !a.nextLifeAnnounced() {
+		request.Life = a.life
 		// A restarted runner, perhaps with the same instance ID, numbers its run ends
 		// and counts its clock from the beginning. Given the values of an earlier life, the
 		// runner would forget run ends that were never reported, and the run leases would
@@ -110,6 +112,16 @@
 	return now, request
 }
 
+// newPlainRenewal returns a renewal that only asks for a listing, from whatever life the runner is in, and the time at which
+// it was built.
+func (a *Agent) newPlainRenewal() (time.Time, RenewRequest) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	request := RenewRequest{Call: a.newCall()}
+	request.Life = 0
+	return clock.Steady(), request
+}
+
 // renew sends a renewal, with a time limit.
 func (a *Agent) renew(ctx context.Context, r RenewRequest) (*Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+r.MaxWait)
--- a/internal/runneragent/runner.go
+++ b/internal/runneragent/runner.go
@@ -20,8 +20,8 @@
 	ErrTicket = errors.New("the runner did not accept the ticket")
 	// ErrNotListening means that no runner listens, so all of its runs have ended.
 	ErrNotListening = errors.New("no runner listens")
-	// ErrNotSent means that a call was not sent, since its SendBefore had passed.
-	ErrNotSent = errors.New("the call was not sent in time")
+	// ErrNotSent means that a call was not sent, since its SendBefore had passed or the runner is not in its Life.
+	ErrNotSent = errors.New("the call was not sent")
 	// ErrNoAnswer means that a call may have taken effect, or may do so later.
 	ErrNoAnswer = errors.New("the runner did not answer")
 )
@@ -30,6 +30,9 @@
 type Call struct {
 	// Instance is the instance ID of the runner that the call is for; any if empty.
 	Instance string
+	// Life is the start time of the runner that the call is for, in Unix milliseconds; any if 0. The call is not sent to
+	// another life, which may have the same instance ID.
+	Life uint64
 	// Term is the term of the dispatcher. The runner rejects calls with a term lower than the
 	// highest that it has seen.
 	Term uint64
--- a/internal/runneragent/stale_listing_test.go
+++ b/internal/runneragent/stale_listing_test.go
@@ -22,13 +22,18 @@
 	// beforeSending is called, if set, between the building of the next renewal and its sending, beforeHandling between
 	// the runner's next answer to a renewal and its handling.
 	beforeSending, beforeHandling func()
+	// late is set while the runner carries out starts that reached its earlier life.
+	late bool
 	// beforeStart is called, if set, before the runner handles a start.
 	beforeStart func()
 	renewals    []RenewRequest
 }
 
-// completeRun has the agent start a run, and lets it end as done.
+// completeRun has the agent start a run in the life that it knows, which the runner carries out in its present life, and lets
+// it end as done.
 func (r *standinRunner) completeRun(s *fixture) {
+	r.late = true
+	defer func() { r.late = false }()
 	s.agent.handleOrders(context.Background(), &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: s.agent.life, Task: task, Run: 2}}})
 	s.agent.group.Wait()
 	r.EndDueRuns(clock.Steady().Add(time.Millisecond))
@@ -52,6 +57,9 @@
 	if hold := r.beforeStart; hold != nil {
 		hold()
 	}
+	if c.Life != r.StartedAtMS() && !r.late {
+		return 0, errors.Mark(ErrNotSent, ErrNotRun)
+	}
 	now := clock.Steady()
 	if !r.Admit(now, c.Term, leaseEndMS) || r.Start(now, s.Task.String(), s.Run, leaseEndMS, "") != "" {
 		return 0, ErrNotRun
@@ -69,7 +77,7 @@
 		r.beforeSending = nil
 		freeze()
 	}
-	if !q.SendBefore.IsZero() && !clock.Steady().Before(q.SendBefore) {
+	if !q.SendBefore.IsZero() && !clock.Steady().Before(q.SendBefore) || q.Life != 0 && q.Life != r.StartedAtMS() {
 		return nil, errors.Mark(ErrNotSent, ErrNotRun)
 	}
 	now := clock.Steady()
@@ -98,6 +106,12 @@
 	r.Restart(clock.Steady())
 }
 
+// restartAtOnce begins another life of the runner, as a supervisor does within milliseconds.
+func (r *standinRunner) restartAtOnce() {
+	time.Sleep(2 * time.Millisecond)
+	r.Restart(clock.Steady())
+}
+
 // A runner that restarted while its agent was frozen keeps the ends of its new life until they were reported.
 func TestEndOfANewLifeIsNotAcknowledgedFromAStaleListing(t *testing.T) {
 	for _, tc := range []struct {
@@ -119,6 +133,22 @@
 			}
 			s.poll(t)
 		}},
+		{"the runner restarts at once before a renewal is sent", func(t *testing.T, s *fixture, r *standinRunner) {
+			t.Helper()
+			s.agent.mu.Lock()
+			s.agent.oldestListedEnd = 1 // the earlier life lists an end that is acknowledged
+			s.agent.mu.Unlock()
+			r.beforeSending = func() {
+				r.restartAtOnce()
+				r.Admit(clock.Steady(), 3, 1<<40)
+				r.Start(clock.Steady(), task.String(), 2, 1<<40, "") // a start of the earlier life, carried out late
+				r.EndDueRuns(clock.Steady().Add(time.Millisecond))
+			}
+			s.agent.mu.Lock()
+			s.agent.unlistedStarts[runKey{task, 2}] = &dispatch.Start{Task: task, Run: 2}
+			s.agent.mu.Unlock()
+			s.poll(t)
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s, r := newStandinFixture(t)
@@ -140,13 +170,30 @@
 
 // A runner that restarted while its agent was frozen gets no lease that was computed for its earlier life.
 func TestLeaseOfAnEarlierLifeIsNotGrantedToTheNext(t *testing.T) {
+	for name, restart := range map[string]func(*standinRunner){"during a freeze": (*standinRunner).restartDuringFreeze, "at once": (*standinRunner).restartAtOnce} {
+		s, r := newStandinFixture(t)
+		r.beforeHandling = func() { restart(r) }
+		s.poll(t)
+		s.poll(t)
+		last := r.renewals[len(r.renewals)-1]
+		if got, want := last.LeaseEndMS, int64(0); got != want {
+			t.Errorf("%s: lease end sent to the new life: got %d, want %d", name, got, want)
+		}
+	}
+}
+
+// A start that was meant for the life before took effect, with the longest lease that the new life grants.
+func TestStartDoesNotReachTheNextLife(t *testing.T) {
 	s, r := newStandinFixture(t)
-	r.beforeHandling = r.restartDuringFreeze
-	s.poll(t)
-	s.poll(t)
-	last := r.renewals[len(r.renewals)-1]
-	if got, want := last.LeaseEndMS, int64(0); got != want {
-		t.Errorf("lease end sent to the new life: got %d, want %d", got, want)
+	life := r.StartedAtMS()
+	r.beforeStart = r.restartAtOnce
+	s.agent.handleOrders(t.Context(), &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: life, Task: task, Run: 2}}})
+	s.agent.group.Wait()
+	if runs, _ := r.List(0); len(runs) != 0 {
+		t.Errorf("runs of the next life: got %v, want none", runs)
+	}
+	if got := s.next(t, isRefusal).OrderRefused; got.Life != life || got.Run != 2 {
+		t.Errorf("refused: got %+v, want run 2 of life %d", got, life)
 	}
 }
 
--- a/internal/runneragent/unanswered_start_test.go
+++ b/internal/runneragent/unanswered_start_test.go
@@ -26,11 +26,17 @@
 	defer cancel()
 	s.runner.startErr = ErrNoAnswer
 	s.runner.stopErr = ErrNoAnswer
+	fencing := make(chan struct{}, 1)
+	s.agent.runner.Stop = func(ctx context.Context, c Call, task workflow.TaskID, run uint64) error {
+		select {
+		case fencing <- struct{}{}:
+		default:
+		}
+		return s.runner.stop(ctx, c, task, run)
+	}
 	s.agent.handleOrders(ctx, startOrders(3))
 	key := runKey{task, 2}
-	for s.unanswered(key).IsZero() {
-		clock.WaitForWake(ctx, nil, minPollInterval)
-	}
+	<-fencing // the start has failed
 	s.endRunner()
 	if err := s.agent.poll(ctx, 0); err == nil {
 		t.Fatal("poll: got no error, want one")
