--- a/internal/runneragent/agent.go
+++ b/internal/runneragent/agent.go
@@ -55,9 +55,9 @@
 	// minGrantedLease is how much of the run leases must be left at the runner when a start is sent, which does not extend
 	// them; the poll loop renews them once within this time.
 	minGrantedLease = 2 * time.Second
-	// maxLeasePolls bounds the polls that one start waits for: the first one may show that the life of the runner is the present
-	// one, and the next one renews the leases.
-	maxLeasePolls = 2
+	// maxLeasePolls bounds the polls that one start waits for: one may have begun before, the next one may show that the
+	// life of the runner is the present one, and the last one renews the leases.
+	maxLeasePolls = 3
 	// minLeaseLeft is how much of the worker lease must be left for a run to be started.
 	minLeaseLeft = 500 * time.Millisecond
 	// maxRunnerSilence is how long after the last listing starts are still passed to the runner.
@@ -176,6 +176,8 @@
 	// grantedLeaseEndMS is the end of the run leases on the runner's clock that answered renewals have asked the present life
 	// for; 0 if none has.
 	grantedLeaseEndMS int64
+	// startPoll is the poll under way that starts wait for; nil if there is none.
+	startPoll *sharedPoll
 	// startAnsweredAt is when the runner last answered that it has carried out a start.
 	startAnsweredAt time.Time
 	// registration is the number of the registration of the worker that the dispatcher has told this process; 0 if there
--- a/internal/runneragent/held_start_test.go
+++ b/internal/runneragent/held_start_test.go
@@ -117,3 +117,31 @@
 		}
 	}
 }
+
+// Each of many starts polled the runner for itself when the leases at the runner were short.
+func TestStartsShareARenewal(t *testing.T) {
+	s, r := newStandinFixture(t)
+	s.agent.mu.Lock()
+	s.agent.grantedLeaseEndMS = 0
+	s.agent.mu.Unlock()
+	var mu sync.Mutex
+	s.agent.runner.Renew = func(ctx context.Context, q RenewRequest) (*Listing, error) {
+		time.Sleep(20 * time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		return r.renew(ctx, q)
+	}
+	o := &peer.Orders{Term: 3}
+	for i := range 20 {
+		o.Starts = append(o.Starts, dispatch.Start{Worker: "w1", Life: r.StartedAtMS(), Task: workflow.TaskID{Job: "5c", Index: i}, Run: 2})
+	}
+	before := len(r.renewals)
+	s.agent.handleOrders(t.Context(), o)
+	s.agent.group.Wait()
+	if runs, _ := r.List(0); len(runs) != len(o.Starts) {
+		t.Errorf("runs: got %d, want %d", len(runs), len(o.Starts))
+	}
+	if got, limit := len(r.renewals)-before, maxLeasePolls; got < 1 || got > limit {
+		t.Errorf("renewals for %d starts: got %d, want 1 to %d", len(o.Starts), got, limit)
+	}
+}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -192,12 +192,37 @@
 		case polls == maxLeasePolls:
 			return errNoRunLease
 		}
-		if err := a.poll(ctx, 0); err != nil {
+		if err := a.pollForStart(ctx); err != nil {
 			return err
 		}
 	}
 }
 
+// pollForStart polls the runner, or waits for such a poll for another start that is under way.
+func (a *Agent) pollForStart(ctx context.Context) error {
+	a.mu.Lock()
+	if p := a.startPoll; p != nil {
+		a.mu.Unlock()
+		<-p.done
+		return p.err
+	}
+	p := &sharedPoll{done: make(chan struct{})}
+	a.startPoll = p
+	a.mu.Unlock()
+	defer close(p.done)
+	p.err = a.poll(ctx, 0)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.startPoll = nil
+	return p.err
+}
+
+// sharedPoll is a poll that several starts wait for. err is its error once done is closed.
+type sharedPoll struct {
+	done chan struct{}
+	err  error
+}
+
 // startDeadlineMS returns the time on the clock of the runner in a life by which a start has to take effect: deadline or,
 // unless that is zero, startBefore.
 func (a *Agent) startDeadlineMS(life uint64, deadline, startBefore time.Time) (int64, error) {
