Check a start again once it has waited

What callers could see: a task that runs twice. A start waits for up to 0.9 s for reads of the newest claim, and for a renewal. Its worker may be reported as empty or leave meanwhile, so that the dispatcher starts the task elsewhere; the start was sent all the same.

Cause: whether a start may be carried out was checked as its order arrived, before the waits.

Change: it is checked again when the deadline of the start is taken, right before the call.

Evidence: TestStartIsNotSentAfterAnEmptyReport, on the code before: "runs: got [{{} 5c.0.1.0 2 0 0 false}], want none".

--- a/internal/runneragent/held_start_test.go
+++ b/internal/runneragent/held_start_test.go
@@ -145,3 +145,26 @@
 		t.Errorf("renewals for %d starts: got %d, want 1 to %d", len(o.Starts), got, limit)
 	}
 }
+
+// A start that waited for a read of the claim was sent, although its worker had been reported as empty meanwhile.
+func TestStartIsNotSentAfterAnEmptyReport(t *testing.T) {
+	s := newFixture(t)
+	s.runner.startTakesEffect = true
+	read := s.agent.store.ReadNewest
+	s.agent.store.ReadNewest = func(ctx context.Context, topic store.Topic, after string) (*store.Page, error) {
+		s.agent.mu.Lock()
+		s.agent.sendEmptyReport(clock.Steady(), runnerSilent)
+		s.agent.mu.Unlock()
+		return read(ctx, topic, after)
+	}
+	o := startOrders(3)
+	o.ConfirmedAgeMS = 1000
+	s.agent.handleOrders(t.Context(), o)
+	s.agent.group.Wait()
+	if got := s.runner.listing.Runs; len(got) != 0 {
+		t.Errorf("runs: got %v, want none", got)
+	}
+	if got, want := s.next(t, isRefusal).OrderRefused.Reason, errReportedEmpty.Error(); got != want {
+		t.Errorf("reason: got %q, want %q", got, want)
+	}
+}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -137,7 +137,7 @@
 	if !a.mayStillStart(s.Life, key, terms.startBefore) {
 		return
 	}
-	deadlineMS, err := a.startDeadlineMS(s.Life, deadline, terms.startBefore)
+	deadlineMS, err := a.startDeadlineMS(s, deadline, terms.startBefore)
 	if err != nil {
 		a.refuseUnsent(s.Life, key, err)
 		return
@@ -223,13 +223,13 @@
 	err  error
 }
 
-// startDeadlineMS returns the time on the clock of the runner in a life by which a start has to take effect: deadline or,
-// unless that is zero, startBefore.
-func (a *Agent) startDeadlineMS(life uint64, deadline, startBefore time.Time) (int64, error) {
+// startDeadlineMS returns the time on the runner's clock by which a start has to take effect: deadline or, unless that is zero,
+// startBefore. It fails if the start must not be carried out any more since its order was handled.
+func (a *Agent) startDeadlineMS(s *dispatch.Start, deadline, startBefore time.Time) (int64, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.life != life {
-		return 0, errOtherLife
+	if err := a.checkStart(clock.Steady(), s); err != nil {
+		return 0, err
 	}
 	if !startBefore.IsZero() && startBefore.Before(deadline) {
 		deadline = startBefore
