Let a test of the agent wait for the agent's connection

The test ran connect outside the agent's own group, unlike Run, so that its cleanup waited for that group while connect still added to it.

--- a/internal/runneragent/termcheck_test.go
+++ b/internal/runneragent/termcheck_test.go
@@ -156,7 +156,7 @@
 	s.agent.mu.Unlock()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	group.Go(func() { s.agent.connect(ctx) })
+	s.agent.group.Go(func() { s.agent.connect(ctx) })
 	select {
 	case <-later.hellos:
 	case <-time.After(10 * time.Second):
