Do not count the time in which an agent is frozen as waiting for open polls

The wait for polls that are open when another life is listed was bounded by the clock: an agent that is frozen during it would go on as if they had ended nothing, with their answers in its sockets. It is bounded by the number of checks now.

--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -103,17 +103,17 @@
 }
 
 const (
-	// maxEarlierPollWait bounds the time for which a new life is neither reported nor fenced since earlier polls are open. Those
-	// that have reached the life before end soon, as its process is gone.
-	maxEarlierPollWait = 100 * time.Millisecond
-	// earlierPollCheckEvery is how often such polls are looked at.
+	// earlierPollChecks bounds how often a new life is neither reported nor fenced since earlier polls are open, in 0.1 s. Those
+	// that have reached the life before end soon, as its process is gone. The time in which this process is frozen does not count.
+	earlierPollChecks = 20
+	// earlierPollCheckEvery is the time between two such checks.
 	earlierPollCheckEvery = 5 * time.Millisecond
 )
 
 // awaitEarlierPolls waits for the polls that began before the one with the given number, if that was answered with a
 // listing of another life than the present one: their answers may list ends of the present one.
 func (a *Agent) awaitEarlierPolls(ctx context.Context, number uint64, l *Listing) {
-	for began := clock.Steady(); clock.Steady().Sub(began) < maxEarlierPollWait; {
+	for range earlierPollChecks {
 		a.mu.Lock()
 		wait := a.life != 0 && l.StartedAtMS != a.life && a.endProof.openBefore(number)
 		a.mu.Unlock()
