Do not repeat a stop under the term of a later dispatcher

What callers could see: a run that is stopped although nobody wants that. A stop without an answer is repeated until the runner confirms it, each time under the newest term that the agent knows: a later dispatcher, which may want the run, fenced it no more.

Cause: the term of a stop order was checked once, before the first call.

Change: a fence that a dispatcher has ordered ends with that dispatcher's term. Fences of starts without an answer go on.

Evidence: TestStopIsNotRepeatedUnderALaterTerm, on the code before: "runs: got 0, want 1".

--- a/internal/runneragent/agent_test.go
+++ b/internal/runneragent/agent_test.go
@@ -201,7 +201,7 @@
 	s := newFixture(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	s.agent.fence(ctx, 7, runKey{task, 2}, "the runner did not answer the start")
+	s.agent.fence(ctx, anyTerm, 7, runKey{task, 2}, "the runner did not answer the start")
 	s.agent.mu.Lock()
 	s.agent.conn.Send(&peer.Message{Ping: &peer.Ping{Seq: 99}})
 	s.agent.mu.Unlock()
--- a/internal/runneragent/emptyreport_test.go
+++ b/internal/runneragent/emptyreport_test.go
@@ -102,7 +102,7 @@
 	s.loseRunner(t)
 	s.agent.handlePong(s.agent.conn, &peer.Pong{Seq: earlier, DispatcherTerm: 3})
 	s.poll(t)
-	s.agent.fence(context.Background(), 7, runKey{task, 2}, "the runner did not answer the start")
+	s.agent.fence(context.Background(), anyTerm, 7, runKey{task, 2}, "the runner did not answer the start")
 	for _, m := range s.sentSoFar(t, isReport) {
 		t.Errorf("before the answer: got a report of life %d, want none", m.Report.Worker.Life)
 	}
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -72,7 +72,7 @@
 		s := orders.Stops[i]
 		a.group.Go(func() {
 			if a.confirmStop(ctx, terms.term, terms.basis) {
-				a.fence(ctx, s.Life, runKey{s.Task, s.Run}, s.Reason)
+				a.fence(ctx, terms.term, s.Life, runKey{s.Task, s.Run}, s.Reason)
 			}
 		})
 	}
@@ -175,7 +175,7 @@
 		if a.pollForRun(ctx, key) {
 			return
 		}
-		a.fence(ctx, s.Life, key, "the runner did not answer the start")
+		a.fence(ctx, anyTerm, s.Life, key, "the runner did not answer the start")
 	}
 }
 
@@ -292,20 +292,24 @@
 	return a.unlistedStarts[key] == nil
 }
 
+// anyTerm is the term of a fence that every dispatcher needs.
+const anyTerm = 0
+
 // fence stops a run in a life of the runner, or makes sure that the run never starts. If the
 // runner does not list the run afterwards, there will be no run end. The dispatcher is then told
 // that the order for the run, the start or the stop order, was refused, for the given reason.
-// If ctx ends before, the dispatcher is told nothing, since the run may still start.
-func (a *Agent) fence(ctx context.Context, life uint64, key runKey, reason string) {
+// If ctx ends before, the dispatcher is told nothing, since the run may still start. A fence that the dispatcher of a term has
+// ordered ends with that term: the next one may want the run.
+func (a *Agent) fence(ctx context.Context, term, life uint64, key runKey, reason string) {
 	for {
 		if ctx.Err() != nil {
 			return
 		}
 		a.mu.Lock()
-		c, current := a.newCall(), a.life == life
+		c, current := a.newCall(), a.life == life && (term == anyTerm || a.term == term)
 		a.mu.Unlock()
 		if !current {
-			return // the run is listed as pending in the report of the new life, and fenced in that life
+			return // in a new life, the run is listed as pending in the report, and fenced
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := a.runner.Stop(callCtx, c, key.task, key.run)
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -213,7 +213,9 @@
 		a.applyListing(now, sent, l)
 		a.sendReport()
 		for _, key := range unresolved {
-			a.group.Go(func() { a.fence(ctx, l.StartedAtMS, key, "the start was sent to an earlier life of the runner") })
+			a.group.Go(func() {
+				a.fence(ctx, anyTerm, l.StartedAtMS, key, "the start was sent to an earlier life of the runner")
+			})
 		}
 		return
 	}
--- a/internal/runneragent/termcheck_test.go
+++ b/internal/runneragent/termcheck_test.go
@@ -12,6 +12,7 @@
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/internal/store"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
 // lostStoreAgeMS is the age of the store's last answer to a dispatcher that has lost it.
@@ -187,3 +188,23 @@
 		})
 	}
 }
+
+// A stop without an answer was repeated under the term of a later dispatcher, which wants the run.
+func TestStopIsNotRepeatedUnderALaterTerm(t *testing.T) {
+	s := newFixture(t)
+	s.runner.listing.Runs = []dispatch.RunStatus{{Task: task, Run: 2}}
+	s.agent.runner.Stop = func(ctx context.Context, c Call, id workflow.TaskID, run uint64) error {
+		if c.Term == 3 {
+			s.agent.mu.Lock()
+			s.agent.term = 4
+			s.agent.mu.Unlock()
+			return ErrNoAnswer
+		}
+		return s.runner.stop(ctx, c, id, run)
+	}
+	s.agent.handleOrders(t.Context(), &peer.Orders{Term: 3, Stops: []dispatch.Stop{{Worker: "w1", Life: 7, Task: task, Run: 2}}})
+	s.agent.group.Wait()
+	if got, want := len(s.runner.listing.Runs), 1; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
