--- a/internal/runneragent/runner.go
+++ b/internal/runneragent/runner.go
@@ -18,7 +18,7 @@
 	ErrNotRun = errors.New("the runner did not carry out the call")
 	// ErrTicket means that the runner did not accept the ticket of the placement policy in a start.
 	ErrTicket = errors.New("the runner did not accept the ticket")
-	// ErrNotListening means that no runner listens, so all of its runs have ended.
+	// ErrNotListening means that no runner listens and no connection to one is open, so all of its runs have ended.
 	ErrNotListening = errors.New("no runner listens")
 	// ErrNotSent means that a call was not sent, since its SendBefore had passed or the runner is not in its Life.
 	ErrNotSent = errors.New("the call was not sent")
