Count a regained store for orders only once cancellations are read

A dispatcher that has lost the store and gets it back may start tasks of jobs whose cancellation another entry acknowledged over three seconds before (UNASKED).

Cause: orders say how long ago the store last answered the dispatcher, whatever the call. The first answer after a cut, as that to a write, makes the age zero, and held starts go out at the next tick, while the intake is read up to a second later. No later term stands in the way: the entries that are in contact with the dispatcher keep the others from claiming.

Once the store has given no answer for more than 1.2 s, the age now stays that of the answer before, or of the newest read of the intake, until the intake has been read to its end by a read that began after the gap. That read begins at once. Agents refuse such starts by the bound of 2.4 s that they apply already, and while the store fails them, too, work goes on as before.

TestOrdersStayOldUntilCancellationsAreRead failed before: "store contact before the intake is read: got 1 ms ago, want 4000 or more".

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -21,10 +21,10 @@
 	return o
 }
 
-// storeContactAgeMS returns the time since the store last answered this entry in milliseconds, rounded up. The caller holds
-// mu.
+// storeContactAgeMS returns how old the answer of the store is that the cancellations known here go with, in milliseconds,
+// rounded up. The caller holds mu.
 func (c *Coordinator) storeContactAgeMS(now time.Time) int64 {
-	return now.Sub(c.health.lastSuccess).Milliseconds() + 1
+	return now.Sub(c.health.contactAt()).Milliseconds() + 1
 }
 
 // noteUnconfirmed records that an agent has refused a start since the store serves the agent and not the dispatcher. The
@@ -45,7 +45,7 @@
 	if t.unconfirmedSince.IsZero() {
 		return false
 	}
-	regained := now.Sub(c.health.lastSuccess) < leadership.MaxStoreContactAge
+	regained := now.Sub(c.health.contactAt()) < leadership.MaxStoreContactAge
 	if !regained && now.Sub(t.unconfirmedAt) < refusalHold {
 		return true
 	}
--- a/internal/coordinator/orders_test.go
+++ b/internal/coordinator/orders_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"net"
 	"sync"
 	"testing"
@@ -111,3 +112,34 @@
 		t.Errorf("orders: got a write %d ms ago, want %d", got, want)
 	}
 }
+
+// Guards against starts of cancelled jobs: others acknowledge cancellations while the store does not answer the dispatcher.
+func TestOrdersStayOldUntilCancellationsAreRead(t *testing.T) {
+	c, current := newDispatcher(t, &standin.Store{})
+	lost := clock.Steady().Add(-4 * time.Second)
+	c.health.lastSuccess = lost
+	for i := range c.tails {
+		c.tails[i].caughtUpAt = lost
+	}
+	contactAge := func() int64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.newOrders(clock.Steady(), current, "w1").StoreContactAgeMS
+	}
+	for range 2 {
+		if _, err := callStore(t.Context(), c, 0, func(ctx context.Context) (uint64, error) {
+			return c.store.Append(ctx, store.AppendRequest{Topic: store.TopicProgress, Term: ownTerm})
+		}); err != nil {
+			t.Fatal(err)
+		}
+		if got := contactAge(); got < 4000 {
+			t.Errorf("store contact before the intake is read: got %d ms ago, want 4000 or more", got)
+		}
+	}
+	if err := c.catchUp(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := contactAge(); got >= 4000 {
+		t.Errorf("store contact once the intake is read: got %d ms ago, want less than 4000", got)
+	}
+}
--- a/internal/coordinator/store_health.go
+++ b/internal/coordinator/store_health.go
@@ -52,6 +52,9 @@
 	// maxWatchDelay is the time between two such checks from which the process counts as having stood still. A
 	// process with a fifth of a processor may stand still for 0.1 s at a time in normal operation.
 	maxWatchDelay = 300 * time.Millisecond
+	// maxContactGap is how long the store may give this entry no answer before others may have acknowledged cancellations
+	// that the entry does not know, although the store answers it again. Job records are read every second.
+	maxContactGap = 1200 * time.Millisecond
 )
 
 // storeHealth decides from calls to the store whether it serves this entry and when to probe it. In the zero value no
@@ -59,6 +62,9 @@
 type storeHealth struct {
 	// lastSuccess is when the newest call that the store carried out or rejected ended.
 	lastSuccess time.Time
+	// contactBefore is lastSuccess as it was before the store gave no answer for longer than maxContactGap, and gapEndedAt
+	// when it answered again; both are zero once the intake has been read since.
+	contactBefore, gapEndedAt time.Time
 	// failures counts the calls that the store refused since then, or did not answer although they began since then.
 	failures int
 	// refusals counts those of them that the store refused, so that they have certainly not been carried out.
@@ -127,6 +133,12 @@
 		return false, 0, nil
 	}
 	regained, away = h.lost, now.Sub(h.lastSuccess)
+	if away > maxContactGap && !h.lastSuccess.IsZero() {
+		if h.gapEndedAt.IsZero() {
+			h.contactBefore = h.lastSuccess
+		}
+		h.gapEndedAt = now
+	}
 	h.lastSuccess, h.failures, h.refusals, h.firstFailure, h.lost, h.probes = now, 0, 0, time.Time{}, false, 0
 	if !call.waits {
 		h.latency = max(now.Sub(call.began), time.Duration(latencyDecay*float64(h.latency)))
@@ -142,6 +154,25 @@
 	return true, away, stuck
 }
 
+// noteIntakeRead records that a read of the intake which began at the given time has reached its end.
+func (h *storeHealth) noteIntakeRead(began time.Time) {
+	switch {
+	case !began.Before(h.gapEndedAt):
+		h.contactBefore, h.gapEndedAt = time.Time{}, time.Time{}
+	case began.After(h.contactBefore):
+		h.contactBefore = began
+	}
+}
+
+// contactAt returns the time of the newest answer of the store that the cancellations known here go with: after the store
+// has given no answer for long, that before, until the intake has been read.
+func (h *storeHealth) contactAt() time.Time {
+	if !h.gapEndedAt.IsZero() {
+		return h.contactBefore
+	}
+	return h.lastSuccess
+}
+
 // unanswered returns the number of calls since the last answer that failed or are open, and when the first of them
 // began.
 func (h *storeHealth) unanswered() (n int, since time.Time) {
@@ -292,6 +323,9 @@
 	if regained {
 		c.storeLost = make(chan struct{})
 	}
+	if c.health.gapEndedAt.Equal(now) {
+		notify(c.wakeTail) // starts may wait for this read
+	}
 	c.mu.Unlock()
 	if !regained {
 		return
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -142,7 +142,7 @@
 		}
 		done := t.nextOffset >= page.End || len(page.Records) == 0
 		if done {
-			t.caughtUpAt = began
+			c.noteCaughtUp(t, began)
 		}
 		c.mu.Unlock()
 		if done {
@@ -151,6 +151,14 @@
 	}
 }
 
+// noteCaughtUp records that a read which began at the given time has reached the end of a topic. The caller holds mu.
+func (c *Coordinator) noteCaughtUp(t *tail, began time.Time) {
+	t.caughtUpAt = began
+	if t == &c.tails[intakeIndex] {
+		c.health.noteIntakeRead(began)
+	}
+}
+
 // reread applies the newest record of each key of a topic. It replaces reading on from t when
 // that position is not known, or the store no longer has the records from it on.
 func (c *Coordinator) reread(ctx context.Context, topic store.Topic, t *tail) error {
@@ -169,7 +177,7 @@
 	c.applyNewest(topic, got.records, got.end)
 	c.mu.Lock()
 	t.nextOffset = max(t.nextOffset, got.end) // got.end is the end at the first page: later pages may hold newer records, and still miss some written meanwhile
-	t.caughtUpAt = began
+	c.noteCaughtUp(t, began)
 	c.mu.Unlock()
 	c.log.Info().Str("topic", string(topic)).Int("records", len(got.records)).Uint64("end", got.end).Msg("jobs read from the store")
 	return nil
