Explore dispatchers and agents with partial views of each other and the store

SecondRuns lets several runs of a task run and some fail or stand still, Cancellations cancels jobs, Pauses stops processes between deciding and sending, and between the check of a start and its sending, and QuickRestarts has runners back within 30 ms.

--- a/internal/explore/term/agent.go
+++ b/internal/explore/term/agent.go
@@ -87,6 +87,7 @@
 	// runnerDownUntil is until when the runner is down after a crash.
 	runnerDownUntil time.Duration
 	agentSteps
+	checkState
 }
 
 // newAgent returns the agent with an index and its runner.
@@ -104,6 +105,7 @@
 	a.term, a.conn, a.life, a.runnerClockMS, a.runnerClockReadAt, a.workerLease = 0, nil, 0, 0, time.Time{}, leadership.WorkerLease{}
 	a.runs, a.runEnds, a.reportedEnd, a.ackedEnd, a.sameLifeUntil, a.pingSeq = nil, nil, 0, 0, time.Time{}, 0
 	a.unansweredStarts = make(map[runKey]time.Time)
+	a.checkState = checkState{}
 	a.agentSteps = agentSteps{lastRunLeaseEnd: a.clock().Add(leadership.WorkerLeaseDuration)}
 	a.unlistedStarts, a.fenceAt, a.pingSentAt = make(map[runKey]bool), make(map[runKey]time.Time), make(map[uint64]time.Time)
 }
@@ -186,7 +188,7 @@
 	}
 	c.send(&c.entry.process, func() {
 		if a.w.kinds != 0 {
-			c.entry.handleReportInSteps(c, &heldReport{worker: worker, runs: runs, ends: ends, registration: registration})
+			c.entry.handleReportInSteps(c, &heldReport{worker: worker, runs: runs, ends: ends, registration: registration, newSince: c.newSince})
 			return
 		}
 		c.entry.handleReport(c, worker, runs, ends)
@@ -198,6 +200,9 @@
 	a.lastPing = now
 	a.pingSeq++
 	a.pingSentAt[a.pingSeq] = now
+	if a.pingTimes != nil {
+		a.pingTimes[a.pingSeq] = now
+	}
 	c, worker, runs, seq := a.conn, a.describeWorker(), append([]dispatch.RunStatus(nil), a.runs...), a.pingSeq
 	c.send(&c.entry.process, func() { c.entry.handlePing(c, worker, runs, seq) })
 }
@@ -278,10 +283,14 @@
 
 // handleOrders carries out a dispatcher's orders. It refuses orders for an earlier
 // life of the runner, and starts for which too little of the worker lease remains.
-func (a *agent) handleOrders(c *conn, term uint64, starts []dispatch.Start, stops []dispatch.Stop) {
+func (a *agent) handleOrders(c *conn, term uint64, h orderHeader, starts []dispatch.Start, stops []dispatch.Stop) {
 	if a.conn != c || term != a.term {
 		return
 	}
+	if a.w.kinds&PartialViews != 0 {
+		a.confirmOrders(h, starts, stops)
+		return
+	}
 	if a.w.kinds != 0 {
 		a.handleOrdersInSteps(starts, stops)
 		return
@@ -378,7 +387,7 @@
 
 // handlePong handles the response to a ping. renewed tells whether the response renews
 // the worker lease.
-func (a *agent) handlePong(c *conn, term, seq uint64, renewed bool) {
+func (a *agent) handlePong(c *conn, term, seq uint64, renewed bool, contactAge time.Duration) {
 	if a.w.kinds != 0 && a.conn == c && term != a.term {
 		c.broken = true
 	}
@@ -390,6 +399,9 @@
 		a.workerLease.Renew(sent)
 	}
 	delete(a.pingSentAt, seq)
+	if a.w.kinds&PartialViews != 0 {
+		a.noteContactAge(c, contactAge)
+	}
 }
 
 // handleAck notes that the dispatcher has stored the ends with numbers up to end.
--- a/internal/explore/term/agent_steps.go
+++ b/internal/explore/term/agent_steps.go
@@ -121,7 +121,8 @@
 
 // connectInSteps asks a random entry whether it is the dispatcher, and if so reports to it.
 func (a *agent) connectInSteps(now time.Time) {
-	if !a.w.rules.JoinAnyTerm && a.term == 0 {
+	fresh := a.term == 0
+	if !a.w.rules.JoinAnyTerm && fresh && a.w.kinds&PartialViews == 0 {
 		claim, _, _, err := a.w.storeClient.NewestClaim(context.Background())
 		if err != nil {
 			return
@@ -129,7 +130,7 @@
 		a.term = claim.Term
 	}
 	e := a.w.entries[a.w.random.IntN(entryCount)]
-	if a.isCut() || e.isCut() || a.w.now < e.frozenUntil || a.w.now < e.downUntil {
+	if a.isCut() || e.isCut() || !a.w.connects(a.name, e.name) || a.w.now < e.frozenUntil || a.w.now < e.downUntil {
 		return
 	}
 	e.resignIfOutdated(a.term)
@@ -138,6 +139,9 @@
 	}
 	a.term, a.lastPong = e.term.number, now
 	a.connecting = &conn{w: a.w, agent: a, entry: e, term: e.term.number, agentGeneration: a.generation, entryGeneration: e.generation}
+	if fresh && a.w.kinds&PartialViews != 0 {
+		a.connecting.newSince = e.clock()
+	}
 	a.firstPoll(a.connecting)
 }
 
@@ -158,6 +162,7 @@
 		now := a.clock()
 		a.conn, a.connecting, a.lastPong = c, nil, now
 		clear(a.pingSentAt)
+		a.reportedAt, a.pingTimes, a.dispatcherLostStore, a.watching = now, make(map[uint64]time.Time), false, nil
 		if err != nil {
 			a.sendEmptyReport(now, err)
 			return
@@ -179,7 +184,7 @@
 	for _, e := range a.runEnds {
 		a.reportedEnd = max(a.reportedEnd, e.Number)
 	}
-	c, h := a.conn, &heldReport{worker: &dispatch.Worker{Name: a.name}, ended: errors.Is(err, errNotListening)}
+	c, h := a.conn, &heldReport{worker: &dispatch.Worker{Name: a.name}, ended: errors.Is(err, errNotListening), newSince: a.conn.newSince}
 	c.send(&c.entry.process, func() { c.entry.handleReportInSteps(c, h) })
 	a.sendPing(now)
 	a.emptyReportPing = a.pingSeq
@@ -284,8 +289,7 @@
 	now := a.clock()
 	for _, s := range starts {
 		k, leaseEndMS := runKey{s.Task, s.Run}, a.runLeaseEndMS(now)
-		if s.Life != a.life || a.reportedEmpty || a.refusesAsDeparted() || now.Sub(a.runnerClockReadAt) > maxRunnerSilence ||
-			leaseEndMS == 0 || a.w.rules.WorkerLeaseRemaining(&a.workerLease, now) < minLeaseLeft {
+		if !a.acceptsStart(&s, leaseEndMS) {
 			a.sendRefusal(s.Life, k)
 			continue
 		}
@@ -297,18 +301,25 @@
 	}
 }
 
+// acceptsStart reports whether a start with a lease up to leaseEndMS may be carried out as far as the agent knows its runner.
+func (a *agent) acceptsStart(s *dispatch.Start, leaseEndMS int64) bool {
+	now := a.clock()
+	return s.Life == a.life && !a.reportedEmpty && !a.refusesAsDeparted() && now.Sub(a.runnerClockReadAt) <= maxRunnerSilence &&
+		leaseEndMS != 0 && a.w.rules.WorkerLeaseRemaining(&a.workerLease, now) >= minLeaseLeft
+}
+
 // startInSteps calls the runner to start a run. If the call is not answered, and the run not listed, it makes
 // sure that the run never starts.
 func (a *agent) startInSteps(k runKey, leaseEndMS int64) {
 	a.unlistedStarts[k] = true
 	a.noteStarting(k)
-	term, life, generation := a.term, a.life, a.generation
+	term, life, generation, behaviour := a.term, a.life, a.generation, a.w.behaviour(k.task.String())
 	start := func() error {
 		prolongTo := leaseEndMS
 		if life != a.runner.StartedAtMS() {
 			prolongTo = 0 // a limit of the protocol that is left out: the time is on the clock of an earlier life
 		}
-		if !a.runner.Admit(a.w.trueTime(), term, prolongTo) || a.runner.Start(a.w.trueTime(), k.task.String(), k.run, leaseEndMS, standin.TaskSucceeds) != "" {
+		if !a.runner.Admit(a.w.trueTime(), term, prolongTo) || a.runner.Start(a.w.trueTime(), k.task.String(), k.run, leaseEndMS, behaviour) != "" {
 			return errNotRun
 		}
 		return nil
@@ -319,7 +330,9 @@
 			// it has seen that life, nor while it is held up.
 			fenced := a.generation == generation && a.life == a.runner.StartedAtMS() && !a.unlistedStarts[k]
 			if life == a.runner.StartedAtMS() || fenced {
+				a.w.judge.late = true
 				_ = a.reachRunner(life, start)
+				a.w.judge.late = false
 			}
 		})
 		a.later(callTimeout, func() { a.startUnanswered(life, k) })
--- a/internal/explore/term/claim_steps.go
+++ b/internal/explore/term/claim_steps.go
@@ -15,6 +15,9 @@
 // refuses reports whether another entry's address refuses connections: its process has ended, or it is isolated by a
 // cut that refuses them.
 func (e *entry) refuses(o *entry) bool {
+	if c := e.w.cutOf(e.name, o.name); c.until != 0 {
+		return c.mode == cutRefused
+	}
 	if o.isolationRefuses && e.w.now < o.isolatedUntil {
 		return e.w.now >= e.isolatedUntil && !e.isCut()
 	}
@@ -35,6 +38,7 @@
 	if !e.reaches(o) {
 		return
 	}
+	o.candidate.HearOf(claim.Term)
 	o.resignIfOutdated(claim.Term)
 	switch {
 	case o.term != nil && o.term.number == claim.Term:
@@ -52,7 +56,7 @@
 func (e *entry) othersInContact(now time.Time) bool {
 	claim, found := e.candidate.Claim(), false
 	for _, o := range e.w.entries {
-		if o == e || o.name == claim.Entry || !e.reaches(o) || e.w.random.IntN(4) == 0 {
+		if o == e || o.name == claim.Entry || !e.reaches(o) || e.w.kinds&PartialViews == 0 && e.w.random.IntN(4) == 0 {
 			continue
 		}
 		o.resignIfOutdated(claim.Term)
@@ -82,6 +86,7 @@
 			giveUp()
 			return
 		}
+		e.candidate.BeginClaim()
 		previous, expected := found, end
 		own := leadership.Claim{Entry: e.name, Incarnation: e.generation, Address: e.name}
 		record, err := store.ClaimRecord(&own)
@@ -137,7 +142,14 @@
 					abandon()
 					return
 				}
+				if e.w.kinds&PartialViews != 0 && !e.candidate.MayBegin(own.Term) {
+					abandon()
+					return
+				}
 				e.load(t, stored, end)
+				if e.w.kinds&PartialViews != 0 && previous.Term != 0 {
+					e.findPredecessors(t, own)
+				}
 				done()
 			})
 		})
@@ -164,6 +176,7 @@
 	for _, id := range e.jobIDs() {
 		if j, _ := e.jobs.Job(id); j.Submission() != nil {
 			t.scheduler.Admit(now, e.wallMS(), j.Submission(), j.Progress(), true)
+			e.syncCancellation(t, id, j)
 		}
 	}
 	e.term = t
@@ -180,6 +193,10 @@
 // probePredecessor probes the process of the claim before that of the present term.
 func (e *entry) probePredecessor(now time.Time) {
 	t := e.term
+	if e.w.kinds&PartialViews != 0 {
+		e.watchPredecessors(now)
+		return
+	}
 	o := e.w.entryNamed(t.previousClaim.Entry)
 	if o == nil || o == e || t.earlierRunsOver || !e.w.rules.TrustNewestClaim && !e.w.rules.TrustRefusal || now.Sub(e.lastProbe) < probeInterval {
 		return
--- a/internal/explore/term/entry.go
+++ b/internal/explore/term/entry.go
@@ -1,11 +1,13 @@
 package term
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"savoryhoist.example/savoryhoist/internal/store"
@@ -72,6 +74,11 @@
 	held      map[string]*heldReport
 	writing   bool
 	lastFlush time.Time
+	// mayServe holds the earlier claims whose processes may still serve, once watching is set.
+	mayServe []leadership.Claim
+	watching bool
+	// unconfirmedAt is when an agent last refused a start since the store serves the agent and not the dispatcher.
+	unconfirmedAt time.Time
 	// lastForgetting is when jobs were last forgotten.
 	lastForgetting time.Time
 }
@@ -81,6 +88,9 @@
 	conn         *conn
 	lastContact  time.Time
 	leaseExpired bool
+	// lastPing is the number of the last ping that has arrived, at lastPingAt; 0 if only the report has.
+	lastPing   uint64
+	lastPingAt time.Time
 }
 
 // newEntry returns the entry with an index.
@@ -144,10 +154,11 @@
 
 // reaches reports whether another entry would answer a call now.
 func (e *entry) reaches(other *entry) bool {
-	if e.w.now < max(e.isolatedUntil, other.isolatedUntil) {
+	w := e.w
+	if w.now < max(e.isolatedUntil, other.isolatedUntil) {
 		return false
 	}
-	return !e.isCut() && !other.isCut() && e.w.now >= other.frozenUntil && e.w.now >= other.downUntil
+	return w.connects(e.name, other.name) && !e.isCut() && !other.isCut() && e.w.now >= other.frozenUntil && e.w.now >= other.downUntil
 }
 
 // observePeers exchanges the newest claims with all other entries, and notes whether the
@@ -305,6 +316,9 @@
 		}
 		if !l.leaseExpired && e.confirmsEnd(now, e.w.rules.WorkerLeaseEndsBy(l.lastContact)) {
 			l.leaseExpired = true
+			if e.w.kinds&PartialViews != 0 {
+				delete(t.held, name) // the runs that it shows have ended
+			}
 			e.w.note("%s in term %d: the lease of %s has expired", e.name, t.number, name)
 			t.scheduler.WorkerLeaseExpired(now, name)
 			e.takeOff(t, name)
@@ -330,6 +344,9 @@
 // sendOrders lets the scheduler decide, and sends the resulting orders to the agents.
 func (e *entry) sendOrders(now time.Time) {
 	t := e.term
+	if e.holdsStarts(now) {
+		return
+	}
 	orders := t.scheduler.Decide(now, e.wallMS())
 	starts, stops := make(map[string][]dispatch.Start), make(map[string][]dispatch.Stop)
 	for _, s := range orders.Starts() {
@@ -339,13 +356,20 @@
 	for _, s := range orders.Stops() {
 		stops[s.Worker] = append(stops[s.Worker], s)
 	}
+	for _, s := range stops { // the scheduler gives stops in any order
+		slices.SortFunc(s, func(x, y dispatch.Stop) int {
+			return cmp.Or(strings.Compare(x.Task.String(), y.Task.String()), cmp.Compare(x.Run, y.Run))
+		})
+	}
 	for _, a := range e.w.agents {
 		l := t.agents[a.name]
 		if l == nil || l.conn == nil || len(starts[a.name])+len(stops[a.name]) == 0 {
 			continue
 		}
-		c, number, agentStarts, agentStops := l.conn, t.number, starts[a.name], stops[a.name]
-		c.send(&a.process, func() { a.handleOrders(c, number, agentStarts, agentStops) })
+		c, number, agentStarts, agentStops, header := l.conn, t.number, starts[a.name], stops[a.name], e.newHeader(l)
+		e.pauseThen(func() {
+			c.send(&a.process, func() { a.handleOrders(c, number, header, agentStarts, agentStops) })
+		})
 	}
 }
 
--- a/internal/explore/term/kinds_test.go
+++ b/internal/explore/term/kinds_test.go
@@ -23,6 +23,12 @@
 		{"workers leave in order", Departures | OrderlyDepartures},
 		{"agents stop in order", Departures | OrderlyDepartures | AgentStops},
 		{"cuts refuse connections", SlowCalls | Refusals},
+		{"processes have partial views", PartialViews},
+		{"several runs of a task beside partial views", PartialViews | SecondRuns},
+		{"jobs are cancelled beside partial views", PartialViews | Cancellations},
+		{"processes pause beside partial views", PartialViews | SecondRuns | Cancellations | Pauses},
+		{"runners restart at once beside partial views", PartialViews | QuickRestarts | Pauses},
+		{"workers and agents leave beside partial views", PartialViews | JointRestarts | Departures | OrderlyDepartures | AgentStops},
 		{"jobs are forgotten while parts of the store fail", Retention},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -71,5 +77,9 @@
 	{"a new agent process keeps the registration in the same life", Departures | OrderlyDepartures | AgentStops, LooserRules{KeepRegistrationInLife: true}, 0},
 	{"the lease of an unregistered worker is renewed", Departures | OrderlyDepartures | AgentStops, LooserRules{RenewUnregistered: true}, 430},
 	{"runs of a stopped agent are taken for ended at once", Departures | OrderlyDepartures | AgentStops, LooserRules{TrustStopAtOnce: true}, 1390},
+	{"a refusal is trusted beside partial views", PartialViews, LooserRules{TrustRefusal: true}, 30},
+	{"agents stay and trust all orders", PartialViews | Cancellations, LooserRules{TrustAllOrders: true, StayWithDispatcher: true}, 40},
+	{"starts do not need the store's contact", PartialViews | Cancellations, LooserRules{IgnoreStoreContact: true}, 1120},
+	{"any answer of the store counts as contact", PartialViews | Cancellations, LooserRules{TrustAnyAnswer: true}, 1310},
 	{"a departure is trusted before a write confirms the term", Departures | OrderlyDepartures | AgentStops, LooserRules{TrustDepartureAtOnce: true}, 33000},
 }
--- a/internal/explore/term/messages.go
+++ b/internal/explore/term/messages.go
@@ -63,6 +63,7 @@
 		return
 	}
 	now := e.clock()
+	l.lastPing, l.lastPingAt = seq, now
 	renewed := e.w.rules.LeaderLeaseValid(&e.term.leaderLease, now) && !l.leaseExpired && e.renewsLease(worker.Name)
 	if renewed {
 		l.lastContact = now
@@ -71,8 +72,8 @@
 		held.worker = worker
 	}
 	e.term.scheduler.ApplyPing(now, worker, runs)
-	number := e.term.number
-	c.send(&c.agent.process, func() { c.agent.handlePong(c, number, seq, renewed) })
+	number, contactAge := e.term.number, now.Sub(e.contactAt())
+	c.send(&c.agent.process, func() { c.agent.handlePong(c, number, seq, renewed, contactAge) })
 }
 
 // handleEnds applies the ends of runs that an agent sent from a life of its runner.
--- a/internal/explore/term/regression_test.go
+++ b/internal/explore/term/regression_test.go
@@ -31,3 +31,7 @@
 }
 
 func TestOccurrenceThatIsNotDueHereRunsOnce(t *testing.T) { expectNoViolation(t, Occurrences, 20) }
+
+func TestRegainedDispatcherReadsCancellationsFirst(t *testing.T) {
+	expectNoViolation(t, PartialViews|Cancellations, 1300)
+}
--- a/internal/explore/term/rules.go
+++ b/internal/explore/term/rules.go
@@ -87,6 +87,16 @@
 	TrustDepartureAtOnce bool
 	// DeleteProgressFirst deletes the records of a job whose retention has expired at once: first those of its progress.
 	DeleteProgressFirst bool
+	// TrustAllOrders makes agents send all starts to their runners without asking what their orders prove, and
+	// StayWithDispatcher makes them stay with a dispatcher that the store does not answer.
+	TrustAllOrders, StayWithDispatcher bool
+	// IgnoreStoreContact lets starts take effect although the store has not answered the dispatcher for long, and
+	// IgnoreConfirmation as long as it has, although a later term may have begun.
+	IgnoreStoreContact, IgnoreConfirmation bool
+	// TrustAnyAnswer takes each answer of the store for one that the cancellations known to the dispatcher go with.
+	TrustAnyAnswer bool
+	// TrustNewAgents applies the reports of agents that know no term before a write confirms the dispatcher's.
+	TrustNewAgents bool
 }
 
 // setDefaults replaces the functions that are nil by the product's functions.
--- a/internal/explore/term/steps.go
+++ b/internal/explore/term/steps.go
@@ -45,6 +45,9 @@
 	goneWorkers map[string]uint64
 	// departures holds the numbers of the registrations under which workers have left in order.
 	departures map[string]departure
+	// lastStoreContact is when the store last answered the entry, contactBefore when it did so before it gave no answer for
+	// longer than maxContactGap, and gapEndedAt when it answered again. The latter are zero once the intake was read since.
+	lastStoreContact, contactBefore, gapEndedAt time.Time
 	// lastProbe is when the predecessor was last probed, claimNotBefore when the next claim may be made.
 	lastProbe, claimNotBefore time.Time
 }
@@ -57,6 +60,8 @@
 	ended  bool
 	// registration is the number of the registration that the agent was told of.
 	registration uint64
+	// newSince is the time on the dispatcher's clock at which the agent, which knew no term, said Hello; zero if it knew one.
+	newSince time.Time
 }
 
 // later runs fn at a process after a delay, once the process is not frozen, unless it has restarted
@@ -78,6 +83,9 @@
 
 // latency returns how long one way of a call takes: most are fast, some are slow.
 func (w *world) latency() time.Duration {
+	if w.kinds&PartialViews != 0 {
+		return w.randomUpTo(30 * time.Millisecond) // the rules with a time bound hold for a store that is not slow
+	}
 	if w.random.IntN(5) == 0 {
 		return w.randomUpTo(400 * time.Millisecond)
 	}
@@ -99,6 +107,10 @@
 func (e *entry) callStore(op func(c *store.Client) error, then func(sent time.Time, err error)) {
 	w, sent, generation := e.w, e.clock(), e.generation
 	answer := func(delay time.Duration, err error) { e.laterIn(generation, delay, func() { then(sent, err) }) }
+	if w.kinds&PartialViews != 0 {
+		e.callStoreOverLink(op, func(err error) { then(sent, err) })
+		return
+	}
 	switch w.random.IntN(25) {
 	case 0:
 		answer(w.latency(), store.ErrRefused)
@@ -112,6 +124,28 @@
 	}
 }
 
+// callStoreOverLink is callStore over a link that may be cut.
+func (e *entry) callStoreOverLink(op func(c *store.Client) error, then func(err error)) {
+	w, generation, answered := e.w, e.generation, false
+	answer := func(err error) {
+		if answered {
+			return
+		}
+		answered = true
+		if !errors.Is(err, store.ErrRefused) && !errors.Is(err, store.ErrOutcomeUnknown) {
+			e.noteStoreContact(e.clock())
+		}
+		then(err)
+	}
+	e.later(storeTimeout, func() { answer(store.ErrOutcomeUnknown) })
+	e.leave(w.latency(), func() {
+		reached, err := w.reachStore(e.name, func() error { return op(e.reachableStore()) })
+		if reached {
+			e.laterIn(generation, w.answerLatency(), func() { answer(err) })
+		}
+	})
+}
+
 // answerLatency returns how long an answer of the store takes. Answers to calls that overlap may overtake each
 // other by much.
 func (w *world) answerLatency() time.Duration {
@@ -209,6 +243,9 @@
 		e.applyRecords(records)
 		e.nextOffset[i] = max(e.nextOffset[i], end)
 		e.caughtUpAt[i] = began
+		if jobTopics[i] == store.TopicIntake {
+			e.noteIntakeRead(began)
+		}
 		e.catchUp(i+1, then)
 	})
 }
@@ -224,12 +261,22 @@
 		if err != nil {
 			panic(err)
 		}
+		e.noteJob(id)
 		if j, _ := e.jobs.Job(id); e.term != nil && j != nil && j.Submission() != nil && !e.term.scheduler.HasJob(id) {
 			e.admit(e.clock(), e.term, j)
 		}
 	}
 }
 
+// noteJob notes what the entry shows of a job after a record of it, and passes its cancellation to the scheduler.
+func (e *entry) noteJob(id string) {
+	j, _ := e.jobs.Job(id)
+	e.w.noteShown(id, j)
+	if e.term != nil && j != nil && e.term.scheduler.HasJob(id) {
+		e.syncCancellation(e.term, id, j)
+	}
+}
+
 // applyRecord applies the record at an offset to the job table.
 func (e *entry) applyRecord(r store.Record, offset uint64) (string, error) {
 	if e.applied++; e.w.rules.ApplyInAnyOrder {
@@ -279,9 +326,11 @@
 			if e.applyMark(r) {
 				continue
 			}
-			if _, err := e.applyRecord(r, end-uint64(len(records)-i)); err != nil {
+			id, err := e.applyRecord(r, end-uint64(len(records)-i))
+			if err != nil {
 				panic(err)
 			}
+			e.noteJob(id)
 		}
 		t.roster.Stored(marked, unmarked)
 		e.dropForgotten(t, forgotten)
@@ -393,7 +442,7 @@
 	}
 	e.w.note("%s in term %d gets a report of %s life %d runs %v ends %v", e.name, t.number, h.worker.Name, h.worker.Life, h.runs, h.ends)
 	t.agents[h.worker.Name] = &agentLink{conn: c, lastContact: e.clock()}
-	if e.needsName(h) {
+	if e.needsName(h) || !e.isConfirmed(h) {
 		t.held[h.worker.Name] = h
 		return
 	}
--- a/internal/explore/term/term.go
+++ b/internal/explore/term/term.go
@@ -16,7 +16,6 @@
 
 	"savoryhoist.example/savoryhoist/internal/standin"
 	"savoryhoist.example/savoryhoist/internal/store"
-	"savoryhoist.example/savoryhoist/pkg/worker"
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
@@ -73,6 +72,17 @@
 	AgentStops
 	// Refusals makes half of the cuts that isolate an entry refuse connections to it.
 	Refusals
+	// PartialViews cuts links between single processes, and between processes and the store. Agents judge orders by what
+	// they prove, and the rules with a time bound are checked.
+	PartialViews
+	// SecondRuns lets several runs of the tasks of some jobs run at a time. Some runs fail or stand still.
+	SecondRuns
+	// Cancellations cancels some jobs, which have more steps.
+	Cancellations
+	// Pauses makes processes stand still at single points for a few milliseconds to seconds.
+	Pauses
+	// QuickRestarts has runners return within milliseconds of a crash.
+	QuickRestarts
 )
 
 // world is the simulated cluster with its scheduled events. Times given as durations
@@ -93,6 +103,13 @@
 	history standin.History
 	entries []*entry
 	agents  []*agent
+	judge   judge
+	// cuts holds the faults of links. Until lossyUntil the store loses answers and requests, and until coreDisturbedUntil it
+	// is disrupted.
+	cuts                           map[link]cut
+	lossyUntil, coreDisturbedUntil time.Duration
+	// misbehaved holds the tasks of which a run has failed or stood still.
+	misbehaved map[string]bool
 	// faults counts the injected faults.
 	faults int
 	// trace, if set, is told what happens.
@@ -124,6 +141,8 @@
 	refusing := new(standin.Store)
 	refusing.SetFault(store.ErrRefused, false)
 	w.unreachable = refusing.Client()
+	w.cuts = make(map[link]cut)
+	w.watchHistory()
 	for i := range entryCount {
 		w.entries = append(w.entries, newEntry(w, i))
 	}
@@ -131,12 +150,17 @@
 		w.agents = append(w.agents, newAgent(w, i))
 	}
 	for i := range jobCount {
-		w.schedule(w.randomUpTo(faultDuration), func() { w.submit(i) })
+		submitAt := w.randomUpTo(faultDuration)
+		w.schedule(submitAt, func() { w.submit(i) })
+		if w.isCancelled(i) {
+			w.schedule(submitAt+w.randomUpTo(4*time.Second), func() { w.cancel(i) })
+		}
 	}
 	for w.now < totalDuration {
 		w.now += tickInterval
+		w.breakConnections()
 		w.runDue()
-		if w.now < faultDuration && w.random.IntN(40) == 0 {
+		if w.now < faultDuration && w.random.IntN(w.faultSpacing()) == 0 {
 			w.injectFault()
 		}
 		for _, a := range w.agents {
@@ -151,6 +175,9 @@
 		if violations := w.history.Violations(); len(violations) > 0 {
 			return errors.Newf("at %s: %s", w.now, violations[0])
 		}
+		if len(w.judge.violations) > 0 {
+			return errors.Newf("at %s: %s", w.now, w.judge.violations[0])
+		}
 	}
 	return w.checkJobs()
 }
@@ -201,10 +228,7 @@
 
 // submit stores the job with an index, as an entry does before it responds to its caller.
 func (w *world) submit(index int) {
-	submission := &workflow.Submission{ID: jobName(index), Queue: "q", AcceptedMS: w.trueTime().UnixMilli(), Term: w.knownTerm(), Spec: workflow.Spec{Steps: []workflow.Step{
-		{Count: 2, Size: worker.Resources{MilliCPU: 1000}, EstimateMS: 1000},
-		{Count: 1, Size: worker.Resources{MilliCPU: 1000}, EstimateMS: 1000, After: []int{0}},
-	}}}
+	submission := &workflow.Submission{ID: jobName(index), Queue: "q", AcceptedMS: w.trueTime().UnixMilli(), Term: w.knownTerm(), Spec: workflow.Spec{Steps: w.jobSteps(index)}}
 	if w.kinds&Occurrences != 0 {
 		submission.Spec.RepeatCount, submission.Spec.FirstDueMS, submission.Spec.IntervalMS = occurrenceCount, w.trueTime().UnixMilli(), 1500
 	}
@@ -245,6 +269,9 @@
 	}
 	for i := range jobCount {
 		j, ok := jobTable.Job(jobName(i))
+		if ok && w.isCancelled(i) && j.Phase() == workflow.PhaseCancelled {
+			continue
+		}
 		forgotten := w.kinds&Retention != 0 && (!ok || j.Phase() == workflow.PhaseQueued)
 		if !forgotten && (!ok || j.Phase() != workflow.PhaseCompleted) {
 			phase := workflow.PhaseQueued
@@ -270,8 +297,10 @@
 	}
 	var names []string
 	for k := range count {
-		for _, task := range []string{"0.0", "0.1", "1.0"} {
-			names = append(names, fmt.Sprintf("%s.%d.%s", jobName(index), k, task))
+		for step, s := range w.jobSteps(index) {
+			for task := range s.Count {
+				names = append(names, fmt.Sprintf("%s.%d.%d.%d", jobName(index), k, step, task))
+			}
 		}
 	}
 	return names
@@ -284,6 +313,14 @@
 	defer func() { w.noteFaults(before) }()
 	e, a := w.entries[w.random.IntN(entryCount)], w.agents[w.random.IntN(workerCount)]
 	duration := 300*time.Millisecond + w.randomUpTo(7*time.Second)
+	if w.kinds&PartialViews != 0 && w.random.IntN(4) > 0 {
+		w.cutLinks(duration)
+		return
+	}
+	if w.kinds&QuickRestarts != 0 && w.random.IntN(4) == 0 {
+		a.crash(time.Millisecond + w.randomUpTo(30*time.Millisecond))
+		return
+	}
 	if w.kinds&Retention != 0 && w.random.IntN(3) == 0 {
 		w.failPartOfStore(duration)
 		return
@@ -307,6 +344,7 @@
 		a.restart(w.randomUpTo(2 * time.Second))
 	case 4: // an agent freezes
 		a.frozenUntil = w.now + duration
+		a.disturbedUntil = max(a.disturbedUntil, a.frozenUntil)
 	case 5: // an agent is cut off from all entries
 		a.cutUntil = w.now + duration
 	case 6: // a runner restarts
@@ -317,9 +355,11 @@
 		a.runner.Restart(w.trueTime())
 	case 7: // the store refuses calls
 		w.store.SetFault(store.ErrRefused, false)
+		w.disturbCore(duration)
 		w.schedule(duration, func() { w.store.SetFault(nil, false) })
 	case 8: // the store carries out appends, but no call learns its outcome
 		w.store.SetFault(store.ErrOutcomeUnknown, true)
+		w.disturbCore(time.Second)
 		w.schedule(w.randomUpTo(time.Second), func() { w.store.SetFault(nil, false) })
 	case 10: // an entry reaches neither the store nor other entries, but still its agents
 		e.isolatedUntil = w.now + 3*duration
@@ -349,6 +389,8 @@
 	// Until cutUntil every message that is due at or from the process breaks its
 	// connection.
 	cutUntil time.Duration
+	// disturbedUntil is the end of the last disruption of the process that excuses it from the rules with a time bound.
+	disturbedUntil time.Duration
 }
 
 // maxClockDrift bounds the relative error of a process's clock.
@@ -387,6 +429,8 @@
 	// agentGeneration and entryGeneration are the generations of the agent and of the entry
 	// when the connection was opened.
 	agentGeneration, entryGeneration uint64
+	// newSince is the time on the entry's clock at which an agent that knew no term said Hello; zero if it knew one.
+	newSince time.Time
 }
 
 // send delivers a message to one end of the connection after a random delay. fn is how
@@ -413,6 +457,7 @@
 		}
 		switch {
 		case c.broken:
+		case !c.throughLink(order, to, fn):
 		case c.w.now < to.frozenUntil || c.w.now < to.downUntil:
 			c.deliverAs(order, to, tickInterval, fn)
 		default:
--- a/internal/standin/taskrunner.go
+++ b/internal/standin/taskrunner.go
@@ -248,6 +248,13 @@
 // guarantees: no two runs of a task are in progress at once, and no run starts after the
 // success of the task if that success is acknowledged then or later. The zero value is empty.
 type History struct {
+	// Speculative, if set, reports whether several runs of a task may be in progress at a time, which the guarantees do not
+	// cover.
+	Speculative func(task string) bool
+	// OnStart and OnSuccess, if set, are called when a run starts at a runner, and when the success of a task is acknowledged.
+	OnStart   func(runner, task string, run uint64)
+	OnSuccess func(task string)
+
 	mu sync.Mutex
 	// runs holds, by task and run, the runner of each run in progress.
 	runs map[string]map[uint64]string
@@ -271,16 +278,27 @@
 	if h.runs[task] == nil {
 		h.runs[task] = make(map[uint64]string)
 	}
-	if h.ackedDone[task] {
+	if h.OnStart != nil {
+		h.OnStart(runner, task, run)
+	}
+	speculative := h.speculative(task)
+	if h.ackedDone[task] && !speculative {
 		h.violations = append(h.violations, fmt.Sprintf("%s: run %d of %s started at %s after the success of a run was acknowledged", now.Format(time.StampMilli), run, task, runner))
 	}
 	for other, otherRunner := range h.runs[task] {
+		if speculative {
+			break
+		}
 		h.violations = append(h.violations, fmt.Sprintf("%s: run %d of %s started at %s while run %d was in progress at %s", now.Format(time.StampMilli), run, task, runner, other, otherRunner))
 	}
 	h.runs[task][run] = runner
 	h.starts[task] = append(h.starts[task], fmt.Sprintf("%s: run %d of %s started at %s", now.Format(time.StampMilli), run, task, runner))
 }
 
+func (h *History) speculative(task string) bool {
+	return h.Speculative != nil && h.Speculative(task)
+}
+
 // noteEnd notes that a run has ended, and returns the number of runs of the task that have started.
 func (h *History) noteEnd(task string, run uint64) (started int) {
 	h.mu.Lock()
@@ -298,7 +316,10 @@
 		return
 	}
 	h.ackedDone[e.Task] = true
-	if later := h.starts[e.Task][e.startsBefore:]; len(later) > 0 {
+	if h.OnSuccess != nil {
+		h.OnSuccess(e.Task)
+	}
+	if later := h.starts[e.Task][e.startsBefore:]; len(later) > 0 && !h.speculative(e.Task) {
 		h.violations = append(h.violations, fmt.Sprintf("%s after the success of run %d at %s, which was acknowledged later", later[0], e.Run, runner))
 	}
 }
