--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -16,6 +16,7 @@
 
 var (
 	errLeaseTooShort   = errors.New("too little of the worker lease is left for a start")
+	errNoRunLease      = errors.New("the runner did not confirm a lease for the run")
 	errSilentRunner    = errors.New("the runner does not answer")
 	errOtherLife       = errors.New("the order is for another life of the runner")
 	errDeparted        = errors.New("the worker has left and is not registered anew")
@@ -71,7 +72,7 @@
 		s := orders.Stops[i]
 		a.group.Go(func() {
 			if a.confirmStop(ctx, terms.term, terms.basis) {
-				a.fence(ctx, s.Life, runKey{s.Task, s.Run}, s.Reason)
+				a.fence(ctx, terms.term, s.Life, runKey{s.Task, s.Run}, s.Reason)
 			}
 		})
 	}
@@ -105,32 +106,47 @@
 	}
 }
 
-// refuseUnsent refuses a start that has not been sent to the runner.
+// refuseUnsent refuses a start that has not been sent to the runner. One for an earlier life is listed as pending in the report
+// of the present life, and refused once it is fenced there.
 func (a *Agent) refuseUnsent(life uint64, key runKey, reason error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.unansweredStarts, key)
+	if a.life != life {
+		a.log.Info().Str("task", key.task.String()).Uint64("run", key.run).Uint64("life", life).Str("reason", reason.Error()).Msg("start for an earlier life not sent")
+		return
+	}
 	a.refuse(life, key, reason)
 }
 
-// startRun has the runner start the run of a start order, with a lease that ends at leaseEndMS
-// on the runner's clock. If the runner does not answer and the next listing does not show the
+// startRun has the runner start the run of a start order while what the order rests on counts, and before leaseEndMS, the
+// end of the run lease on the runner's clock. If the runner does not answer and the next listing does not show the
 // run, startRun makes sure that the run never starts later. It refuses the start if its order is too old, its term is over,
 // or the data centre has been evacuated since the order was handled.
 func (a *Agent) startRun(ctx context.Context, c Call, s *dispatch.Start, leaseEndMS int64, terms *orderTerms) {
 	key := runKey{s.Task, s.Run}
-	if err := a.confirmStart(ctx, terms.term, terms.basis); err != nil {
+	if err := a.ensureRunLease(ctx, leaseEndMS); err != nil {
+		a.refuseUnsent(s.Life, key, err)
+		return
+	}
+	deadline, err := a.confirmStart(ctx, terms.term, terms.basis)
+	if err != nil {
 		a.refuseUnsent(s.Life, key, err)
 		return
 	}
 	if !a.mayStillStart(s.Life, key, terms.startBefore) {
 		return
 	}
+	deadlineMS, err := a.startDeadlineMS(s, deadline, terms.startBefore)
+	if err != nil {
+		a.refuseUnsent(s.Life, key, err)
+		return
+	}
 	// A process that stops waits for the answer, so that the outcome of the start is known.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	lastClockMS := a.lastClockMS(s.Life)
-	clockMS, err := a.runner.Start(callCtx, c, s, leaseEndMS)
+	clockMS, err := a.runner.Start(callCtx, c, s, min(leaseEndMS, deadlineMS))
 	switch {
 	case err == nil:
 		a.count("starts")
@@ -159,10 +175,68 @@
 		if a.pollForRun(ctx, key) {
 			return
 		}
-		a.fence(ctx, s.Life, key, "the runner did not answer the start")
+		a.fence(ctx, anyTerm, s.Life, key, "the runner did not answer the start")
+	}
+}
+
+// ensureRunLease renews the run leases unless the runner has granted enough for a run to last until the poll loop renews
+// them: a start says by when it has to take effect, and gives no longer lease. leaseEndMS is the latest end that is allowed.
+func (a *Agent) ensureRunLease(ctx context.Context, leaseEndMS int64) error {
+	for polls := 0; ; polls++ {
+		a.mu.Lock()
+		enough := a.grantedLeaseEndMS >= min(leaseEndMS, a.toRunnerClockMS(clock.Steady().Add(minGrantedLease)))
+		a.mu.Unlock()
+		switch {
+		case enough:
+			return nil
+		case polls == maxLeasePolls:
+			return errNoRunLease
+		}
+		if err := a.pollForStart(ctx); err != nil {
+			return err
+		}
 	}
 }
 
+// pollForStart polls the runner, or waits for such a poll for another start that is under way.
+func (a *Agent) pollForStart(ctx context.Context) error {
+	a.mu.Lock()
+	if p := a.startPoll; p != nil {
+		a.mu.Unlock()
+		<-p.done
+		return p.err
+	}
+	p := &sharedPoll{done: make(chan struct{})}
+	a.startPoll = p
+	a.mu.Unlock()
+	defer close(p.done)
+	p.err = a.poll(ctx, 0)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.startPoll = nil
+	return p.err
+}
+
+// sharedPoll is a poll that several starts wait for. err is its error once done is closed.
+type sharedPoll struct {
+	done chan struct{}
+	err  error
+}
+
+// startDeadlineMS returns the time on the runner's clock by which a start has to take effect: deadline or, unless that is zero,
+// startBefore. It fails if the start must not be carried out any more since its order was handled.
+func (a *Agent) startDeadlineMS(s *dispatch.Start, deadline, startBefore time.Time) (int64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.checkStart(clock.Steady(), s); err != nil {
+		return 0, err
+	}
+	if !startBefore.IsZero() && startBefore.Before(deadline) {
+		deadline = startBefore
+	}
+	return a.toRunnerClockMS(deadline), nil
+}
+
 // logStartAnswer logs if a start was answered at clockMS on the runner's clock, before lastClockMS, the reading known when
 // the start was sent: it has reached another life, whose clock began anew. It also logs if the proof that the order rests
 // on had become too old by then, or if there is none since the store fails this worker. The caller holds mu.
@@ -218,20 +292,24 @@
 	return a.unlistedStarts[key] == nil
 }
 
+// anyTerm is the term of a fence that every dispatcher needs.
+const anyTerm = 0
+
 // fence stops a run in a life of the runner, or makes sure that the run never starts. If the
 // runner does not list the run afterwards, there will be no run end. The dispatcher is then told
 // that the order for the run, the start or the stop order, was refused, for the given reason.
-// If ctx ends before, the dispatcher is told nothing, since the run may still start.
-func (a *Agent) fence(ctx context.Context, life uint64, key runKey, reason string) {
+// If ctx ends before, the dispatcher is told nothing, since the run may still start. A fence that the dispatcher of a term has
+// ordered ends with that term: the next one may want the run.
+func (a *Agent) fence(ctx context.Context, term, life uint64, key runKey, reason string) {
 	for {
 		if ctx.Err() != nil {
 			return
 		}
 		a.mu.Lock()
-		c, current := a.newCall(), a.life == life
+		c, current := a.newCall(), a.life == life && (term == anyTerm || a.term == term)
 		a.mu.Unlock()
 		if !current {
-			return // the run is listed as pending in the report of the new life, and fenced in that life
+			return // in a new life, the run is listed as pending in the report, and fenced
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := a.runner.Stop(callCtx, c, key.task, key.run)
--- a/internal/runneragent/report.go
+++ b/internal/runneragent/report.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
 )
@@ -20,20 +18,21 @@
 	runnerEnded
 )
 
-// emptyStateOf returns the state of a runner whose runs have all ended, from the error of the last poll.
-func emptyStateOf(err error) runnerState {
-	if errors.Is(err, ErrNotListening) {
+// emptyState returns the state of a runner whose runs have all ended. The caller holds mu.
+func (a *Agent) emptyState() runnerState {
+	if a.runnerHasEnded() {
 		return runnerEnded
 	}
 	return runnerSilent
 }
 
 // sendEmptyReport tells the dispatcher that the worker runs nothing, and pings it. Start orders that are under
-// way meanwhile are refused, since the dispatcher regards their runs as ended. Starts that a runner which has ended did
+// way meanwhile are refused, since the dispatcher regards their runs as ended. Run ends that are not acknowledged are
+// listed, since no later listing of their life may come. Starts that a runner which has ended did
 // not answer are listed as pending: they may still take effect in its next life. The caller holds mu.
 func (a *Agent) sendEmptyReport(now time.Time, state runnerState) {
 	a.reportedEmpty = true
-	r := &peer.Report{Registration: a.registration, Worker: dispatch.Worker{Name: a.settings.Name}, Sent: a.sentRuns(), RunnerEnded: state == runnerEnded}
+	r := &peer.Report{Registration: a.registration, Worker: dispatch.Worker{Name: a.settings.Name}, Sent: a.sentRuns(), RunnerEnded: state == runnerEnded, EndedLives: a.endedLives(true)}
 	clear(a.pendingWhenEmpty)
 	for key, mayStartUntil := range a.unansweredStarts {
 		if r.RunnerEnded && now.Before(mayStartUntil) {
@@ -47,13 +46,10 @@
 }
 
 // refuseOverdue refuses the starts of the last empty report that can no longer run, after a poll that began at the given
-// time has failed with err: they took no effect in time, and nothing listens or any lease has expired. The caller holds mu.
-func (a *Agent) refuseOverdue(began time.Time, err error) {
+// time has failed: they took no effect in time, and the runner has ended since or any lease has expired. The caller holds mu.
+func (a *Agent) refuseOverdue(began time.Time) {
 	for key, mayStartUntil := range a.pendingWhenEmpty {
-		if !errors.Is(err, ErrNotListening) {
-			mayStartUntil = mayStartUntil.Add(maxRunLease + leaseSlack)
-		}
-		if !began.Before(mayStartUntil) {
+		if !began.Before(mayStartUntil.Add(maxRunLease+leaseSlack)) || a.runnerHasEnded() && !a.endProof.proven.began.Before(mayStartUntil) {
 			delete(a.pendingWhenEmpty, key)
 			a.refuse(0, key, errRunnerGone)
 		}
@@ -131,7 +127,7 @@
 
 // newReport returns a report of the worker's whole state. The caller holds mu.
 func (a *Agent) newReport() *peer.Report {
-	r := &peer.Report{Registration: a.registration, Worker: a.describeWorker(), Runs: append([]dispatch.RunStatus(nil), a.runs...), RunEnds: append([]dispatch.RunEnd(nil), a.runEnds...), Sent: a.earlierRuns}
+	r := &peer.Report{Registration: a.registration, Worker: a.describeWorker(), Runs: append([]dispatch.RunStatus(nil), a.runs...), RunEnds: append([]dispatch.RunEnd(nil), a.runEnds...), Sent: a.earlierRuns, EndedLives: a.endedLives(false)}
 	for k := range a.unlistedStarts {
 		r.Runs = append(r.Runs, dispatch.RunStatus{Task: k.task, Run: k.run, Pending: true})
 	}
--- a/internal/runneragent/runner.go
+++ b/internal/runneragent/runner.go
@@ -20,8 +20,8 @@
 	ErrTicket = errors.New("the runner did not accept the ticket")
 	// ErrNotListening means that no runner listens, so all of its runs have ended.
 	ErrNotListening = errors.New("no runner listens")
-	// ErrNotSent means that a call was not sent, since its SendBefore had passed.
-	ErrNotSent = errors.New("the call was not sent in time")
+	// ErrNotSent means that a call was not sent, since its SendBefore had passed or the runner is not in its Life.
+	ErrNotSent = errors.New("the call was not sent")
 	// ErrNoAnswer means that a call may have taken effect, or may do so later.
 	ErrNoAnswer = errors.New("the runner did not answer")
 )
@@ -30,6 +30,9 @@
 type Call struct {
 	// Instance is the instance ID of the runner that the call is for; any if empty.
 	Instance string
+	// Life is the start time of the runner that the call is for, in Unix milliseconds; any if 0. The call is not sent to
+	// another life, which may have the same instance ID.
+	Life uint64
 	// Term is the term of the dispatcher. The runner rejects calls with a term lower than the
 	// highest that it has seen.
 	Term uint64
@@ -67,9 +70,10 @@
 
 // Runner holds the functions that call the runner of the agent's worker.
 type Runner struct {
-	// Start starts a run with a lease that ends at leaseEndMS, in milliseconds on the runner's clock. It returns the
-	// reading of that clock in the answer; 0 if the answer has none.
-	Start func(ctx context.Context, c Call, s *dispatch.Start, leaseEndMS int64) (clockMS int64, err error)
+	// Start starts a run unless the runner's clock shows deadlineMS, in milliseconds, or later by then. The leases of all
+	// runs at the runner last at least until deadlineMS. It returns the reading of that clock in the answer; 0 if the answer
+	// has none.
+	Start func(ctx context.Context, c Call, s *dispatch.Start, deadlineMS int64) (clockMS int64, err error)
 	// Stop stops a run, or makes sure that it never starts.
 	Stop func(ctx context.Context, c Call, task workflow.TaskID, run uint64) error
 	// Renew renews the leases of all runs and lists them.
