--- a/internal/explore/term/regression_test.go
+++ b/internal/explore/term/regression_test.go
@@ -35,3 +35,7 @@
 func TestRefusedPollDoesNotOvertakeAnAnswer(t *testing.T) { expectNoViolation(t, SlowCalls, 840) }
 
 func TestOccurrenceThatIsNotDueHereRunsOnce(t *testing.T) { expectNoViolation(t, Occurrences, 20) }
+
+func TestRegainedDispatcherReadsCancellationsFirst(t *testing.T) {
+	expectNoViolation(t, PartialViews|Cancellations, 1300)
+}
