Judge all forms of a task that runs twice in tests with simulated runners

The history of simulated runners knew less than that rule: two runs at once, and a start before or after an acknowledgement. It did not know that an end counts as acknowledged soon after it was listed, that no run starts long after a success or after the job was shown as completed, nor which steps may run several copies.

History now judges these forms, starts of cancelled jobs, starts before their time or before the steps that precede them, and foreign checkpoints. It keeps starts, ends, listings and acknowledgements of each task for a report. Two near misses are recorded: an acknowledgement of ends that were never listed, and a lease longer than a dispatcher grants.

The runners read a plan of the job from its text: run times, failures, checkpoints, gangs and sizes. They refuse what does not fit, calls for another instance, and can carry out calls late, lose answers, and read their clock apart from the listing that it is sent with.

--- a/internal/explore/term/agent.go
+++ b/internal/explore/term/agent.go
@@ -212,20 +212,20 @@
 	if !a.runner.Admit(a.w.trueTime(), a.term, leaseEndMS) {
 		return false
 	}
-	runs, ends := a.runner.List(ackedEnd)
+	runs, ends := a.runner.List(a.w.trueTime(), ackedEnd)
 	if life := a.runner.StartedAtMS(); life != a.life {
 		a.life, a.reportedEnd, a.ackedEnd, a.sameLifeUntil = life, 0, 0, time.Time{}
 		clear(a.fenceAt)
 		if !a.w.rules.SkipFencingInNewLife {
 			for _, k := range sortedKeys(a.unlistedStarts) {
-				a.runner.Stop(k.task.String(), k.run)
+				a.runner.Stop(a.w.trueTime(), k.task.String(), k.run)
 			}
 			for _, k := range sortedKeys(a.unansweredStarts) {
 				if now.Before(a.unansweredStarts[k]) {
-					a.runner.Stop(k.task.String(), k.run)
+					a.runner.Stop(a.w.trueTime(), k.task.String(), k.run)
 				}
 			}
-			runs, ends = a.runner.List(0)
+			runs, ends = a.runner.List(a.w.trueTime(), 0)
 		}
 		clear(a.unlistedStarts)
 		a.applyListing(now, runs, ends)
@@ -343,7 +343,7 @@
 			continue
 		}
 		delete(a.fenceAt, k)
-		a.runner.Stop(k.task.String(), k.run)
+		a.runner.Stop(a.w.trueTime(), k.task.String(), k.run)
 		if a.poll(now) && !a.isListedAsEnded(k) {
 			a.sendRefusal(a.life, k)
 		}
--- a/internal/explore/term/agent_steps.go
+++ b/internal/explore/term/agent_steps.go
@@ -201,7 +201,7 @@
 			return errNotRun
 		}
 		l = listing{startedAtMS: a.runner.StartedAtMS(), clockMS: a.runner.ClockMS(a.w.trueTime())}
-		l.runs, l.ends = a.runner.List(ackedEnd)
+		l.runs, l.ends = a.runner.List(a.w.trueTime(), ackedEnd)
 		return nil
 	}, func(err error) {
 		if err != nil {
@@ -364,7 +364,7 @@
 		if !a.runner.Admit(a.w.trueTime(), term, 0) {
 			return errNotRun
 		}
-		a.runner.Stop(k.task.String(), k.run)
+		a.runner.Stop(a.w.trueTime(), k.task.String(), k.run)
 		return nil
 	}, func(err error) {
 		if err != nil {
--- a/internal/runneragent/late_renewal_test.go
+++ b/internal/runneragent/late_renewal_test.go
@@ -18,7 +18,7 @@
 	time.Sleep(10 * time.Millisecond)
 	r.Restart(clock.Steady())
 	r.completeRun(s)
-	r.List(late.LastAckedEnd)
+	r.List(clock.Steady(), late.LastAckedEnd)
 	s.poll(t)
 	s.agent.group.Wait()
 	if got, want := s.agent.lastEndNumber(), uint64(1); got != want {
@@ -44,7 +44,7 @@
 			t.Errorf("acknowledged by poll %d after the listing: got %d, want %d", i, got, want)
 		}
 	}
-	if _, ends := r.List(0); len(ends) != 0 {
+	if _, ends := r.List(clock.Steady(), 0); len(ends) != 0 {
 		t.Errorf("ends that the runner still lists: got %v, want none", ends)
 	}
 }
--- a/internal/runneragent/stale_listing_test.go
+++ b/internal/runneragent/stale_listing_test.go
@@ -54,7 +54,7 @@
 }
 
 func (r *standinRunner) stop(_ context.Context, _ Call, task workflow.TaskID, run uint64) error {
-	r.Stop(task.String(), run)
+	r.Stop(clock.Steady(), task.String(), run)
 	return nil
 }
 
@@ -69,7 +69,7 @@
 	now := clock.Steady()
 	r.renewals = append(r.renewals, q)
 	r.Admit(now, q.Term, q.LeaseEndMS)
-	runs, ends := r.List(q.LastAckedEnd)
+	runs, ends := r.List(now, q.LastAckedEnd)
 	l := &Listing{ClockMS: r.ClockMS(now), StartedAtMS: r.StartedAtMS()}
 	for _, s := range runs {
 		id, _ := workflow.ParseTaskID(s.Task)
--- a/internal/standin/history_test.go
+++ b/internal/standin/history_test.go
@@ -21,31 +21,31 @@
 		}, []string{"Jan  1 00:00:00.000: run 2 of t started at y while run 1 was in progress at x"}},
 		{"a run after the acknowledged success of another one", func(now *time.Time, x, y *TaskRunner) {
 			endRun(now, x)
-			x.List(1)
+			x.List(*now, 1)
 			y.Start(*now, "t", 2, lease, TaskSucceeds)
 		}, []string{"Jan  1 00:00:00.200: run 2 of t started at y after the success of a run was acknowledged"}},
 		{"a run after a success that is acknowledged later", func(now *time.Time, x, y *TaskRunner) {
 			endRun(now, x)
 			y.Start(*now, "t", 2, lease, TaskSucceeds)
-			x.List(1)
+			x.List(*now, 1)
 		}, []string{"Jan  1 00:00:00.200: run 2 of t started at y after the success of run 1 at x, which was acknowledged later"}},
 		{"a run after a success whose lease has expired before the acknowledgement", func(now *time.Time, x, y *TaskRunner) {
 			endRun(now, x)
 			*now = now.Add(lease * time.Millisecond)
 			x.EndDueRuns(*now)
 			y.Start(*now, "t", 2, longLease, TaskSucceeds)
-			x.List(1)
+			x.List(*now, 1)
 		}, nil},
 		{"a run after a success that was never acknowledged", func(now *time.Time, x, y *TaskRunner) {
 			endRun(now, x)
 			x.Restart(*now)
 			y.Start(*now, "t", 2, lease, TaskSucceeds)
-			x.List(1)
+			x.List(*now, 1)
 		}, nil},
 		{"a run after a run that was stopped", func(now *time.Time, x, y *TaskRunner) {
-			x.Stop("t", 1)
+			x.Stop(*now, "t", 1)
 			y.Start(*now, "t", 2, lease, TaskSucceeds)
-			x.List(1)
+			x.List(*now, 1)
 		}, nil},
 		{"a run beside one that a restart ended", func(now *time.Time, x, y *TaskRunner) {
 			x.Restart(*now)
--- a/internal/standin/taskrunner.go
+++ b/internal/standin/taskrunner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/crc32"
 	"maps"
 	"slices"
 	"strings"
@@ -13,6 +14,10 @@
 type RunStatus struct {
 	Task string
 	Run  uint64
+	// Checkpoint is the newest checkpoint; empty if there is none.
+	Checkpoint string
+	// Percent is the progress; that of a task that never ends is 100 once it is at work.
+	Percent int
 }
 
 // RunEnd is the end of a run. A TaskRunner lists it until it is acknowledged.
@@ -22,12 +27,11 @@
 	Task    string
 	Run     uint64
 	Outcome string
-	// stale is set if the runner's lease has expired since the end. By then the dispatcher
-	// may rightly have given the run up and ordered another run of the task, so the history
-	// does not count a later acknowledgement as one of the task's success.
-	stale bool
-	// startsBefore is the number of runs of the task that had started before the end.
-	startsBefore int
+	// Checkpoint is the newest checkpoint of the run; empty if there is none.
+	Checkpoint string
+	// past is the end in the history. Once the runner's lease has expired since, the dispatcher may rightly have given the
+	// run up and ordered another run of the task, so a later acknowledgement is not one of the task's success.
+	past *pastEnd
 }
 
 // Reasons for which a TaskRunner refuses a call. Their values are names of the platform's
@@ -41,8 +45,25 @@
 	ReasonStaleRun = "old"
 	// ReasonLeaseEnded means that the lease given with the start has already ended.
 	ReasonLeaseEnded = "late"
+	// ReasonNoRoom means that the run does not fit beside those in progress.
+	ReasonNoRoom = "room"
 )
 
+// Times of the work of simulated tasks.
+const (
+	// checkpointEvery is how much work lies between two checkpoints, and restoreTime how long a run takes to resume
+	// from one.
+	checkpointEvery, restoreTime = time.Second, 250 * time.Millisecond
+	// startupTime is how long a task that never ends takes until it is at work.
+	startupTime = 300 * time.Millisecond
+	// maxListedEnds is the number of ends that are listed at most, the oldest ones.
+	maxListedEnds = 500
+)
+
+// spreadPercent is how long a task takes away from its data, or a gang that should be on one rack on several, in percent of
+// the time that it takes otherwise.
+const spreadPercent = 150
+
 // TaskRunner simulates a runner of tasks with a lease, a fencing token and a list
 // of its runs. By default its tasks succeed after TaskDuration. It records all starts and
 // ends in History.
@@ -50,21 +71,33 @@
 	Name         string
 	TaskDuration time.Duration
 	History      *History
+	// Gangs holds the gangs of all runners. Without it the members of gangs run like other tasks.
+	Gangs *Gangs
 	// ClockLagDivisor makes the runner's clock lose 1/ClockLagDivisor of the elapsed time;
 	// 0 means that the clock is exact.
 	ClockLagDivisor int
+	// MilliCPU and MemoryMB are the runner's capacity; 0 stands for no limit.
+	MilliCPU, MemoryMB int64
+	// Rack is where the runner is.
+	Rack string
+	// StopTime is how long a run takes to stop.
+	StopTime time.Duration
+	// LongestGrant is the longest lease that a dispatcher grants. A longer one is recorded as a near miss; 0 stands for no limit.
+	LongestGrant time.Duration
 
 	mu sync.Mutex
 	// startedAtMS is startedAt in Unix milliseconds.
 	startedAtMS uint64
 	startedAt   time.Time
+	// away is set while no process of the runner is there.
+	away bool
 	// highestToken is the highest fencing token that was accepted.
 	highestToken uint64
 	// leaseEndMS is when the lease of all runs ends on the runner's clock; 0 means that
 	// there is no lease.
 	leaseEndMS int64
-	// lastEnd is the number of the newest end.
-	lastEnd uint64
+	// lastEnd is the number of the newest end, and lastListed that of the newest end that was listed.
+	lastEnd, lastListed uint64
 	// running holds the run in progress of each task.
 	running map[string]*taskRun
 	// finished holds the ends that have not been acknowledged.
@@ -74,10 +107,20 @@
 	changed    chan struct{}
 }
 
+// taskRun is a run in progress.
 type taskRun struct {
-	run       uint64
-	endsAt    time.Time
-	behaviour TaskBehaviour
+	run  uint64
+	past *pastStart
+	step StepPlan
+	// startedAt is when the run began, was restored from a checkpoint or had all members of its gang beside it. waits is set
+	// while it waits for them.
+	startedAt time.Time
+	waits     bool
+	// need is how much work the task takes, and resumed how much of it was done before the run.
+	need, resumed time.Duration
+	behaviour     TaskBehaviour
+	// stopsAt is when a run that is being stopped ends; otherwise the zero time.
+	stopsAt time.Time
 }
 
 // TaskBehaviour is how the runs of a task end if they are not stopped and the lease does
@@ -96,13 +139,38 @@
 func (r *TaskRunner) Restart(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endLife(now)
+	r.startedAtMS, r.startedAt, r.away = uint64(now.UnixMilli()), now, false
+	r.notifyChanged()
+}
+
+// Shutdown ends the runner and its runs. It carries out nothing until Restart.
+func (r *TaskRunner) Shutdown(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endLife(now)
+	r.away = true
+	r.notifyChanged()
+}
+
+// endLife ends all runs and forgets the lease, the fencing token and the lists. The caller holds mu.
+func (r *TaskRunner) endLife(now time.Time) {
 	for task, t := range r.running {
-		r.History.noteEnd(task, t.run)
+		r.History.noteEnd(now, t.past, "crashed")
+		r.leaveGang(task, t, "crashed")
 	}
-	r.startedAtMS, r.startedAt, r.leaseEndMS = uint64(now.UnixMilli()), now, 0
-	r.highestToken, r.lastEnd, r.finished = 0, 0, nil
+	for i := range r.finished {
+		r.History.noteVoid(now, r.finished[i].past, "was lost with the runner's life")
+	}
+	r.leaseEndMS, r.highestToken, r.lastEnd, r.lastListed, r.finished = 0, 0, 0, 0, nil
 	r.running, r.highestRun = make(map[string]*taskRun), make(map[string]uint64)
-	r.notifyChanged()
+}
+
+// Away reports whether no process of the runner is there.
+func (r *TaskRunner) Away() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.away
 }
 
 // notifyChanged closes the channel that Changed returned. The caller holds mu.
@@ -143,42 +211,130 @@
 	return ms + 1
 }
 
-// EndDueRuns ends the runs that have run for TaskDuration, or all runs if the lease has
+// EndDueRuns ends the runs that have done their work, or all runs if the lease has
 // expired.
 func (r *TaskRunner) EndDueRuns(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	expired := r.clockMS(now) > r.leaseEndMS
-	for i := range r.finished {
-		r.finished[i].stale = r.finished[i].stale || expired
+	if expired {
+		for i := range r.finished {
+			r.History.noteVoid(now, r.finished[i].past, "was followed by the end of the lease")
+		}
 	}
 	for _, task := range slices.Sorted(maps.Keys(r.running)) {
 		t := r.running[task]
+		if expired {
+			r.finish(now, task, t, "lapsed")
+		} else if outcome := r.dueOutcome(now, t); outcome != "" {
+			r.finish(now, task, t, outcome)
+		}
+	}
+}
+
+// dueOutcome returns how a run ends now, or "" if it goes on. The caller holds mu.
+func (r *TaskRunner) dueOutcome(now time.Time, t *taskRun) string {
+	if !t.stopsAt.IsZero() && !now.Before(t.stopsAt) {
+		return "stopped"
+	}
+	began := t.startedAt
+	if key, ok := r.gangOf(t); ok {
+		complete, outcome := r.Gangs.state(key)
 		switch {
-		case expired:
-			r.finish(task, t, "lapsed")
-		case t.behaviour == TaskNeverEnds || !now.After(t.endsAt):
-		case t.behaviour == TaskFails:
-			r.finish(task, t, "failed")
-		default:
-			r.finish(task, t, "done")
+		case outcome != "":
+			return outcome
+		case complete.IsZero() && now.Sub(began) > gangWait:
+			return "alone"
+		case complete.IsZero():
+			return ""
+		case t.waits:
+			t.waits = false
+			if complete.After(began) {
+				t.startedAt, began = complete, complete
+			}
 		}
 	}
+	switch {
+	case t.behaviour == TaskNeverEnds && t.step.DurationMS == 0, t.resumed+now.Sub(began) <= t.need:
+		return ""
+	case t.behaviour == TaskSucceeds:
+		return "done"
+	}
+	return "failed"
+}
+
+// gangOf returns the gang of a run, and whether there is one.
+func (r *TaskRunner) gangOf(t *taskRun) (gangKey, bool) {
+	if r.Gangs == nil || !t.step.Gang {
+		return gangKey{}, false
+	}
+	return gangKey{t.past.successKey(), t.run}, true
+}
+
+// leaveGang tells the gang of a run, if there is one, that the run has ended. The caller holds mu.
+func (r *TaskRunner) leaveGang(task string, t *taskRun, outcome string) {
+	if key, ok := r.gangOf(t); ok {
+		r.Gangs.leave(key, task, outcome)
+	}
 }
 
 // finish ends a run in progress and records its end. The caller holds mu.
-func (r *TaskRunner) finish(task string, t *taskRun, outcome string) {
+func (r *TaskRunner) finish(now time.Time, task string, t *taskRun, outcome string) {
 	delete(r.running, task)
 	r.lastEnd++
-	startsBefore := r.History.noteEnd(task, t.run)
-	r.finished = append(r.finished, RunEnd{Number: r.lastEnd, Task: task, Run: t.run, Outcome: outcome, startsBefore: startsBefore})
+	r.finished = append(r.finished, RunEnd{
+		Number: r.lastEnd, Task: task, Run: t.run, Outcome: outcome, Checkpoint: t.checkpoint(now, outcome == "stopped"),
+		past: r.History.noteEnd(now, t.past, outcome),
+	})
+	r.leaveGang(task, t, outcome)
 	r.highestRun[task] = max(r.highestRun[task], t.run)
-	if outcome == "done" {
-		r.History.noteCompleted(task)
-	}
 	r.notifyChanged()
 }
 
+// worked returns how much of the task's work was done, by this run and before.
+func (t *taskRun) worked(now time.Time) time.Duration {
+	if t.waits {
+		return t.resumed
+	}
+	return min(t.resumed+max(now.Sub(t.startedAt), 0), t.need)
+}
+
+// checkpoint returns the newest checkpoint of a run; atStop is set if the run is stopped, and so makes one.
+func (t *taskRun) checkpoint(now time.Time, atStop bool) string {
+	done := t.worked(now)
+	if !atStop {
+		done = t.resumed + (done - t.resumed).Truncate(checkpointEvery)
+	}
+	if !t.step.Checkpointing || done <= 0 {
+		return ""
+	}
+	return fmt.Sprintf("%08x%08x", done.Milliseconds(), checkpointTag(t.past.successKey()))
+}
+
+// checkpointTag returns the part of a checkpoint that tells which tasks it is for.
+func checkpointTag(key string) uint32 { return crc32.ChecksumIEEE([]byte(key)) }
+
+// parseCheckpoint returns the work that a checkpoint stands for, and whether it is one for the tasks with a key.
+func parseCheckpoint(checkpoint, key string) (time.Duration, bool) {
+	var ms int64
+	var tag uint32
+	if n, err := fmt.Sscanf(checkpoint, "%08x%08x", &ms, &tag); n != 2 || err != nil || tag != checkpointTag(key) {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// percent returns the progress of a run.
+func (t *taskRun) percent(now time.Time) int {
+	switch {
+	case t.behaviour == TaskNeverEnds && now.Sub(t.startedAt) > startupTime:
+		return 100
+	case t.behaviour == TaskNeverEnds || t.need <= 0:
+		return 0
+	}
+	return int(100 * t.worked(now) / t.need)
+}
+
 // maxLeaseMS is the longest time from a call to the end of the lease that it sets.
 const maxLeaseMS = 6000
 
@@ -188,149 +344,133 @@
 func (r *TaskRunner) Admit(now time.Time, token uint64, leaseEndMS int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if token < r.highestToken {
+	if r.away || token < r.highestToken {
 		return false
 	}
 	r.highestToken = token
+	if left := time.Duration(leaseEndMS-r.clockMS(now)) * time.Millisecond; r.LongestGrant > 0 && left > r.LongestGrant {
+		r.History.noteNearMiss(now, r.Name, "the lease was extended by %v, beyond the %v that a dispatcher grants", left, r.LongestGrant)
+	}
 	r.leaseEndMS = max(r.leaseEndMS, min(leaseEndMS, r.clockMS(now)+maxLeaseMS))
 	return true
 }
 
+// Order is an order to start a run.
+type Order struct {
+	Task string
+	Run  uint64
+	// LeaseEndMS is the end of the lease that is given with the start, in milliseconds on the runner's clock.
+	LeaseEndMS int64
+	// Behaviour is how the run ends, unless there is a plan of its job.
+	Behaviour TaskBehaviour
+	Plan      *JobPlan
+	// Checkpoint is the checkpoint from which the run resumes; empty if there is none.
+	Checkpoint string
+	// Late is set if the order is carried out long after it arrived.
+	Late bool
+}
+
 // Start starts a run, and returns "" or the reason for which it refuses to. leaseEndMS is
 // the end of the lease that was given with the start.
 func (r *TaskRunner) Start(now time.Time, task string, run uint64, leaseEndMS int64, behaviour TaskBehaviour) string {
+	return r.CarryOut(now, &Order{Task: task, Run: run, LeaseEndMS: leaseEndMS, Behaviour: behaviour})
+}
+
+// CarryOut starts a run as ordered, and returns "" or the reason for which it refuses to.
+func (r *TaskRunner) CarryOut(now time.Time, o *Order) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.running[task]
+	t := r.running[o.Task]
+	step, planned := o.Plan.step(o.Task)
 	switch {
-	case leaseEndMS <= r.clockMS(now):
+	case r.away, o.LeaseEndMS <= r.clockMS(now):
 		return ReasonLeaseEnded
-	case t != nil && t.run == run:
+	case t != nil && t.run == o.Run:
 		return ""
-	case t != nil || run <= r.highestRun[task]:
+	case t != nil || o.Run <= r.highestRun[o.Task]:
 		return ReasonStaleRun
+	case !r.hasRoom(&step):
+		return ReasonNoRoom
+	}
+	t = &taskRun{run: o.Run, step: step, startedAt: now, need: r.TaskDuration, behaviour: o.Behaviour}
+	if planned {
+		t.need, t.behaviour = time.Duration(step.DurationMS)*time.Millisecond, step.Behaviour
+		if step.Rack != "" && step.Rack != r.Rack {
+			t.need = t.need * spreadPercent / 100
+		}
+		if o.Run <= step.FailedRuns {
+			t.behaviour = TaskFails
+		}
+	}
+	r.highestRun[o.Task] = o.Run
+	t.past = r.History.noteStart(now, startInfo{runner: r.Name, life: r.startedAtMS, task: o.Task, run: o.Run, late: o.Late, plan: o.Plan, step: step})
+	if o.Checkpoint != "" {
+		done, ok := parseCheckpoint(o.Checkpoint, t.past.successKey())
+		if !ok {
+			r.History.noteForeignCheckpoint(t.past, o.Checkpoint)
+		}
+		t.resumed, t.startedAt = done, now.Add(restoreTime)
+	}
+	r.running[o.Task] = t
+	if key, ok := r.gangOf(t); ok {
+		t.waits = true
+		r.Gangs.join(now, key, o.Task, step.Count)
 	}
-	r.running[task] = &taskRun{run: run, endsAt: now.Add(r.TaskDuration), behaviour: behaviour}
-	r.highestRun[task] = run
-	r.History.noteStart(now, r.Name, task, run)
 	return ""
 }
 
-// Stop ends a run and earlier runs of the task, and prevents their later start.
-func (r *TaskRunner) Stop(task string, run uint64) {
+// hasRoom reports whether a task of a step fits beside the runs in progress. The caller holds mu.
+func (r *TaskRunner) hasRoom(s *StepPlan) bool {
+	milliCPU, memoryMB := s.MilliCPU, s.MemoryMB
+	for _, t := range r.running {
+		milliCPU, memoryMB = milliCPU+t.step.MilliCPU, memoryMB+t.step.MemoryMB
+	}
+	return (r.MilliCPU == 0 || milliCPU <= r.MilliCPU) && (r.MemoryMB == 0 || memoryMB <= r.MemoryMB)
+}
+
+// Stop ends a run and earlier runs of the task within StopTime, and prevents their later start.
+func (r *TaskRunner) Stop(now time.Time, task string, run uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.highestRun[task] = max(r.highestRun[task], run)
-	if t := r.running[task]; t != nil && t.run <= run {
-		r.finish(task, t, "stopped")
+	t := r.running[task]
+	switch {
+	case t == nil || t.run > run || !t.stopsAt.IsZero():
+	case r.StopTime > 0:
+		t.stopsAt = now.Add(r.StopTime)
+	default:
+		r.finish(now, task, t, "stopped")
 	}
 }
 
 // List drops the ends with numbers up to acked, which the caller acknowledges, and
-// returns the runs in progress and the remaining ends.
-func (r *TaskRunner) List(acked uint64) (running []RunStatus, finished []RunEnd) {
+// returns the runs in progress and the remaining ends, the oldest maxListedEnds of them.
+func (r *TaskRunner) List(now time.Time, acked uint64) (running []RunStatus, finished []RunEnd) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if acked > r.lastListed {
+		r.History.noteNearMiss(now, r.Name, "life %d: ends up to %d were acknowledged; the newest that was listed is %d", r.startedAtMS, acked, r.lastListed)
+	}
 	r.finished = slices.DeleteFunc(r.finished, func(e RunEnd) bool {
-		if e.Number <= acked && !e.stale {
-			r.History.noteAck(r.Name, &e)
+		if e.Number <= acked {
+			r.History.noteAck(now, e.past)
 		}
 		return e.Number <= acked
 	})
 	for task, t := range r.running {
-		running = append(running, RunStatus{task, t.run})
+		running = append(running, RunStatus{task, t.run, t.checkpoint(now, false), t.percent(now)})
 	}
 	slices.SortFunc(running, func(x, y RunStatus) int { return strings.Compare(x.Task, y.Task) })
-	return running, slices.Clone(r.finished)
-}
-
-// History records the starts and ends of runs at all runners, and the violations of two
-// guarantees: no two runs of a task are in progress at once, and no run starts after the
-// success of the task if that success is acknowledged then or later. The zero value is empty.
-type History struct {
-	mu sync.Mutex
-	// runs holds, by task and run, the runner of each run in progress.
-	runs map[string]map[uint64]string
-	// starts describes, by task, the starts of its runs in their order.
-	starts map[string][]string
-	// ackedDone holds the tasks of which a successful end was acknowledged. completed holds
-	// the tasks of which a run has done all its work.
-	ackedDone  map[string]bool
-	completed  map[string]bool
-	violations []string
-}
-
-// noteStart notes that a run started at a runner, and whether that violates a guarantee.
-func (h *History) noteStart(now time.Time, runner, task string, run uint64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.runs == nil {
-		h.runs, h.ackedDone, h.completed = make(map[string]map[uint64]string), make(map[string]bool), make(map[string]bool)
-		h.starts = make(map[string][]string)
-	}
-	if h.runs[task] == nil {
-		h.runs[task] = make(map[uint64]string)
-	}
-	if h.ackedDone[task] {
-		h.violations = append(h.violations, fmt.Sprintf("%s: run %d of %s started at %s after the success of a run was acknowledged", now.Format(time.StampMilli), run, task, runner))
+	finished = slices.Clone(r.finished[:min(len(r.finished), maxListedEnds)])
+	if len(finished) > 0 {
+		r.lastListed = max(r.lastListed, finished[len(finished)-1].Number)
 	}
-	for other, otherRunner := range h.runs[task] {
-		h.violations = append(h.violations, fmt.Sprintf("%s: run %d of %s started at %s while run %d was in progress at %s", now.Format(time.StampMilli), run, task, runner, other, otherRunner))
-	}
-	h.runs[task][run] = runner
-	h.starts[task] = append(h.starts[task], fmt.Sprintf("%s: run %d of %s started at %s", now.Format(time.StampMilli), run, task, runner))
-}
-
-// noteEnd notes that a run has ended, and returns the number of runs of the task that have started.
-func (h *History) noteEnd(task string, run uint64) (started int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.runs[task], run)
-	return len(h.starts[task])
+	return running, finished
 }
 
-// noteAck notes that an end at a runner was acknowledged, and whether a run that started between the end and
-// its acknowledgement violates a guarantee.
-func (h *History) noteAck(runner string, e *RunEnd) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if e.Outcome != "done" {
-		return
+// NoteListed records that an answer with the ends was sent.
+func (r *TaskRunner) NoteListed(now time.Time, ends []RunEnd) {
+	for i := range ends {
+		r.History.noteListed(now, ends[i].past)
 	}
-	h.ackedDone[e.Task] = true
-	if later := h.starts[e.Task][e.startsBefore:]; len(later) > 0 {
-		h.violations = append(h.violations, fmt.Sprintf("%s after the success of run %d at %s, which was acknowledged later", later[0], e.Run, runner))
-	}
-}
-
-// Violations returns descriptions of the violations so far.
-func (h *History) Violations() []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return slices.Clone(h.violations)
-}
-
-// Started reports whether a task of a job was ever started.
-func (h *History) Started(job string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for task := range h.runs {
-		if strings.HasPrefix(task, job+".") {
-			return true
-		}
-	}
-	return false
-}
-
-func (h *History) noteCompleted(task string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.completed[task] = true
-}
-
-// Completed reports whether a run of a task has done all its work.
-func (h *History) Completed(task string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.completed[task]
 }
