--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -32,6 +32,9 @@
 	// Disrupted reports whether a disruption was in effect at some time between two times; if it is nil, there was none. It is
 	// set before the first use of the history, and must not call the history.
 	Disrupted func(from, to time.Time) bool
+	// WallOffset is added to all times that the history is given, so that those that it returns, passes to Disrupted and
+	// compares with due times are of the time of day. It is set before the first use, too.
+	WallOffset time.Duration
 
 	mu sync.Mutex
 	// tasks holds what happened to each task.
@@ -153,6 +156,7 @@
 func (h *History) noteStart(now time.Time, info startInfo) *pastStart {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	t, s := h.task(info.task), &pastStart{startInfo: info, at: now}
 	kind := "started"
 	if s.late {
@@ -236,6 +240,7 @@
 func (h *History) noteEnd(now time.Time, s *pastStart, outcome string) *pastEnd {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	t := h.task(s.task)
 	s.endedAt = now
 	t.inProgress = slices.DeleteFunc(t.inProgress, func(o *pastStart) bool { return o == s })
@@ -253,6 +258,7 @@
 func (h *History) noteVoid(now time.Time, e *pastEnd, reason string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	if e.voidAt.IsZero() {
 		e.voidAt = now
 		h.noteEvent(now, e, reason)
@@ -269,6 +275,7 @@
 func (h *History) noteListed(now time.Time, e *pastEnd) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	if len(e.listedAt) == 0 {
 		h.noteEvent(now, e, "was listed")
 		if e.outcome == "done" {
@@ -283,6 +290,7 @@
 func (h *History) noteAck(now time.Time, e *pastEnd) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	h.noteEvent(now, e, "was acknowledged")
 	if !e.voidAt.IsZero() || e.outcome != "done" {
 		return
@@ -298,6 +306,7 @@
 func (h *History) noteNearMiss(now time.Time, runner, format string, args ...any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	h.nearMisses = append(h.nearMisses, violation{fmt.Sprintf("%s: %s: ", now.Format(time.StampMilli), runner) + fmt.Sprintf(format, args...), ""})
 }
 
@@ -312,6 +321,7 @@
 func (h *History) NoteCompleted(now time.Time, job string, plan *JobPlan) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	j := h.job(job)
 	if !j.completedAt.IsZero() {
 		return
@@ -328,6 +338,7 @@
 func (h *History) NoteCancelled(now time.Time, job string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	if j := h.job(job); j.cancelledAt.IsZero() {
 		j.cancelledAt = now
 	}
@@ -402,6 +413,7 @@
 func (h *History) CancelledViolations(now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	return texts(h.judgeCancelled(now))
 }
 
@@ -424,6 +436,7 @@
 func (h *History) Report(now time.Time) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now = now.Add(h.WallOffset)
 	var out strings.Builder
 	for _, v := range slices.Concat(h.violations, h.judgeListed(), h.judgeCancelled(now)) {
 		out.WriteString("violation: " + v.text + "\n")
--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -79,7 +79,7 @@
 		d.pause(drainTime)
 		h.close()
 		h.setPhase("")
-		h.runner.Restart(clock.Steady()) // ends what still runs
+		h.runner.Shutdown(clock.Steady())
 		if d.pause(time.Second); stops {
 			agent.signal(syscall.SIGTERM)
 		}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -53,6 +53,7 @@
 	dir      string
 	store    standin.Store
 	history  product.History
+	tasks    taskSite
 	runners  []*standin.Runner
 	hosts    []*runnerHost
 	machines []*machine
@@ -94,6 +95,7 @@
 	for i := range runnerCount {
 		ip := fmt.Sprintf("%s.%d", network, 101+i)
 		r := newRunner(fmt.Sprintf("worker-%d", i), &d.history)
+		d.tasks.equip(r)
 		r.Restart(clock.Steady())
 		d.runners = append(d.runners, r)
 		h := &runnerHost{runner: r, ip: ip, phase: "ready"}
@@ -232,6 +234,9 @@
 		return fmt.Sprintf("calls of %s to the store hang for %v", m.name, duration)
 	default:
 		r := d.runners[random.IntN(len(d.runners))]
+		if r.Away() {
+			return r.Name + " is away"
+		}
 		r.Restart(clock.Steady())
 		return "restart the runner of " + r.Name
 	}
