--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -48,6 +48,8 @@
 	completed  map[string]bool
 	violations []violation
 	nearMisses []violation
+	// lives describes the beginnings and ends of the lives of runners, and the calls that they have carried out late.
+	lives []event
 }
 
 // taskHistory is what happened to one task.
@@ -317,6 +319,13 @@
 	h.violate(s.task, "%s with the checkpoint %s of another task", s, checkpoint)
 }
 
+// noteLife notes that a runner begins or ends a life, or carries out a call late in it.
+func (h *History) noteLife(now time.Time, runner, what string, life uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lives = append(h.lives, event{at: now.Add(h.WallOffset), runner: runner, life: life, kind: what})
+}
+
 // NoteCompleted notes that a caller was shown a job as completed, and which of its tasks were not done.
 func (h *History) NoteCompleted(now time.Time, job string, plan *JobPlan) {
 	h.mu.Lock()
@@ -449,6 +458,9 @@
 	for _, v := range h.nearMisses {
 		out.WriteString("near miss: " + v.text + "\n")
 	}
+	for _, e := range h.lives {
+		fmt.Fprintf(&out, "%s: %s %s %d\n", e.at.Format(time.StampMilli), e.runner, e.kind, e.life)
+	}
 	return out.String()
 }
 
