--- a/soak/days_test.go
+++ b/soak/days_test.go
@@ -16,7 +16,7 @@
 // bursts are when burstJobs jobs are submitted at once, so that tasks wait for room for some seconds.
 var bursts = []time.Duration{0, 8 * time.Second}
 
-const burstJobs = 40
+const burstJobs = 50
 
 // fault is a fault of a day: begin injects it, and returns what it did and, unless nil, what ends it.
 type fault struct {
@@ -96,31 +96,30 @@
 }
 
 // playDay plays the day of a seed: it submits jobs and injects the faults of the day's schedule, until all have ended.
-func (d *deployment) playDay(ctx context.Context, seed uint64, jobs map[string]*jobOutcome) {
+func (d *deployment) playDay(ctx context.Context, seed uint64, m *jobMix) {
 	kind := days[seed%uint64(len(days))]
 	d.faults.add("day: " + kind.name)
+	began := time.Now()
+	d.tasks.disruptions.note(began.Add(-time.Hour), began)
+	random := rand.New(rand.NewPCG(seed, 4))
+	calls := &callFaults{disruptions: &d.tasks.disruptions, random: rand.New(rand.NewPCG(seed, 5))}
+	calls.late, calls.noAnswer, calls.delayed = []float64{0, 0.01, 0.03}[random.IntN(3)], []float64{0, 0.01}[random.IntN(2)], []float64{0, 0.05}[random.IntN(2)]
+	d.tasks.faults.Store(calls)
 	var playing sync.WaitGroup
 	for _, f := range kind.draw(d, rand.New(rand.NewPCG(seed, 3))) {
 		playing.Go(func() { d.inject(f) })
 	}
-	random := rand.New(rand.NewPCG(seed, 4))
-	began := time.Now()
-	for number, burst := 0, 0; time.Since(began) < dayDuration; number++ {
-		id := fmt.Sprintf("%016x", seed<<32|uint64(number))
-		outcome := &jobOutcome{}
-		jobs[id] = outcome
-		caller := rand.New(rand.NewPCG(seed, uint64(number)<<8))
-		body := fmt.Sprintf(`{"task-spec":"%s","steps":[{"count":%d,"cpu":2000,"est-runtime-ms":300},{"count":1,"cpu":500,"after":[0],"est-runtime-ms":300}]}`,
-			payloadMarker, 2+random.IntN(6))
-		playing.Go(func() { d.submit(ctx, caller, id, body, outcome) })
+	for burst := 0; time.Since(began) < dayDuration; {
+		m.submitNext(ctx, d, random)
 		if burst < len(bursts)*burstJobs && time.Since(began) >= bursts[burst/burstJobs] {
 			burst++
 			time.Sleep(between(random, time.Millisecond, 10*time.Millisecond))
 			continue
 		}
-		time.Sleep(between(random, 150*time.Millisecond, 350*time.Millisecond))
+		time.Sleep(between(random, 100*time.Millisecond, 300*time.Millisecond))
 	}
 	playing.Wait()
+	d.tasks.faults.Store(nil)
 }
 
 // inject injects a fault at its time, and ends it at the end of the day at the latest.
@@ -128,6 +127,8 @@
 	d.pause(f.at)
 	lasts := min(f.lasts, dayDuration-f.at)
 	what, end := f.begin()
+	now := time.Now()
+	d.tasks.disruptions.note(now, now.Add(lasts+mixDisruption))
 	if end == nil {
 		d.faults.add(what)
 		return
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -34,17 +34,16 @@
 	entryCount                                                                   = 3
 )
 
-// shape is the size of a deployment. Entries and runners are spread over the data centres, and how long tasks run over
-// the runners.
+// shape is the size of a deployment. Entries and runners are spread over the data centres.
 type shape struct {
-	runners       int
-	zones         []string
-	taskDurations []time.Duration
+	runners  int
+	milliCPU int64
+	zones    []string
 }
 
 var (
-	smallShape = shape{3, []string{"a"}, []time.Duration{150 * time.Millisecond}}
-	siteShape  = shape{11, []string{"a", "b", "c"}, []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}}
+	smallShape = shape{3, runnerMilliCPU, []string{"a"}}
+	siteShape  = shape{11, 2000, []string{"a", "b", "c"}}
 )
 
 // machine is one process of the system with a loopback address of its own. The process
@@ -69,6 +68,7 @@
 	dir      string
 	store    standin.Store
 	history  product.History
+	tasks    taskSite
 	runners  []*standin.Runner
 	hosts    []*runnerHost
 	machines []*machine
@@ -109,7 +109,10 @@
 		d.add(t, "entry", fmt.Sprintf("entry-%d", i), fmt.Sprintf("%s.%d", network, 1+i), size.zones[i%len(size.zones)], storeAddress)
 	}
 	for i := range size.runners {
-		h := newRunnerHost(t, newRunner(fmt.Sprintf("worker-%d", i), size.taskDurations[i%len(size.taskDurations)], &d.history), fmt.Sprintf("%s.%d", network, 101+i))
+		r := newRunner(fmt.Sprintf("worker-%d", i), &d.history)
+		d.tasks.equip(r)
+		r.MilliCPU = size.milliCPU
+		h := newRunnerHost(t, r, fmt.Sprintf("%s.%d", network, 101+i))
 		d.hosts, d.runners = append(d.hosts, h), append(d.runners, h.runner)
 		d.add(t, "agent", h.runner.Name, h.ip, size.zones[i%len(size.zones)], storeAddress)
 		d.group.Go(func() { d.driveRunner(h) })
@@ -270,6 +273,9 @@
 		return fmt.Sprintf("calls of %s to the store hang for %v", m.name, duration)
 	default:
 		r := d.runners[random.IntN(len(d.runners))]
+		if r.Away() {
+			return r.Name + " is away"
+		}
 		r.Restart(clock.Steady())
 		return "restart the runner of " + r.Name
 	}
@@ -294,7 +300,7 @@
 		if phase := h.currentPhase(); step%25 == 0 && phase != "" {
 			body, _ := json.Marshal(map[string]any{
 				"service": "bench", "phase": phase, "seq": step + 1, "born": r.StartedAtMS(), "labels": []string{"a", "r1-1"},
-				"capacity": map[string]int{"cpu": 8000, "mem-mb": 32000},
+				"capacity": map[string]int64{"cpu": r.MilliCPU, "mem-mb": r.MemoryMB},
 			})
 			url := fmt.Sprintf("http://%s:%d/v1/instances/%s/heartbeat", h.ip, portControl, r.Name)
 			if response, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
@@ -367,7 +373,7 @@
 	t.Logf("logs are in %s", dir)
 }
 
-// newRunner returns a runner whose tasks run for a while.
-func newRunner(name string, duration time.Duration, history *product.History) *standin.Runner {
-	return &standin.Runner{TaskRunner: product.TaskRunner{Name: name, TaskDuration: duration, History: history}}
+// newRunner returns a runner whose tasks run for 150 ms.
+func newRunner(name string, history *product.History) *standin.Runner {
+	return &standin.Runner{TaskRunner: product.TaskRunner{Name: name, TaskDuration: 150 * time.Millisecond, History: history}}
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/platform/standin"
 )
 
@@ -300,7 +301,7 @@
 		h.setPhase("draining")
 		wasBusy := false
 		for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-			runs, _ := h.runner.List(0)
+			runs, _ := h.runner.List(clock.Steady(), 0)
 			if wasBusy && len(runs) == 0 {
 				break
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -156,15 +157,21 @@
 	defer cancel()
 	d.awaitReady(ctx, t)
 	jobs := make(map[string]*jobOutcome)
+	mix := newJobMix(seed)
 	if seed >= firstDaySeed {
-		d.playDay(ctx, seed, jobs)
+		d.playDay(ctx, seed, mix)
 	} else {
 		d.injectFaults(ctx, seed, jobs)
 	}
 	d.endFaults()
-	r := result{Jobs: len(jobs), Departures: d.countDepartures(), Faults: d.faults.len()}
-	found := append(d.check(ctx, jobs), d.checkLogs(ctx, seed)...)
-	found = append(found, d.checkConclusions()...)
+	r := result{Jobs: len(jobs) + len(mix.jobs), Departures: d.countDepartures(), Faults: d.faults.len()}
+	var found []string
+	if seed >= firstDaySeed {
+		found = mix.check(ctx, d)
+	} else {
+		found = d.check(ctx, jobs)
+	}
+	found = slices.Concat(found, d.checkLogs(ctx, seed), d.checkConclusions())
 	r.NearMisses = d.countNearMisses()
 	t.Logf("%s\nnear misses: %v", &d.faults, r.NearMisses)
 	for _, v := range found {
