--- a/internal/runneragent/link.go
+++ b/internal/runneragent/link.go
@@ -193,11 +193,11 @@
 			return runnerAnswers, true
 		}
 		a.mu.Lock()
-		ended := a.provesEmpty(began, err)
+		ended, state := a.provesEmpty(began), a.emptyState()
 		a.mu.Unlock()
 		if ended {
 			a.log.Warn().Err(err).Msg("no runner; reporting a worker without runs")
-			return emptyStateOf(err), true
+			return state, true
 		}
 		if !clock.WaitForWake(ctx, conn.Done(), retryDelay) {
 			return runnerAnswers, false
@@ -294,13 +294,14 @@
 }
 
 // handleAck handles an acknowledgement: the number of the last run end that the dispatcher has
-// stored. It ignores one for another life, the time between two restarts of the runner.
+// stored in one life, the time between two restarts of the runner.
 func (a *Agent) handleAck(ack *peer.RunEndsAck) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if ack.Life == a.life {
 		a.lastAckedEnd = max(a.lastAckedEnd, ack.LastAckedEnd)
 	}
+	a.dropKeptEnds(ack)
 }
 
 // AddEntries adds peer addresses of entries.
