Restart a runner and stop its agent in the soak with a mix of jobs

Starts that an agent sends just before it learns of a restart reach the next life of the runner with a lease on the clock of the life before. They hold their runs for up to 6 s, where the dispatcher counts on 5.3 s. The agent's next renewals cover this up, so that it only shows if the agent is stopped right after.

--- a/soak/jobs_test.go
+++ b/soak/jobs_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -478,6 +479,33 @@
 	}
 }
 
+// mixDuration is how long faults are injected for one seed: long enough for the leases of a worker whose agent is stopped early
+// to expire.
+const mixDuration = 14 * time.Second
+
+// restartUnderAgent restarts a runner at once, under the same name and address, and stops its agent a little later for longer
+// than the leases last that the agent may have renewed.
+func (d *deployment) restartUnderAgent(random *rand.Rand) string {
+	i := random.IntN(len(d.hosts))
+	h, agent := d.hosts[i], d.machines[entryCount+i]
+	if h.currentPhase() != "ready" {
+		return h.runner.Name + " leaves already"
+	}
+	stopAfter, lasts := time.Duration(random.IntN(600))*time.Millisecond, time.Duration(6500+random.IntN(1500))*time.Millisecond
+	d.group.Go(func() {
+		h.close()
+		h.runner.Restart(clock.Steady())
+		for h.listen() != nil && d.running.Err() == nil {
+			d.pause(time.Millisecond)
+		}
+		d.pause(stopAfter)
+		agent.signal(syscall.SIGSTOP)
+		d.pause(lasts)
+		agent.signal(syscall.SIGCONT)
+	})
+	return fmt.Sprintf("%s restarts, its agent stopped %v later for %v", h.runner.Name, stopAfter, lasts)
+}
+
 // mixDisruption is how long a fault disrupts the deployment at most.
 const mixDisruption = 5 * time.Second
 
@@ -500,17 +528,21 @@
 	d.tasks.faults.Store(f)
 	oneIn, faults := []int{5, 10, 25, 60}[random.IntN(4)], 0
 	m := newJobMix(seed)
-	for time.Since(began) < faultDuration {
+	for time.Since(began) < mixDuration {
 		m.submitNext(ctx, d, random)
 		if random.IntN(oneIn) == 0 {
-			what := ""
-			if faults++; random.IntN(4) == 0 {
+			what, disrupted := "", mixDisruption
+			faults++
+			switch random.IntN(8) {
+			case 0, 1:
 				what = d.runnerLeaves(random)
-			} else {
+			case 2:
+				what, disrupted = d.restartUnderAgent(random), 2*mixDisruption
+			default:
 				what = d.injectFault(random)
 			}
 			now := time.Now()
-			d.tasks.disruptions.note(now, now.Add(mixDisruption))
+			d.tasks.disruptions.note(now, now.Add(disrupted))
 			t.Logf("%s: %s", now.Format(time.StampMilli), what)
 		}
 		d.pause(time.Duration(40+random.IntN(140)) * time.Millisecond)
