--- a/internal/runneragent/held_start_test.go
+++ b/internal/runneragent/held_start_test.go
@@ -61,7 +61,7 @@
 			tc.hold(s, r, o)
 			s.agent.handleOrders(t.Context(), o)
 			s.agent.group.Wait()
-			if runs, _ := r.List(0); len(runs) == 1 != tc.wantRun {
+			if runs, _ := r.List(clock.Steady(), 0); len(runs) == 1 != tc.wantRun {
 				t.Errorf("runs: got %v, want one: %v", runs, tc.wantRun)
 			}
 		})
@@ -87,7 +87,7 @@
 	s.agent.handleOrders(ctx, &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: r.StartedAtMS(), Task: task, Run: 2}}})
 	s.agent.group.Wait()
 	late.Wait()
-	if runs, _ := r.List(0); len(runs) != 0 {
+	if runs, _ := r.List(clock.Steady(), 0); len(runs) != 0 {
 		t.Errorf("runs: got %v, want none", runs)
 	}
 }
@@ -108,7 +108,7 @@
 		s.agent.handleOrders(t.Context(), &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: r.StartedAtMS(), Task: task, Run: 2}}})
 		s.agent.group.Wait()
 		r.EndDueRuns(clock.Steady().Add(pollWait + callTimeout - 100*time.Millisecond))
-		runs, ends := r.List(0)
+		runs, ends := r.List(clock.Steady(), 0)
 		if got, want := len(runs), 1; !silent && (got != want || len(ends) != 0) {
 			t.Errorf("got %d runs and ends %v, want a run", got, ends)
 		}
@@ -138,7 +138,7 @@
 	before := len(r.renewals)
 	s.agent.handleOrders(t.Context(), o)
 	s.agent.group.Wait()
-	if runs, _ := r.List(0); len(runs) != len(o.Starts) {
+	if runs, _ := r.List(clock.Steady(), 0); len(runs) != len(o.Starts) {
 		t.Errorf("runs: got %d, want %d", len(runs), len(o.Starts))
 	}
 	if got, limit := len(r.renewals)-before, maxLeasePolls; got < 1 || got > limit {
--- a/internal/runneragent/stale_listing_test.go
+++ b/internal/runneragent/stale_listing_test.go
@@ -68,7 +68,7 @@
 }
 
 func (r *standinRunner) stop(_ context.Context, _ Call, task workflow.TaskID, run uint64) error {
-	r.Stop(task.String(), run)
+	r.Stop(clock.Steady(), task.String(), run)
 	return nil
 }
 
@@ -83,7 +83,7 @@
 	now := clock.Steady()
 	r.renewals = append(r.renewals, q)
 	r.Admit(now, q.Term, q.LeaseEndMS)
-	runs, ends := r.List(q.LastAckedEnd)
+	runs, ends := r.List(now, q.LastAckedEnd)
 	l := &Listing{ClockMS: r.ClockMS(now), StartedAtMS: r.StartedAtMS()}
 	for _, s := range runs {
 		id, _ := workflow.ParseTaskID(s.Task)
@@ -189,7 +189,7 @@
 	r.beforeStart = r.restartAtOnce
 	s.agent.handleOrders(t.Context(), &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: life, Task: task, Run: 2}}})
 	s.agent.group.Wait()
-	if runs, _ := r.List(0); len(runs) != 0 {
+	if runs, _ := r.List(clock.Steady(), 0); len(runs) != 0 {
 		t.Errorf("runs of the next life: got %v, want none", runs)
 	}
 	if got := s.next(t, isRefusal).OrderRefused; got.Life != life || got.Run != 2 {
--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -51,7 +51,7 @@
 func (h *runnerHost) end() {
 	h.setPhase("")
 	h.proxy.resetAll()
-	h.runner.Restart(clock.Steady()) // ends what still runs
+	h.runner.Shutdown(clock.Steady())
 }
 
 // comeBack begins another life of a runner that has left.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/platform/standin"
 )
 
@@ -270,6 +271,12 @@
 	})
 }
 
+// drawRestartUnderAgent draws a restart whose agent is stopped a little later, until its leases have ended.
+func (d *deployment) drawRestartUnderAgent(random *rand.Rand) fault {
+	seed := random.Uint64()
+	return fault{begin: func() (string, func()) { return d.restartUnderAgent(rand.New(rand.NewPCG(seed, 0))), nil }}
+}
+
 // drawAway draws how long a runner is away: a few milliseconds, or seconds.
 func drawAway(random *rand.Rand) time.Duration {
 	if random.IntN(2) == 0 {
@@ -300,7 +307,7 @@
 		h.setPhase("draining")
 		wasBusy := false
 		for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-			runs, _ := h.runner.List(0)
+			runs, _ := h.runner.List(clock.Steady(), 0)
 			if wasBusy && len(runs) == 0 {
 				break
 			}
