--- a/internal/explore/term/agent.go
+++ b/internal/explore/term/agent.go
@@ -255,7 +255,7 @@
 		a.runs = append(a.runs, dispatch.RunStatus{Task: id, Run: r.Run, Percent: 50})
 		delete(a.unlistedStarts, runKey{id, r.Run})
 	}
-	outcomes := map[string]dispatch.Outcome{"done": dispatch.OutcomeDone, "stopped": dispatch.OutcomeStopped, "lapsed": dispatch.OutcomeLapsed}
+	outcomes := map[string]dispatch.Outcome{"done": dispatch.OutcomeDone, "failed": dispatch.OutcomeFailed, "stopped": dispatch.OutcomeStopped, "lapsed": dispatch.OutcomeLapsed}
 	for _, e := range ends {
 		id, _ := workflow.ParseTaskID(e.Task)
 		delete(a.unlistedStarts, runKey{id, e.Run})
