Read an end of an ended life again once the later run has ended, too

What callers saw: nothing. The rule of that a repeated end of an earlier run does not replace a later checkpoint had no test that could fail: in TestEndOfAnEndedLifeThatIsReportedAgainChangesNothing the later run still went on, and its own end set the checkpoint again.

Change: the test has a second case, in which the later run ends before the earlier end is reported again. The first case stays as it was.

--- a/internal/coordinator/ended_life_test.go
+++ b/internal/coordinator/ended_life_test.go
@@ -134,22 +134,31 @@
 
 // An end that is read again must not undo what has happened since.
 func TestEndOfAnEndedLifeThatIsReportedAgainChangesNothing(t *testing.T) {
-	c, current := newDispatcher(t, &standin.Store{})
-	task, now := admitSingle(current, "a"), clock.Steady()
-	r := withEndedLife(lifeOf(2), 1, task)
-	r.EndedLives[0].Ends[0].How, r.EndedLives[0].Ends[0].Saved = dispatch.OutcomeStopped, "early"
-	current.applyReport(now, c, r)
-	later := reportOf("w2")
-	later.Runs = []dispatch.RunStatus{{Task: task, Run: 2, Saved: "late"}}
-	current.applyReport(now, c, later)
-	current.applyReport(now, c, r)
-	gone := reportOf("w2")
-	gone.Worker = dispatch.Worker{Name: "w2"}
-	current.applyReport(now, c, gone)
-	current.scheduler.ExpireEarlierTerms(nil)
-	starts := current.scheduler.Decide(now.Add(time.Second), clock.WallMS()).Starts()
-	if len(starts) != 1 || starts[0].Saved != "late" || starts[0].Run <= 2 {
-		t.Errorf("starts: got %+v, want one after run 2 that resumes from its checkpoint", starts)
+	for _, again := range []string{"while the later run goes on", "once the later run has ended"} {
+		t.Run(again, func(t *testing.T) {
+			c, current := newDispatcher(t, &standin.Store{})
+			task, now := admitSingle(current, "a"), clock.Steady()
+			r := withEndedLife(lifeOf(2), 1, task)
+			r.EndedLives[0].Ends[0].How, r.EndedLives[0].Ends[0].Saved = dispatch.OutcomeStopped, "early"
+			current.applyReport(now, c, r)
+			later := reportOf("w2")
+			later.Runs = []dispatch.RunStatus{{Task: task, Run: 2, Saved: "late"}}
+			current.applyReport(now, c, later)
+			gone := reportOf("w2")
+			gone.Worker = dispatch.Worker{Name: "w2"}
+			last := []*peer.Report{r, gone}
+			if again == "once the later run has ended" {
+				slices.Reverse(last)
+			}
+			for _, report := range last {
+				current.applyReport(now, c, report)
+			}
+			current.scheduler.ExpireEarlierTerms(nil)
+			starts := current.scheduler.Decide(now.Add(time.Second), clock.WallMS()).Starts()
+			if len(starts) != 1 || starts[0].Saved != "late" || starts[0].Run <= 2 {
+				t.Errorf("starts: got %+v, want one after run 2 that resumes from its checkpoint", starts)
+			}
+		})
 	}
 }
 
