Count no crash for a run that begins in the next life of its runner

A start that was sent before the agent knew of the restart was carried out in the next life of the runner. The report of that life listed the run, but the scheduler first ended all runs of the worker as crashed: the second crash of the task, which abandoned its job.

A run that the report of a new life shows to have started, at work or ended, is not ended by it any more, nor counted as a crash. Runs that are only pending are treated as before.

--- a/pkg/dispatch/lost.go
+++ b/pkg/dispatch/lost.go
@@ -7,9 +7,10 @@
 	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
-// endAllRuns ends every run at a worker and records the runs as lost. crashed is set if the worker's runner has
-// ended without having announced it, c is from what the ends are concluded.
-func (sc *Scheduler) endAllRuns(now time.Time, wallMS int64, w *workerState, crashed bool, c Conclusion) {
+// endAllRuns ends every run at a worker and records the runs as lost, but for those that have started in the next life of
+// the worker's runner. crashed is set if the runner has ended without having announced it, c is from what the ends are
+// concluded.
+func (sc *Scheduler) endAllRuns(now time.Time, wallMS int64, w *workerState, crashed bool, c Conclusion, startedNext map[unwantedRun]bool) {
 	w.unknownJobs.runs = nil // ends stay held: what they say remains true, and later ones must not be acknowledged past them
 	if w.unknownJobs.empty() {
 		delete(sc.workersWithUnknownJobs, w)
@@ -17,6 +18,9 @@
 	sc.forgetAllUnwanted(w)
 	var abandoned []*run
 	for _, r := range slices.Clone(sc.runsInOrder(w)) {
+		if startedNext[unwantedRun{r.id, r.number}] {
+			continue
+		}
 		if crashed && sc.recordCrash(r) {
 			abandoned = append(abandoned, r)
 		}
@@ -74,7 +78,7 @@
 		return 0
 	}
 	n := len(w.runs)
-	sc.endAllRuns(now, wallMS, w, crashed, c)
+	sc.endAllRuns(now, wallMS, w, crashed, c, nil)
 	w.silent = true
 	w.leaseExpired = true
 	return n
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -115,7 +115,7 @@
 func (sc *Scheduler) ApplyReport(now time.Time, wallMS int64, info *Worker, runs []RunStatus, ends []RunEnd) {
 	w := sc.workerState(info.Name)
 	if w.life != info.Life {
-		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.endAnnounced, ConclusionLifeReplaced)
+		sc.endAllRuns(now, wallMS, w, w.life != 0 && !w.endAnnounced, ConclusionLifeReplaced, startedRuns(runs, ends))
 		sc.beginLife(now, w, info.Life)
 		w.health = workerHealth{}
 		sc.noteHealth(w)
@@ -148,6 +148,20 @@
 	delete(sc.unreported, info.Name)
 }
 
+// startedRuns returns the runs that a report shows to have started.
+func startedRuns(runs []RunStatus, ends []RunEnd) map[unwantedRun]bool {
+	out := make(map[unwantedRun]bool)
+	for i := range runs {
+		if !runs[i].Pending {
+			out[unwantedRun{runs[i].Task, runs[i].Run}] = true
+		}
+	}
+	for i := range ends {
+		out[unwantedRun{ends[i].Task, ends[i].Run}] = true
+	}
+	return out
+}
+
 // ApplyPing takes in the state that a worker sends between two reports. A worker whose lease has expired is of no use
 // before its next report.
 func (sc *Scheduler) ApplyPing(now time.Time, info *Worker, runs []RunStatus) {
