Take a refused connection for the runner's end only once starts and stops have ended, too

The runner of worker-3 was shutting down: it had closed its listener 0.6 s before and worked on. Starts took the agent's idle connections and were carried out; the next poll found none, dialled, and was refused. The agent reported an empty worker while five starts were under way to the process that had not ended, the dispatcher started the task elsewhere 41 ms later, and the first run ended 24 ms after that with the process.

A refusal waited for earlier polls only. It now waits for every call to the runner that had begun by then: as long as one is open, the process may be there. A process that has ended resets its connections, so that a crash is noticed as fast as before.

New test, failed before: "empty reports while the call is open: got 1, want none" for a start and for a stop.

--- a/internal/runneragent/guard.go
+++ b/internal/runneragent/guard.go
@@ -143,7 +143,7 @@
 		a.group.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			if err := a.runner.SetPace(callCtx, c, ch.key.task, ch.key.run, ch.percent); err != nil {
+			if err := a.trackCall(func() error { return a.runner.SetPace(callCtx, c, ch.key.task, ch.key.run, ch.percent) }); err != nil {
 				a.log.Warn().Err(err).Str("task", ch.key.task.String()).Msg("setting the pace of a best-effort task failed")
 				a.mu.Lock()
 				if a.guard.pacePercents[ch.key] == ch.percent {
--- a/internal/runneragent/open_polls_test.go
+++ b/internal/runneragent/open_polls_test.go
@@ -11,6 +11,7 @@
 	"savoryhoist.example/savoryhoist/internal/clock"
 	"savoryhoist.example/savoryhoist/internal/peer"
 	"savoryhoist.example/savoryhoist/pkg/dispatch"
+	"savoryhoist.example/savoryhoist/pkg/workflow"
 )
 
 // openPoll is a poll that the runner has neither answered nor failed.
@@ -136,6 +137,57 @@
 	}
 }
 
+// A runner that shut down refused a poll while starts were carried out on connections that were open; their tasks were started
+// again at once.
+func TestRefusedPollIsNoProofWhileAnotherCallIsOpen(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		call func(ctx context.Context, s *fixture, wait func() error)
+	}{
+		{"a start", func(ctx context.Context, s *fixture, wait func() error) {
+			s.agent.runner.Start = func(context.Context, Call, *dispatch.Start, int64) (int64, error) { return 0, wait() }
+			s.agent.handleOrders(ctx, &peer.Orders{Term: 3, Starts: []dispatch.Start{{Worker: "w1", Life: 7, Task: task, Run: 2}}})
+		}},
+		{"a stop", func(ctx context.Context, s *fixture, wait func() error) {
+			s.agent.runner.Stop = func(context.Context, Call, workflow.TaskID, uint64) error { return wait() }
+			s.agent.group.Go(func() { s.agent.fence(ctx, 7, runKey{task, 2}, "") })
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newFixture(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer s.agent.group.Wait()
+			defer cancel()
+			began, fails := make(chan struct{}, 1), make(chan struct{})
+			end := sync.OnceFunc(func() { close(fails) })
+			defer end()
+			tc.call(ctx, s, func() error {
+				select {
+				case began <- struct{}{}:
+				default: // a repetition
+				}
+				<-fails
+				return ErrNoAnswer
+			})
+			<-began
+			s.endRunner()
+			_ = s.agent.poll(context.Background(), 0)
+			if got := s.sentSoFar(t, isEmptyReport); len(got) != 0 {
+				t.Fatalf("empty reports while the call is open: got %d, want none", len(got))
+			}
+			end()
+			reports := 0
+			for deadline := time.Now().Add(5 * time.Second); reports == 0 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+				_ = s.agent.poll(context.Background(), 0)
+				reports = len(s.sentSoFar(t, isEmptyReport))
+			}
+			if reports != 1 {
+				t.Errorf("empty reports after the call has failed: got %d, want 1", reports)
+			}
+		})
+	}
+}
+
 func TestEndOfTheRunnerIsProvenOnceOpenPollsHaveFailed(t *testing.T) {
 	s := newFixture(t)
 	p := s.beginPoll(t)
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -146,7 +146,12 @@
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	lastClockMS := a.lastClockMS(s.Life)
-	clockMS, err := a.runner.Start(callCtx, c, s, min(leaseEndMS, deadlineMS))
+	var clockMS int64
+	err = a.trackCall(func() error {
+		var err error
+		clockMS, err = a.runner.Start(callCtx, c, s, min(leaseEndMS, deadlineMS))
+		return err
+	})
 	switch {
 	case err == nil:
 		a.count("starts")
@@ -283,7 +288,7 @@
 			return // the run is listed as pending in the report of the new life, and fenced in that life
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := a.runner.Stop(callCtx, c, key.task, key.run)
+		err := a.trackCall(func() error { return a.runner.Stop(callCtx, c, key.task, key.run) })
 		cancel()
 		if err == nil && a.poll(ctx, 0) == nil && !a.mayHaveEnded(key) {
 			break
--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -62,7 +62,7 @@
 // poll renews the leases of all runs at the runner and applies its listing. The
 // runner may delay its answer for up to wait, until a run ends.
 func (a *Agent) poll(ctx context.Context, wait time.Duration) error {
-	number := a.beginPoll()
+	number := a.beginCall()
 	sent, request := a.newRenewal(wait)
 	l, err := a.renew(ctx, request)
 	if errors.Is(err, ErrNotSent) {
@@ -70,7 +70,7 @@
 		l, err = a.renew(ctx, request)
 	}
 	if err != nil {
-		a.endFailedPoll(number, sent, err)
+		a.endFailedCall(number, sent, err)
 		a.handlePollFailure(ctx, sent, err)
 		return err
 	}
@@ -78,26 +78,38 @@
 	a.noteGrantedLease(&request, l)
 	a.awaitEarlierPolls(ctx, number, l)
 	a.handleListing(ctx, sent, l)
-	a.endAnsweredPoll(number)
+	a.endAnsweredCall(number)
 	return nil
 }
 
-// beginPoll records that a poll begins, and returns its number.
-func (a *Agent) beginPoll() uint64 {
+// trackCall makes a call to the runner that is not a poll, and records how it ends.
+func (a *Agent) trackCall(call func() error) error {
+	number, began := a.beginCall(), clock.Steady()
+	err := call()
+	if err != nil {
+		a.endFailedCall(number, began, err)
+	} else {
+		a.endAnsweredCall(number)
+	}
+	return err
+}
+
+// beginCall records that a call to the runner begins, and returns its number.
+func (a *Agent) beginCall() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.endProof.begin()
 }
 
-// endFailedPoll records that a poll that began at the given time has failed with err.
-func (a *Agent) endFailedPoll(number uint64, began time.Time, err error) {
+// endFailedCall records that a call that began at the given time has failed with err, or was refused.
+func (a *Agent) endFailedCall(number uint64, began time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.endProof.failed(number, began, errors.Is(err, ErrNotListening))
 }
 
-// endAnsweredPoll records that the answer to a poll has been handled.
-func (a *Agent) endAnsweredPoll(number uint64) {
+// endAnsweredCall records that the answer to a call has been handled.
+func (a *Agent) endAnsweredCall(number uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.endProof.answered(number)
@@ -204,7 +216,7 @@
 		return
 	}
 	a.count("runners-lost")
-	a.log.Warn().Err(err).Uint64("life", a.life).Int("runs", len(a.runs)).Int("open-polls", len(a.endProof.open)).Msg("runner lost; its runs have ended")
+	a.log.Warn().Err(err).Uint64("life", a.life).Int("runs", len(a.runs)).Int("open-calls", len(a.endProof.open)).Msg("runner lost; its runs have ended")
 	a.sendEmptyReport(clock.Steady(), a.emptyState())
 }
 
