--- a/internal/runneragent/open_polls_test.go
+++ b/internal/runneragent/open_polls_test.go
@@ -150,7 +150,7 @@
 		}},
 		{"a stop", func(ctx context.Context, s *fixture, wait func() error) {
 			s.agent.runner.Stop = func(context.Context, Call, workflow.TaskID, uint64) error { return wait() }
-			s.agent.group.Go(func() { s.agent.fence(ctx, 7, runKey{task, 2}, "") })
+			s.agent.group.Go(func() { s.agent.fence(ctx, 3, 7, runKey{task, 2}, "") })
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
