Take a read of the claim that a stopped process gave up for no sign of a lost store

What callers could see: a start on an old proof, and so a task that runs twice, or one that was cancelled.

Cause: an agent proceeds without a proof for 0.8 s after a read of the newest claim has failed, since a store that fails it presumably fails everybody. A read is given up after 0.45 s; if the process is stopped for longer meanwhile, that says nothing of the store.

Change: a read that failed more than 0.3 s after its timeout is not counted as a failure; the start reads again, and is refused after the second read.

Evidence: TestStartOfADispatcherWhoseTermIsNotConfirmed, "the agent is stopped while it reads the claim", failed before: "runs: got 1, want 0".

Why this works: a pause makes the timeout fire late, a store without an answer does not.

--- a/internal/runneragent/termcheck.go
+++ b/internal/runneragent/termcheck.go
@@ -19,6 +19,8 @@
 	checkTermInterval = 300 * time.Millisecond
 	// checkTermTimeout bounds one read. A slow store answers within 0.4 s.
 	checkTermTimeout = 450 * time.Millisecond
+	// checkTermSlack is how long after its timeout a read may fail and still tell of the store, not of a pause of this process.
+	checkTermSlack = 300 * time.Millisecond
 	// maxStartChecks bounds the reads that one start waits for.
 	maxStartChecks = 2
 )
@@ -72,6 +74,9 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return // the process stops, which says nothing of the store
+	case err != nil && clock.Steady().Sub(sent) > checkTermTimeout+checkTermSlack:
+		a.count("term-checks-paused")
+		a.log.Info().Err(err).Uint64("term", term).Dur("took", clock.Steady().Sub(sent)).Msg("this process was stopped while it read the newest leadership claim; the failure says nothing of the store")
 	case err != nil:
 		a.termCheck.NoteFailure(clock.Steady())
 		a.log.Debug().Err(err).Uint64("term", term).Msg("reading the newest leadership claim failed")
--- a/internal/runneragent/termcheck_test.go
+++ b/internal/runneragent/termcheck_test.go
@@ -22,6 +22,14 @@
 func isLaterClaimed(t *testing.T, s *fixture) { t.Helper(); s.claim(t, "entry-b") }
 func isUnreachable(_ *testing.T, s *fixture)  { s.store.SetFault(store.ErrRefused, false) }
 
+// isStoppedWhileItReads makes reads of the claim fail as in a process that is stopped meanwhile.
+func isStoppedWhileItReads(_ *testing.T, s *fixture) {
+	s.agent.store.ReadNewest = func(context.Context, store.Topic, string) (*store.Page, error) {
+		time.Sleep(checkTermTimeout + 2*checkTermSlack)
+		return nil, context.DeadlineExceeded
+	}
+}
+
 // A dispatcher that was cut off from the store started tasks of jobs whose cancellation another entry had acknowledged.
 func TestStartOfADispatcherThatHasLostTheStore(t *testing.T) {
 	for _, tc := range []struct {
@@ -92,6 +100,7 @@
 		{"the dispatcher's clock runs ahead", isLaterClaimed, 900, 100 * time.Millisecond, 5000, 0},
 		{"no later term is claimed", func(*testing.T, *fixture) {}, 900, 0, 0, 1},
 		{"the store fails the agent, too", isUnreachable, 900, 0, 0, 1},
+		{"the agent is stopped while it reads the claim", isStoppedWhileItReads, 900, 0, 0, 0},
 		{"the dispatcher has just written", isLaterClaimed, 300, 0, 0, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
