--- a/soak/jobs_test.go
+++ b/soak/jobs_test.go
@@ -183,6 +183,11 @@
 	return stepDraft{StepPlan: product.StepPlan{Count: count, DurationMS: durationMS, MilliCPU: milliCPU, MemoryMB: 64, After: after}}
 }
 
+// longKind is most of the jobs of seeds from firstRestartSeed on: their tasks outlast the lease of a worker.
+var longKind = mixKind{"long", 400, func(random *rand.Rand) []stepDraft {
+	return []stepDraft{step(6, millis(random, 6500, 9000), 20)}
+}}
+
 var mixKinds = []mixKind{
 	{"fit-check", 40, func(random *rand.Rand) []stepDraft {
 		out := []stepDraft{step(6, millis(random, 300, 700), 240)}
@@ -247,15 +252,18 @@
 
 // draw draws the next job.
 func (m *jobMix) draw(random *rand.Rand) *mixJob {
-	total := 0
-	for _, k := range mixKinds {
+	kinds, total := mixKinds, 0
+	if m.seed >= firstRestartSeed {
+		kinds = append([]mixKind{longKind}, mixKinds...)
+	}
+	for _, k := range kinds {
 		total += k.share
 	}
 	i := 0
-	for left := random.IntN(total); left >= mixKinds[i].share; i++ {
-		left -= mixKinds[i].share
+	for left := random.IntN(total); left >= kinds[i].share; i++ {
+		left -= kinds[i].share
 	}
-	k := &mixKinds[i]
+	k := &kinds[i]
 	j := &mixJob{id: fmt.Sprintf("%08x%08x", 0xa0000000|m.seed, len(m.jobs)), kind: k.name, endsAs: "completed", cancelNow: make(chan struct{})}
 	steps := k.draw(random)
 	j.plan = product.JobPlan{Job: j.id, Note: payloadMarker}
@@ -278,7 +286,7 @@
 		}
 		slices.Sort(j.repeats)
 	}
-	if chance(random, 8) || j.endsAs == "" && chance(random, 60) {
+	if k.name != longKind.name && chance(random, 8) || j.endsAs == "" && chance(random, 60) {
 		j.cancelAfter = time.Duration(1 + random.Int64N(int64(4*time.Second)))
 	}
 	return j
@@ -321,7 +329,7 @@
 	j := m.draw(random)
 	m.jobs = append(m.jobs, j)
 	m.group.Go(func() { m.play(ctx, d, j) })
-	if chance(random, 3) {
+	if m.seed < firstRestartSeed && chance(random, 3) {
 		m.bursts++
 		for _, other := range m.jobs[max(0, len(m.jobs)-3-random.IntN(8)):] {
 			select {
@@ -483,15 +491,22 @@
 // to expire.
 const mixDuration = 14 * time.Second
 
+// Seeds from firstRestartSeed on have long tasks and no faults but restarts of one runner, with its agent stopped right after.
+// There is one restart for every restartJobs jobs; the last one comes early enough for the leases to expire.
+const (
+	firstRestartSeed             = 5000
+	restartDuration, lastRestart = 30 * time.Second, 21 * time.Second
+	restartJobs, firstRestartJob = 130, 40
+)
+
 // restartUnderAgent restarts a runner at once, under the same name and address, and stops its agent a little later for longer
 // than the leases last that the agent may have renewed.
-func (d *deployment) restartUnderAgent(random *rand.Rand) string {
-	i := random.IntN(len(d.hosts))
+func (d *deployment) restartUnderAgent(random *rand.Rand, i int) string {
 	h, agent := d.hosts[i], d.machines[entryCount+i]
 	if h.currentPhase() != "ready" {
 		return h.runner.Name + " leaves already"
 	}
-	stopAfter, lasts := time.Duration(random.IntN(600))*time.Millisecond, time.Duration(6500+random.IntN(1500))*time.Millisecond
+	stopAfter, lasts := time.Duration(random.IntN(14))*time.Millisecond, time.Duration(6500+random.IntN(1500))*time.Millisecond
 	d.group.Go(func() {
 		h.close()
 		h.runner.Restart(clock.Steady())
@@ -509,6 +524,18 @@
 // mixDisruption is how long a fault disrupts the deployment at most.
 const mixDisruption = 5 * time.Second
 
+// mixFault injects one fault, and returns a description of it and how long it disrupts the deployment at most.
+func (d *deployment) mixFault(random *rand.Rand) (string, time.Duration) {
+	switch random.IntN(8) {
+	case 0, 1:
+		return d.runnerLeaves(random), mixDisruption
+	case 2:
+		return d.restartUnderAgent(random, random.IntN(len(d.hosts))), 2 * mixDisruption
+	default:
+		return d.injectFault(random), mixDisruption
+	}
+}
+
 // runMix plays the mix of one seed and checks it. How many faults there are depends on the seed.
 func runMix(t *testing.T, program string, seed uint64) {
 	t.Helper()
@@ -526,26 +553,29 @@
 		f.clockApart = 0.3
 	}
 	d.tasks.faults.Store(f)
-	oneIn, faults := []int{5, 10, 25, 60}[random.IntN(4)], 0
+	oneIn, faults, duration := []int{5, 10, 25, 60}[random.IntN(4)], 0, mixDuration
+	if seed >= firstRestartSeed {
+		oneIn, duration = restartJobs, restartDuration
+	}
 	m := newJobMix(seed)
-	for time.Since(began) < mixDuration {
+	for time.Since(began) < duration {
 		m.submitNext(ctx, d, random)
-		if random.IntN(oneIn) == 0 {
-			what, disrupted := "", mixDisruption
-			faults++
-			switch random.IntN(8) {
-			case 0, 1:
-				what = d.runnerLeaves(random)
-			case 2:
-				what, disrupted = d.restartUnderAgent(random), 2*mixDisruption
-			default:
-				what = d.injectFault(random)
+		what, disrupted := "", mixDisruption
+		switch {
+		case seed >= firstRestartSeed:
+			if len(m.jobs)%restartJobs == firstRestartJob && time.Since(began) < lastRestart {
+				what, disrupted = d.restartUnderAgent(random, 0), 2*mixDisruption
 			}
+		case random.IntN(oneIn) == 0:
+			what, disrupted = d.mixFault(random)
+		}
+		if what != "" {
+			faults++
 			now := time.Now()
 			d.tasks.disruptions.note(now, now.Add(disrupted))
 			t.Logf("%s: %s", now.Format(time.StampMilli), what)
 		}
-		d.pause(time.Duration(40+random.IntN(140)) * time.Millisecond)
+		d.pause(time.Duration(20+random.IntN(100)) * time.Millisecond)
 	}
 	d.endFaults()
 	d.tasks.faults.Store(nil)
