--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -273,8 +273,8 @@
 
 // drawRestartUnderAgent draws a restart whose agent is stopped a little later, until its leases have ended.
 func (d *deployment) drawRestartUnderAgent(random *rand.Rand) fault {
-	seed := random.Uint64()
-	return fault{begin: func() (string, func()) { return d.restartUnderAgent(rand.New(rand.NewPCG(seed, 0))), nil }}
+	seed, worker := random.Uint64(), random.IntN(len(d.hosts))
+	return fault{begin: func() (string, func()) { return d.restartUnderAgent(rand.New(rand.NewPCG(seed, 0)), worker), nil }}
 }
 
 // drawAway draws how long a runner is away: a few milliseconds, or seconds.
