Refuse second runs whose orders have been under way for long

A second run of a task could start over a second after the end of its first run had been acknowledged (TWICE). The end was known to the dispatcher 0.28 s after it had ordered the second run; the order waited for 1.64 s on a link that was cut in one direction and started the run 1.14 s after the acknowledgement. The stop that followed came behind it on the same link.

Agents bound the age of the proof that no later term has begun, and their own read of the claim renews that proof. But here the dispatcher of the same term has acknowledged the end. Starts of tasks with no other run cannot be outdated so.

Starts now say whether they are second runs. The agent refuses one that was sent more than 0.8 s before, and has the runner refuse it a second after the sending.

--- a/internal/explore/term/checks.go
+++ b/internal/explore/term/checks.go
@@ -151,6 +151,8 @@
 		then(true, false)
 	case decision == leadership.OrderRefuse:
 		then(false, true)
+	case decision == leadership.OrderOutdated:
+		then(false, false)
 	case checks == maxStartChecks:
 		then(false, false)
 	default:
@@ -196,6 +198,10 @@
 		a.extendLastRunLeaseEnd(a.clock())
 		a.unlistedStarts[k] = true
 		a.noteStarting(k)
+		basis := basis
+		if s.Second && !a.w.rules.TrustLateSecondRuns {
+			basis.OrderBasis = basis.ForSecondRun()
+		}
 		a.confirmStart(term, basis, 0, func(confirmed, unconfirmed bool) {
 			if !confirmed {
 				delete(a.starting, k)
--- a/internal/explore/term/rules.go
+++ b/internal/explore/term/rules.go
@@ -97,6 +97,8 @@
 	// IgnoreStoreContact lets starts take effect although the store has not answered the dispatcher for long, and
 	// IgnoreConfirmation as long as it has, although a later term may have begun.
 	IgnoreStoreContact, IgnoreConfirmation bool
+	// TrustLateSecondRuns lets second runs start although their orders have been under way for long.
+	TrustLateSecondRuns bool
 	// TrustAnyAnswer takes each answer of the store for one that the cancellations known to the dispatcher go with.
 	TrustAnyAnswer bool
 	// TrustNewAgents applies the reports of agents that know no term before a write confirms the dispatcher's.
--- a/internal/runneragent/orders.go
+++ b/internal/runneragent/orders.go
@@ -129,7 +129,11 @@
 		a.refuseUnsent(s.Life, key, err)
 		return
 	}
-	deadline, err := a.confirmStart(ctx, terms.term, terms.basis)
+	basis := terms.basis
+	if s.Second {
+		basis = basis.ForSecondRun()
+	}
+	deadline, err := a.confirmStart(ctx, terms.term, basis)
 	if err != nil {
 		a.refuseUnsent(s.Life, key, err)
 		return
--- a/internal/runneragent/termcheck.go
+++ b/internal/runneragent/termcheck.go
@@ -27,6 +27,7 @@
 	errSuperseded  = errors.New("a later dispatcher has claimed leadership")
 	errUnconfirmed = errors.New("the store serves this worker, and has not answered the dispatcher for long")
 	errUnchecked   = errors.New("the newest leadership claim was not read in time")
+	errOutdated    = errors.New("the order of a second run of the task has been under way for too long")
 	errStopping    = errors.New("the agent is stopping")
 )
 
@@ -143,6 +144,8 @@
 			return time.Time{}, errStopping
 		case decision == leadership.OrderProceed:
 			return deadline, nil
+		case decision == leadership.OrderOutdated:
+			return time.Time{}, errOutdated
 		case decision == leadership.OrderRefuse:
 			return time.Time{}, errUnconfirmed
 		case checks == maxStartChecks:
--- a/internal/runneragent/termcheck_test.go
+++ b/internal/runneragent/termcheck_test.go
@@ -208,3 +208,31 @@
 		t.Errorf("runs: got %d, want %d", got, want)
 	}
 }
+
+// Second runs started late, after the dispatcher that had ordered them had acknowledged the end of the first run.
+func TestLateOrderOfASecondRunIsRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		second   bool
+		orderAge time.Duration
+		want     int
+	}{
+		{"a second run, ordered just now", true, 300 * time.Millisecond, 1},
+		{"a second run, ordered long ago", true, 1700 * time.Millisecond, 0},
+		{"the only run of a task, ordered long ago", false, 1700 * time.Millisecond, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newFixture(t)
+			s.runner.startTakesEffect = true
+			o := startOrders(3)
+			o.Starts[0].Second = tc.second
+			o.StoreContactAgeMS, o.ConfirmedAgeMS, o.LastPing = 10, 10, 8
+			s.agent.pingTimes.Note(8, clock.Steady().Add(-tc.orderAge))
+			s.agent.handleOrders(t.Context(), o)
+			s.agent.group.Wait()
+			if got := len(s.runner.listing.Runs); got != tc.want {
+				t.Errorf("runs: got %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -59,6 +59,8 @@
 	// at the worker, from 0 to 1.
 	Harm   float64
 	Reason string
+	// Second is set if another run of the task may be at work or done when this one starts.
+	Second bool
 	// Trial asks the agent to report soon whether the run is still at work, since its task is
 	// suspected of crashing runners.
 	Trial bool
@@ -219,7 +221,7 @@
 // run number.
 func (sc *Scheduler) orderStart(now time.Time, s *stepState, index int, w *workerState, runNumber uint64, reason string, o *Orders) {
 	t := &s.tasks[index]
-	id := s.taskID(index)
+	id, second := s.taskID(index), len(t.runs) > 0
 	r := sc.addRun(now, s, t, id, w, runNumber)
 	if w.health.outcomes.Suspect() {
 		w.health.probe, w.health.probeWasDue = r, w.health.outcomes.MayProbe(now)
@@ -228,7 +230,7 @@
 	sc.markStarted(s.occurrence.job)
 	o.starts = append(o.starts, Start{
 		Worker: w.name, Life: w.life, Task: id, Run: runNumber, Text: s.occurrence.job.submission.Spec.Text,
-		Saved: t.checkpoint, Fills: s.spec.BestEffort, TargetMS: s.spec.TargetMS, Ticket: s.ticket(w), Harm: sc.imageInterference(w, s.spec.Image), Reason: reason,
+		Saved: t.checkpoint, Fills: s.spec.BestEffort, TargetMS: s.spec.TargetMS, Ticket: s.ticket(w), Harm: sc.imageInterference(w, s.spec.Image), Reason: reason, Second: second,
 	})
 }
 
--- a/pkg/dispatch/speculative_test.go
+++ b/pkg/dispatch/speculative_test.go
@@ -85,6 +85,24 @@
 	}
 }
 
+// Agents must be able to tell the order of a second run, which counts for a second only.
+func TestStartSaysThatItIsASecondRun(t *testing.T) {
+	p := newSpeculationPlay(2)
+	p.admitJob("shapes", workflow.Step{Count: 1, Size: worker.Resources{MilliCPU: 500, MemoryMB: 100}, Image: "a", EstimateMS: 800, Speculative: true})
+	for _, tc := range []struct {
+		at   time.Duration
+		want bool
+	}{{0, false}, {1100 * time.Millisecond, true}} {
+		p.now = time.Unix(1000, 0).Add(tc.at)
+		starts := p.sc.Decide(p.now, p.now.UnixMilli()).Starts()
+		if len(starts) != 1 || starts[0].Second != tc.want {
+			t.Fatalf("starts after %s: got %+v, want one with second %t", tc.at, starts, tc.want)
+		}
+		p.ping("w1", 30)
+		p.ping("w2", 30)
+	}
+}
+
 // Second runs must not take the room that waiting work of their priority needs, while work of a lower priority, which best-effort
 // jobs always have waiting, must not keep short jobs from them, nor work that no worker can ever run.
 func TestSpeculativeRunWaitsForWaitingWork(t *testing.T) {
--- a/pkg/leadership/order.go
+++ b/pkg/leadership/order.go
@@ -25,13 +25,23 @@
 	contactAt time.Time
 	// confirmedAt is a time at which no later term had begun.
 	confirmedAt time.Time
+	// sentAt is a time before which the message was not sent. second is set if it orders a second run of a task.
+	sentAt time.Time
+	second bool
 }
 
 // NewOrderBasis returns the basis of a message that was sent after the given time. It says how long before its sending the
 // store had last answered the dispatcher, and how long before the newest write was sent that the store accepted under the
 // dispatcher's term.
 func NewOrderBasis(sentAfter time.Time, contactAge, confirmedAge time.Duration) OrderBasis {
-	return OrderBasis{contactAt: sentAfter.Add(-max(0, contactAge)), confirmedAt: sentAfter.Add(-max(0, confirmedAge))}
+	return OrderBasis{contactAt: sentAfter.Add(-max(0, contactAge)), confirmedAt: sentAfter.Add(-max(0, confirmedAge)), sentAt: sentAfter}
+}
+
+// ForSecondRun returns the basis for the start of a run of a task that may have another run. The dispatcher itself may have
+// acknowledged the end of that one since it sent the order.
+func (b OrderBasis) ForSecondRun() OrderBasis {
+	b.second = true
+	return b
 }
 
 // TermCheck is what an agent's own reads of the newest claim have shown of the term that it serves. The zero value knows of
@@ -76,12 +86,17 @@
 	OrderProceed
 	// OrderRefuse means that the dispatcher may not know what the store has taken.
 	OrderRefuse
+	// OrderOutdated means that the order has been under way for too long.
+	OrderOutdated
 )
 
 // DecideStart decides about a start that would take effect now. If the store fails the dispatcher and the agent alike, it
 // presumably fails everybody: nothing that the dispatcher does not know can be acknowledged, and work goes on. If it serves
 // the agent, other entries may have acknowledged what the dispatcher has not heard of.
 func (b OrderBasis) DecideStart(now time.Time, check *TermCheck) OrderDecision {
+	if b.second && now.Sub(b.sentAt) > MaxOrderAge {
+		return OrderOutdated
+	}
 	decision := b.DecideStop(now, check)
 	if decision == OrderProceed && now.Sub(b.contactAt) > MaxStoreContactAge && !check.Fails(now) {
 		if check.isCurrent(now) {
@@ -96,7 +111,13 @@
 func (b OrderBasis) StartDeadline(now time.Time, check *TermCheck) time.Time {
 	proof := later(b.confirmedAt, check.currentAt)
 	if check.Fails(now) {
-		return later(proof, check.failedAt).Add(endHoldsAfter)
+		proof = later(proof, check.failedAt)
+	}
+	if b.second {
+		proof = earlier(proof, b.sentAt)
+	}
+	if check.Fails(now) {
+		return proof.Add(endHoldsAfter)
 	}
 	return earlier(proof.Add(endHoldsAfter), b.contactAt.Add(cancellationHoldsAfter))
 }
--- a/pkg/leadership/order_test.go
+++ b/pkg/leadership/order_test.go
@@ -14,14 +14,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	decisions := map[string]OrderDecision{"check": OrderCheck, "proceed": OrderProceed, "refuse": OrderRefuse}
+	decisions := map[string]OrderDecision{"check": OrderCheck, "proceed": OrderProceed, "refuse": OrderRefuse, "outdated": OrderOutdated}
 	var cases []struct {
 		Name string `json:"name"`
 		// ContactAgeMS is the age of the store's last answer to the dispatcher when it sent the order, at 0.
 		ContactAgeMS int64 `json:"contact-age-ms"`
 		// ConfirmedAgeMS is the age of the newest write under the term then.
 		ConfirmedAgeMS int64 `json:"confirmed-age-ms"`
-		Events         []struct {
+		// Second is set if the order is for a second run of a task.
+		Second bool `json:"second"`
+		Events []struct {
 			AtMS int64  `json:"at-ms"`
 			Do   string `json:"do"`
 			// Want is the decision about a start, and WantStop that about a stop.
@@ -37,6 +39,9 @@
 	for _, tc := range cases {
 		t.Run(tc.Name, func(t *testing.T) {
 			basis := NewOrderBasis(at(0), time.Duration(tc.ContactAgeMS)*time.Millisecond, time.Duration(tc.ConfirmedAgeMS)*time.Millisecond)
+			if tc.Second {
+				basis = basis.ForSecondRun()
+			}
 			var check TermCheck
 			for i, e := range tc.Events {
 				switch e.Do {
