--- a/internal/runneragent/poll.go
+++ b/internal/runneragent/poll.go
@@ -152,7 +152,7 @@
 	defer a.mu.Unlock()
 	now := clock.Steady()
 	request := RenewRequest{Call: a.newCall()}
-	request.Life = 0
+	request.Life = 0 // a listing is wanted from whatever life answers
 	if now.Before(a.sameLifeUntil) && !a.nextLifeAnnounced() {
 		request.Life = a.life
 		// A restarted runner, perhaps with the same instance ID, numbers its run ends
@@ -176,7 +176,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	request := RenewRequest{Call: a.newCall()}
-	request.Life = 0
+	request.Life = 0 // any
 	return clock.Steady(), request
 }
 
