--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -47,11 +47,12 @@
 	h.end()
 }
 
-// end ends the runs and the connections of a runner at whose address nothing listens any more.
+// end ends the runs and the connections of a runner at whose address nothing listens any more. The runs end first: they
+// must not outlast the connections by which agents know that the process has ended.
 func (h *runnerHost) end() {
 	h.setPhase("")
-	h.proxy.resetAll()
 	h.runner.Shutdown(clock.Steady())
+	h.proxy.resetAll()
 }
 
 // comeBack begins another life of a runner that has left.
--- a/soak/jobs_test.go
+++ b/soak/jobs_test.go
@@ -183,7 +183,7 @@
 	return stepDraft{StepPlan: product.StepPlan{Count: count, DurationMS: durationMS, MilliCPU: milliCPU, MemoryMB: 64, After: after}}
 }
 
-// longKind is most of the jobs of seeds from firstRestartSeed on: their tasks outlast the lease of a worker.
+// longKind is most of the jobs of seeds for which playsRestarts holds: their tasks outlast the lease of a worker.
 var longKind = mixKind{"long", 400, func(random *rand.Rand) []stepDraft {
 	return []stepDraft{step(6, millis(random, 6500, 9000), 20)}
 }}
@@ -253,7 +253,7 @@
 // draw draws the next job.
 func (m *jobMix) draw(random *rand.Rand) *mixJob {
 	kinds, total := mixKinds, 0
-	if m.seed >= firstRestartSeed {
+	if playsRestarts(m.seed) {
 		kinds = append([]mixKind{longKind}, mixKinds...)
 	}
 	for _, k := range kinds {
@@ -329,7 +329,7 @@
 	j := m.draw(random)
 	m.jobs = append(m.jobs, j)
 	m.group.Go(func() { m.play(ctx, d, j) })
-	if m.seed < firstRestartSeed && chance(random, 3) {
+	if !playsRestarts(m.seed) && chance(random, 3) {
 		m.bursts++
 		for _, other := range m.jobs[max(0, len(m.jobs)-3-random.IntN(8)):] {
 			select {
@@ -491,7 +491,7 @@
 // to expire.
 const mixDuration = 14 * time.Second
 
-// Seeds from firstRestartSeed on have long tasks and no faults but restarts of one runner, with its agent stopped right after.
+// Seeds from firstRestartSeed to firstDaySeed have long tasks and no faults but restarts of one runner, with its agent stopped right after.
 // There is one restart for every restartJobs jobs; the last one comes early enough for the leases to expire.
 const (
 	firstRestartSeed             = 5000
@@ -499,6 +499,9 @@
 	restartJobs, firstRestartJob = 130, 40
 )
 
+// playsRestarts reports whether a seed has long tasks and restarts of one runner under its agent.
+func playsRestarts(seed uint64) bool { return seed >= firstRestartSeed && seed < firstDaySeed }
+
 // restartUnderAgent restarts a runner at once, under the same name and address, and stops its agent a little later for longer
 // than the leases last that the agent may have renewed.
 func (d *deployment) restartUnderAgent(random *rand.Rand, i int) string {
@@ -552,7 +555,7 @@
 	}
 	d.tasks.faults.Store(f)
 	oneIn, faults, duration := []int{5, 10, 25, 60}[random.IntN(4)], 0, mixDuration
-	if seed >= firstRestartSeed {
+	if playsRestarts(seed) {
 		oneIn, duration = restartJobs, restartDuration
 	}
 	m := newJobMix(seed)
@@ -560,7 +563,7 @@
 		m.submitNext(ctx, d, random)
 		what, disrupted := "", mixDisruption
 		switch {
-		case seed >= firstRestartSeed:
+		case playsRestarts(seed):
 			if len(m.jobs)%restartJobs == firstRestartJob && time.Since(began) < lastRestart {
 				what, disrupted = d.restartUnderAgent(random, 0), 2*mixDisruption
 			}
