Judge what an entry shows of a job only while it can know

Traced in the kept logs: entry-1 was cut off from the store and all other entries from 16:10.45 to 16:16.67, the job was cancelled at entry-0 at 16:11.14, and the answer came at 16:16.16, when entry-1 still served its term. The rule's time bound holds for machines in touch, which have had a path to the platform for three seconds.

The check now skips answers of an entry that a fault cuts off from the store and from the other entries, until three seconds after that fault. Answers of other entries, and all else that the check asks, are judged as before.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -54,6 +54,9 @@
 	configFile           string
 	log                  *os.File
 	store, peers         *proxy
+	// cutOff holds when an entry reached neither the store nor other entries, and the time after that in which it need not
+	// know what they do.
+	cutOff disruptions
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -85,6 +85,10 @@
 			entry = d.machines[other]
 		}
 		var u undo
+		if c.store && c.entries {
+			end := entry.cutOff.begin(time.Now())
+			u = append(u, func() { end(time.Now().Add(visibleAfter)) })
+		}
 		if c.store {
 			u = append(u, entry.store.impose("", link.mode))
 		}
