--- a/review/play-3.sh
+++ b/review/play-3.sh
@@ -9,6 +9,8 @@
 program=$PWD/target/savoryhoist
 standin=$PWD/target/review-3
 trouble=true
+uneven=()
+[ "$scenario" = lasting ] && uneven=(--uneven)
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x "$program" ] && [ -x "$standin" ] || { echo "build target/savoryhoist and target/review-3 first" >&2; exit 2; }
 work=$(mktemp -d)
@@ -39,7 +41,7 @@
 supervise() {
 	trap '' TERM
 	while [ ! -e "$work/ended" ] && [ ! -e "$work/gone-$1" ]; do
-		"$standin" runner --network "$network" --record "$record" --index "$1" --cpu "$cpu" >>"$work/runner-$1.log" 2>&1 &
+		"$standin" runner --network "$network" --record "$record" --index "$1" --cpu "$cpu" "${uneven[@]}" >>"$work/runner-$1.log" 2>&1 &
 		echo $! >"$work/runner-$1.tmp" && mv "$work/runner-$1.tmp" "$work/runner-$1.pid"
 		wait $! 2>/dev/null
 		sleep 1
--- a/review/standin-3/lasting.go
+++ b/review/standin-3/lasting.go
@@ -14,12 +14,8 @@
 const (
 	// lastingBound is 6 s after the last run and the 4 s before that have to be calm, and 3 s without a run.
 	lastingBound = 13 * time.Second
-	// smallTasks is the number of small tasks that fill the service, each of which takes smallWork. Before them, there are
-	// firstSteps steps of firstTasks tasks that take from firstWork on, each step stepWork longer than the one before:
-	// so the tasks at one runner do not end together.
-	smallTasks, smallWork  = 4500, 1000
-	firstSteps, firstTasks = 16, 8
-	firstWork, stepWork    = 300, 60
+	// smallSteps steps of smallTasks tasks fill the service. A task takes smallWork, give or take half.
+	smallSteps, smallTasks, smallWork = 10, 480, 1000
 )
 
 // playLasting starts a task that lasts, fills the service with small tasks of the same priority, and has the runner of the
@@ -43,19 +39,15 @@
 		return exitNotRun
 	}
 	time.Sleep(2 * time.Second)
-	fill := newID()
 	var steps []map[string]any
 	var plan []product.StepPlan
-	add := func(count, ms int) {
-		steps = append(steps, map[string]any{"count": count, "cpu": 240, "mem-mb": 480, "est-runtime-ms": ms})
-		plan = append(plan, product.StepPlan{Count: count, DurationMS: int64(ms), MilliCPU: 240, MemoryMB: 480})
-	}
-	for i := range firstSteps {
-		add(firstTasks, firstWork+i*stepWork)
+	for range smallSteps {
+		steps = append(steps, map[string]any{"count": smallTasks, "cpu": 240, "mem-mb": 480, "est-runtime-ms": smallWork})
+		plan = append(plan, product.StepPlan{Count: smallTasks, DurationMS: smallWork, MilliCPU: 240, MemoryMB: 480})
 	}
-	add(smallTasks, smallWork)
+	fill := newID()
 	status, _ = c.call(ctx, http.MethodPost, 1, "/batch/"+fill, jobBody(fill, steps, plan), 3000)
-	c.record.line("caller: POST of job %s with %d small tasks at entry 1: status %d", fill, firstSteps*firstTasks+smallTasks, status)
+	c.record.line("caller: POST of job %s with %d small tasks at entry 1: status %d", fill, smallSteps*smallTasks, status)
 	if status/100 != 2 {
 		return exitNotRun
 	}
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -28,10 +30,15 @@
 type runnerHandler struct {
 	runner   *standin.Runner
 	offsetMS uint64
+	// uneven is set if the tasks of a step take different times, see spreadWork.
+	uneven bool
 }
 
 func (h *runnerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	answer := httptest.NewRecorder()
+	if h.uneven && r.URL.Path == "/v1/run-start" {
+		spreadWork(r)
+	}
 	h.runner.ServeHTTP(answer, r)
 	data := answer.Body.Bytes()
 	var body map[string]json.RawMessage
@@ -44,11 +51,41 @@
 	_, _ = w.Write(data)
 }
 
+// spreadWork changes the work of a task that a start names by up to half, by its name: tasks of one step are not alike.
+func spreadWork(r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the runner finds no call
+	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	var call map[string]any
+	if json.Unmarshal(data, &call) != nil {
+		return
+	}
+	text, _ := call["task-spec"].(string)
+	task, _ := call["task"].(string)
+	plan, ok := product.ParseJobPlan(text)
+	if !ok {
+		return
+	}
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(task)) // never fails
+	for i := range plan.Steps {
+		s := &plan.Steps[i]
+		s.DurationMS += s.DurationMS * (int64(sum.Sum32()%1000) - 500) / 1000
+	}
+	changed, _ := json.Marshal(plan)
+	call["task-spec"] = string(changed)
+	data, _ = json.Marshal(call)
+	r.Body = io.NopCloser(bytes.NewReader(data))
+}
+
 // runRunner plays one runner until ctx ends. A crash is a SIGKILL of its process.
 func runRunner(ctx context.Context, args []string) int {
 	f := flag.NewFlagSet("runner", flag.ExitOnError)
 	network, path := f.String("network", "", "loopback network"), f.String("record", "", "file for the record")
 	index, milliCPU := f.Int("index", 0, "number of the runner"), f.Int64("cpu", 16000, "thousandths of a processor")
+	uneven := f.Bool("uneven", false, "tasks of one step take different times")
 	_ = f.Parse(args) // exits on an error
 	rec, name := newRecord(*path), fmt.Sprintf("runner-%d", *index)
 	history := &product.History{OnStart: func(runner, task string, run uint64) { rec.line("%s: starts %s run %d", runner, task, run) }}
@@ -82,7 +119,7 @@
 	server := make(chan int, 1)
 	tick := time.NewTicker(stepEvery)
 	defer tick.Stop()
-	serveLater := func() { server <- serve(ctx, fmt.Sprintf("%s:%d", ip, portApp), &runnerHandler{r, offsetMS}) }
+	serveLater := func() { server <- serve(ctx, fmt.Sprintf("%s:%d", ip, portApp), &runnerHandler{r, offsetMS, *uneven}) }
 	goRun(serveLater)
 	for {
 		select {
