--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,13 +19,14 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin settings|store|runner|bodies|cancel|crashes|lasting ...")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(commands[os.Args[1]](ctx, os.Args[2:]))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	status := commands[os.Args[1]](ctx, os.Args[2:])
+	stop()
+	os.Exit(status)
 }
 
 // The exit statuses of a script.
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -107,12 +107,16 @@
 			"capacity": map[string]int64{"cpu": *milliCPU, "mem-mb": 64000, "gpu": 0}, "clock-ms": r.ClockMS(clock.Steady()),
 		})
 		url := fmt.Sprintf("http://%s:%d/v1/instances/i-%s/heartbeat", ip, portControl, name)
-		if response, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		request.Header.Set("Content-Type", "application/json")
+		if response, err := client.Do(request); err == nil {
 			_ = response.Body.Close()
 		}
 	}
 	r.Rename("i-" + name)
-	history.OnSuccess = nil
 	var last time.Time
 	done := make(chan struct{})
 	context.AfterFunc(ctx, func() { close(done) })
--- a/review/standin-3/settings.go
+++ b/review/standin-3/settings.go
@@ -26,7 +26,7 @@
 func freeNetwork() (string, bool) {
 	for i := range 200 {
 		network := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+i)%200, (os.Getpid()/200)%250)
-		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", storeIP(network), portStore))
+		ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", fmt.Sprintf("%s:%d", storeIP(network), portStore))
 		if err != nil {
 			continue
 		}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -96,7 +96,7 @@
 
 // serve serves HTTP at an address until ctx ends.
 func serve(ctx context.Context, address string, h http.Handler) int {
-	ln, err := net.Listen("tcp", address)
+	ln, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
