--- a/review/play-3.sh
+++ b/review/play-3.sh
@@ -36,6 +36,7 @@
 for ((i = 0; i < entries; i++)); do
 	SAVORYHOIST_BOOT=$work/entry-$i.json "$program" platform entry >"$work/entry-$i.log" 2>&1 &
 	pids+=($!)
+	echo $! >"$work/entry-$i.pid"
 done
 # A runner that crashes is back a second later, unless it is gone for good.
 supervise() {
@@ -50,9 +51,12 @@
 for ((i = 0; i < runners; i++)); do
 	SAVORYHOIST_BOOT=$work/agent-$i.json "$program" platform agent >"$work/agent-$i.log" 2>&1 &
 	pids+=($!)
+	echo $! >"$work/agent-$i.pid"
 	supervise "$i" 2>/dev/null &
 	pids+=($!)
 done
-"$standin" "$scenario" --network "$network" --record "$record" --trouble="$trouble" ${EXTRA:-} $([ "$scenario" = crashes ] || [ "$scenario" = lasting ] && echo --dir "$work")
+folders=()
+case $scenario in crashes | lasting | removed) folders=(--dir "$work") ;; esac
+"$standin" "$scenario" --network "$network" --record "$record" --trouble="$trouble" "${folders[@]}"
 status=$?
 exit $status
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,12 +15,12 @@
 // commands holds the functions of the command line by name. Each returns the exit status.
 var commands = map[string]func(ctx context.Context, args []string) int{
 	"settings": writeSettings, "store": serveStore, "runner": runRunner, "bodies": playBodies, "cancel": playCancel,
-	"crashes": playCrashes, "lasting": playLasting,
+	"crashes": playCrashes, "lasting": playLasting, "removed": playRemoved,
 }
 
 func main() {
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin settings|store|runner|bodies|cancel|crashes|lasting ...")
+		fmt.Fprintln(os.Stderr, "usage: standin settings|store|runner|bodies|cancel|crashes|lasting|removed ...")
 		os.Exit(exitNotRun)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
