--- a/review/standin-3/bodies.go
+++ b/review/standin-3/bodies.go
@@ -21,10 +21,10 @@
 	// crowd is how many clients then send a body of crowdBytes, the largest legal size, and stop just short of its end.
 	crowd, crowdBytes = 90, 262144
 	// bodyRounds is how often that happens.
-	bodyRounds = 8
-	// pauseBefore is how long the link of a slow caller pauses before the end of its body, and spread the time over which
-	// the callers send that end.
-	pauseBefore, spread = 1500 * time.Millisecond, 80 * time.Millisecond
+	bodyRounds = 16
+	// pauseBefore is how long the link of a slow caller pauses before the end of its body, spread the time over which the
+	// callers send that end, and crowdSpread that over which the crowd comes, beginning together.
+	pauseBefore, spread, crowdSpread = 1500 * time.Millisecond, 150 * time.Millisecond, 50 * time.Millisecond
 	// visibleAfter is how long after the last answer the jobs are asked for, which is more than visible_ms and contact-ms.
 	visibleAfter = 8 * time.Second
 )
@@ -139,7 +139,7 @@
 	if trouble {
 		for range crowd {
 			all.Go(func() {
-				time.Sleep(time.Until(ends) + time.Duration(rand.Int64N(int64(spread))))
+				time.Sleep(time.Until(ends) + time.Duration(rand.Int64N(int64(crowdSpread))))
 				conn, err := send(ctx, c.network, 0, newID(), large)
 				if err == nil {
 					time.Sleep(300 * time.Millisecond)
