Store the cancellation of an unknown job before it is acknowledged

The store did not answer the append of the submission, its caller got a 504 and cancelled the job at another entry, which answered 410. Four seconds later the store carried the append out, and the job ran.

Cause: a 410 to a DELETE rested on a read of the store, and nothing was stored. A read rules out a stored submission, not one under way: "a call that receives no response [...] may be executed seconds later".

Now the entry stores the cancellation first. Whoever reads the submission later finds the job cancelled, as for jobs that are cancelled before an entry has read them. A deletion is carried out only while the topic ends where it was read to, so that it spares later cancellations. A dispatcher that is told of the cancellation of a job that it does not know reads the store at once: it dropped the message, and could start the job for up to a second.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -46,10 +46,12 @@
 	return c.config
 }
 
-// Submit stores a job, with the newest term that this entry knows. The error is marked as
+// Submit stores a job, with the newest term that this entry knows. It takes up to maxSubmitTime. The error is marked as
 // ErrRefused only if it is certain that the job never runs.
 func (c *Coordinator) Submit(ctx context.Context, sub *workflow.Submission) error {
 	began := clock.Steady()
+	ctx, cancel := context.WithTimeout(ctx, maxSubmitTime)
+	defer cancel()
 	err := c.submit(ctx, sub)
 	switch {
 	case err == nil:
@@ -95,15 +97,21 @@
 	return nil
 }
 
-// Cancel stores the cancellation of a job.
+// Cancel stores the cancellation of a job. It returns ErrJobNotFound if there is no such job, which is cancelled then if its
+// submission is stored late.
 func (c *Coordinator) Cancel(ctx context.Context, id string) error {
 	phase, err := c.Phase(ctx, id)
-	if errors.Is(err, ErrJobNotFound) {
-		return err
-	}
-	if err == nil && phase.Ended() {
+	switch {
+	case err != nil:
+		return c.cancelUnknown(ctx, id, err)
+	case phase.Ended():
 		return nil
 	}
+	return c.storeCancellation(ctx, id)
+}
+
+// storeCancellation stores the cancellation of a job and tells the dispatcher.
+func (c *Coordinator) storeCancellation(ctx context.Context, id string) error {
 	if err := c.storeRecord(ctx, workflow.CancellationRecord(id)); err != nil {
 		return err
 	}
@@ -226,6 +234,9 @@
 	c.mu.Lock()
 	if c.term != nil {
 		c.term.backlog.add(now)
+		if !c.term.scheduler.HasJob(id) {
+			notify(c.wakeTail) // has the cancellation read before this entry is told of the submission
+		}
 		c.term.scheduler.Cancel(now, clock.WallMS(), id)
 	}
 	c.mu.Unlock()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -143,6 +143,8 @@
 	// admission decides whether jobs are refused, and outstanding holds those that may not be.
 	admission   admission
 	outstanding outstandingAppends
+	// unmatched holds the cancellations of jobs without a submission.
+	unmatched unmatchedCancellations
 	// succeeds is the term of the dispatcher that resigned and named this entry as its successor.
 	succeeds uint64
 	// discoveryBegan is when this entry began to look for others before its first claim.
--- a/internal/coordinator/forget.go
+++ b/internal/coordinator/forget.go
@@ -79,11 +79,11 @@
 	}
 }
 
-// deleteForgottenIntake deletes submissions and cancellations of forgotten jobs if this entry is the dispatcher, provided
-// that no other record has been stored since this entry read their topic. Without that condition, a deletion that the
-// store carries out late could delete a job that was submitted again. What is not deleted is tried again after
-// jobExpiryInterval.
-func (c *Coordinator) deleteForgottenIntake(ctx context.Context, now time.Time) {
+// deleteUnneededIntake deletes submissions and cancellations of forgotten jobs, and cancellations whose submissions will never
+// be stored, if this entry is the dispatcher. It does so provided that no other record has been stored since this entry read
+// their topic. Without that condition, a deletion that the store carries out late could delete a job that was submitted, or
+// cancelled, again. What is not deleted is tried again after jobExpiryInterval.
+func (c *Coordinator) deleteUnneededIntake(ctx context.Context, now time.Time) {
 	c.mu.Lock()
 	t := c.term
 	if t == nil || now.Sub(t.lastIntakeDeletion) < jobExpiryInterval {
@@ -91,6 +91,8 @@
 		return
 	}
 	records, _ := c.jobs.Remains(maxForgottenJobs)
+	unmatched := c.unmatched.stored.Expired(now, &c.jobs, unmatchedRetention, maxForgottenJobs)
+	records = append(records, unmatched...)
 	end := c.tails[intakeIndex].nextOffset
 	if len(records) > 0 {
 		t.lastIntakeDeletion = now
@@ -104,8 +106,9 @@
 	})
 	if err != nil {
 		c.count("forgotten-deletions-failed", 1)
-		c.log.Warn().Err(err).Int("records", len(records)).Uint64("end", end).Uint64("term", t.number).Msg("deleting the submissions of forgotten jobs failed; it is tried again")
+		c.log.Warn().Err(err).Int("records", len(records)).Uint64("end", end).Uint64("term", t.number).Msg("deleting submissions and cancellations that are not needed any more failed; it is tried again")
 		return
 	}
-	c.log.Info().Int("records", len(records)).Uint64("end", end).Uint64("term", t.number).Msg("submissions of forgotten jobs deleted")
+	c.log.Info().Int("records", len(records)).Int("unmatched-cancellations", len(unmatched)).Uint64("end", end).Uint64("term", t.number).
+		Msg("submissions and cancellations deleted that are not needed any more")
 }
--- a/internal/coordinator/forgotten_job_test.go
+++ b/internal/coordinator/forgotten_job_test.go
@@ -62,7 +62,7 @@
 		if err := c.catchUp(context.Background()); err != nil {
 			t.Fatal(err)
 		}
-		c.deleteForgottenIntake(context.Background(), clock.Steady())
+		c.deleteUnneededIntake(context.Background(), clock.Steady())
 	}
 }
 
--- a/internal/coordinator/tail.go
+++ b/internal/coordinator/tail.go
@@ -45,7 +45,8 @@
 		if failed {
 			c.log.Warn().Err(err).Msg("reading jobs from the store failed")
 		} else {
-			c.deleteForgottenIntake(ctx, clock.Steady())
+			c.observeUnmatched(clock.Steady())
+			c.deleteUnneededIntake(ctx, clock.Steady())
 			c.deleteNames(ctx, clock.Steady())
 		}
 		clock.WaitForWake(ctx, nil, minTailInterval)
--- a/internal/explore/term/forget_steps.go
+++ b/internal/explore/term/forget_steps.go
@@ -73,14 +73,21 @@
 	}
 }
 
-// deleteForgottenIntake deletes submissions of forgotten jobs after their topic was read to its end, and then calls then.
+// deleteForgottenIntake deletes submissions of forgotten jobs, and cancellations that have none, after their topic was read to
+// its end, and then calls then.
 func (e *entry) deleteForgottenIntake(then func()) {
+	e.unmatched.Observe(e.clock(), &e.jobs)
 	t := e.term
 	if t == nil || e.w.kinds&Retention == 0 {
 		then()
 		return
 	}
 	records, _ := e.jobs.Remains(maxForgottenJobs)
+	retention := jobRetention
+	if e.w.rules.DeleteCancellationsAtOnce {
+		retention = -1
+	}
+	records = append(records, e.unmatched.Expired(e.clock(), &e.jobs, retention, maxForgottenJobs)...)
 	if len(records) == 0 {
 		then()
 		return
--- a/internal/explore/term/kinds_test.go
+++ b/internal/explore/term/kinds_test.go
@@ -7,6 +7,8 @@
 
 const allKinds = SlowCalls | OverlappingReads | JointRestarts | Resubmissions | LateRepeats
 
+const lateCancellations = PartialViews | Cancellations | LateSubmissions | Retention
+
 // TestNoViolationWithKinds checks the rules under the kinds of faults beyond the basic ones.
 func TestNoViolationWithKinds(t *testing.T) {
 	for _, c := range []struct {
@@ -30,6 +32,7 @@
 		{"runners restart at once beside partial views", PartialViews | QuickRestarts | Pauses},
 		{"workers and agents leave beside partial views", PartialViews | JointRestarts | Departures | OrderlyDepartures | AgentStops},
 		{"jobs are forgotten while parts of the store fail", Retention},
+		{"jobs are cancelled whose submissions are stored late", lateCancellations},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -83,5 +86,7 @@
 	{"agents stay and trust all orders", PartialViews | Cancellations, LooserRules{TrustAllOrders: true, StayWithDispatcher: true}, 40},
 	{"starts do not need the store's contact", PartialViews | Cancellations, LooserRules{IgnoreStoreContact: true}, 1120},
 	{"any answer of the store counts as contact", PartialViews | Cancellations, LooserRules{TrustAnyAnswer: true}, 1310},
+	{"an unknown job is denied without a cancellation", lateCancellations, LooserRules{DenyUnknownJobs: true}, 0},
+	{"cancellations without a submission are deleted at once", lateCancellations, LooserRules{DeleteCancellationsAtOnce: true}, 0},
 	{"a departure is trusted before a write confirms the term", Departures | OrderlyDepartures | AgentStops, LooserRules{TrustDepartureAtOnce: true}, 33000},
 }
--- a/internal/explore/term/rules.go
+++ b/internal/explore/term/rules.go
@@ -101,6 +101,9 @@
 	TrustLateSecondRuns bool
 	// TrustAnyAnswer takes each answer of the store for one that the cancellations known to the dispatcher go with.
 	TrustAnyAnswer bool
+	// DenyUnknownJobs acknowledges the cancellation of a job that is not in the store without storing it, and
+	// DeleteCancellationsAtOnce deletes cancellations without a submission as soon as they are read.
+	DenyUnknownJobs, DeleteCancellationsAtOnce bool
 	// TrustNewAgents applies the reports of agents that know no term before a write confirms the dispatcher's.
 	TrustNewAgents bool
 }
--- a/internal/explore/term/steps.go
+++ b/internal/explore/term/steps.go
@@ -36,6 +36,7 @@
 	claiming, tailing bool
 	lastTail          time.Time
 	jobs              workflow.JobTable
+	unmatched         workflow.UnmatchedCancellations
 	// nextOffset and caughtUpAt are the read positions in jobTopics.
 	nextOffset [len(jobTopics)]uint64
 	caughtUpAt [len(jobTopics)]time.Time
@@ -267,6 +268,9 @@
 		e.noteJob(id)
 		if j, _ := e.jobs.Job(id); e.term != nil && j != nil && j.Submission() != nil && !e.term.scheduler.HasJob(id) {
 			e.admit(e.clock(), e.term, j)
+			if e.term != nil {
+				e.syncCancellation(e.term, id, j)
+			}
 		}
 	}
 }
--- a/internal/explore/term/term.go
+++ b/internal/explore/term/term.go
@@ -83,6 +83,9 @@
 	Pauses
 	// QuickRestarts has runners return within milliseconds of a crash.
 	QuickRestarts
+	// LateSubmissions has the store carry out some submissions late and without an answer, and jobs cancelled that are not
+	// known. It needs PartialViews and Cancellations.
+	LateSubmissions
 )
 
 // world is the simulated cluster with its scheduled events. Times given as durations
@@ -243,12 +246,20 @@
 		return
 	}
 	record, err := workflow.SubmissionRecord(submission)
-	if err == nil {
-		_, err = w.storeClient.Append(context.Background(), store.AppendRequest{Topic: store.TopicIntake, Records: []store.Record{record}})
-	}
 	if err != nil {
-		w.schedule(tickInterval, func() { w.submit(index) }) // the caller retries
+		panic(err)
+	}
+	attempt := func() {
+		_, err := w.storeClient.Append(context.Background(), store.AppendRequest{Topic: store.TopicIntake, Records: []store.Record{record}})
+		if err != nil {
+			w.schedule(tickInterval, func() { w.submit(index) }) // the caller retries
+		}
 	}
+	if w.kinds&LateSubmissions != 0 && w.random.IntN(2) == 0 {
+		w.schedule(w.randomUpTo(maxLateCall), attempt)
+		return
+	}
+	attempt()
 }
 
 // knownTerm returns the newest term that a random entry knows.
@@ -274,10 +285,10 @@
 	}
 	for i := range jobCount {
 		j, ok := jobTable.Job(jobName(i))
-		if ok && w.isCancelled(i) && j.Phase() == workflow.PhaseCancelled {
+		forgotten := w.kinds&Retention != 0 && (!ok || j.Phase() == workflow.PhaseQueued)
+		if w.isCancelled(i) && (forgotten || ok && j.Phase() == workflow.PhaseCancelled) {
 			continue
 		}
-		forgotten := w.kinds&Retention != 0 && (!ok || j.Phase() == workflow.PhaseQueued)
 		if !forgotten && (!ok || j.Phase() != workflow.PhaseCompleted) {
 			phase := workflow.PhaseQueued
 			if ok {
--- a/internal/explore/term/workload.go
+++ b/internal/explore/term/workload.go
@@ -61,10 +61,33 @@
 func (w *world) cancel(index int) {
 	e, id := w.entries[w.random.IntN(entryCount)], jobName(index)
 	retry := func() { w.schedule(callerRetryDelay, func() { w.cancel(index) }) }
-	if j, ok := e.jobs.Job(id); w.now < e.downUntil || w.now < e.frozenUntil || !ok || j.Submission() == nil {
+	if w.now < e.downUntil || w.now < e.frozenUntil {
 		retry()
 		return
 	}
+	if j, ok := e.jobs.Job(id); !ok || j.Submission() == nil {
+		if w.kinds&LateSubmissions == 0 {
+			retry()
+			return
+		}
+		e.catchUp(0, func(err error) {
+			switch j, ok := e.jobs.Job(id); {
+			case err != nil:
+				retry()
+			case w.rules.DenyUnknownJobs && (!ok || j.Submission() == nil):
+				noteFirst(&w.judge.cancelledAt, id, w.now)
+			default:
+				w.storeCancellation(e, id, retry)
+			}
+		})
+		return
+	}
+	w.storeCancellation(e, id, retry)
+}
+
+// storeCancellation has an entry store the cancellation of a job and tell the dispatcher. It calls retry if that takes too
+// long for the caller.
+func (w *world) storeCancellation(e *entry, id string, retry func()) {
 	answered := false
 	w.schedule(callerTimeout, func() {
 		if !answered {
--- a/pkg/workflow/job_table.go
+++ b/pkg/workflow/job_table.go
@@ -155,6 +155,8 @@
 	remains map[string]struct{}
 	// unreadable holds the IDs of jobs with a submission that could not be decoded.
 	unreadable map[string]struct{}
+	// unmatched holds the IDs of jobs that have a cancellation and no submission.
+	unmatched map[string]struct{}
 }
 
 // Len returns the number of jobs.
@@ -239,27 +241,42 @@
 		t.jobs = make(map[string]*Job)
 	}
 	t.jobs[id] = j
-	t.noteRemains(id, j)
+	t.noteChange(id, j)
 	return id, nil
 }
 
 func (t *JobTable) noteUnreadable(id string) {
-	if t.unreadable == nil {
-		t.unreadable = make(map[string]struct{})
-	}
-	t.unreadable[id] = struct{}{}
+	setMember(&t.unreadable, id, true)
+	delete(t.unmatched, id)
+}
+
+// noteChange keeps remains and unmatched up to date after a change of a job.
+func (t *JobTable) noteChange(id string, j *Job) {
+	setMember(&t.remains, id, j.hasRemains())
+	_, unreadable := t.unreadable[id]
+	setMember(&t.unmatched, id, j.Cancelled() && j.Submission() == nil && !unreadable)
 }
 
-// noteRemains keeps remains up to date after a change of a job.
-func (t *JobTable) noteRemains(id string, j *Job) {
-	if !j.hasRemains() {
-		delete(t.remains, id)
+// setMember adds an ID to a set, or removes it.
+func setMember(set *map[string]struct{}, id string, member bool) {
+	if !member {
+		delete(*set, id)
 		return
 	}
-	if t.remains == nil {
-		t.remains = make(map[string]struct{})
+	if *set == nil {
+		*set = make(map[string]struct{})
 	}
-	t.remains[id] = struct{}{}
+	(*set)[id] = struct{}{}
+}
+
+// UnmatchedCancellations returns the number of jobs that have a cancellation and no submission. The submission may be stored
+// later, which then is that of a cancelled job.
+func (t *JobTable) UnmatchedCancellations() int { return len(t.unmatched) }
+
+// HasUnmatchedCancellation reports whether a job has a cancellation and no submission.
+func (t *JobTable) HasUnmatchedCancellation(id string) bool {
+	_, ok := t.unmatched[id]
+	return ok
 }
 
 // apply applies a record with a value. Only the first submission, the newest cancellation and the newest progress count.
@@ -345,7 +362,7 @@
 		}
 		j.hasProgress, j.forgotten = false, false
 	}
-	t.noteRemains(id, j)
+	t.noteChange(id, j)
 	if j.newest.submission == nil && !j.hasCancellation && !j.hasProgress {
 		delete(t.jobs, id)
 	}
@@ -370,7 +387,7 @@
 		}
 		j.forgetBefore(intakeBefore)
 		j.forgetProgress()
-		t.noteRemains(id, j)
+		t.noteChange(id, j)
 		n++
 	}
 	return n
