End a connection that is dropped for a limit without an answer

Cause: the limiter takes a connection off its books before it closes it. If the rest of the request arrives in between, the handler finds that the connection does not count any more and returned without an answer, for which net/http sends an empty 200, for each method.

Now the handler aborts the connection. The caller sees it closed, as it would have a moment later.

--- a/internal/connlimit/http.go
+++ b/internal/connlimit/http.go
@@ -80,9 +80,10 @@
 			return
 		}
 		// From here on the connection is not closed until the answer is sent.
-		if c.listener.limiter.keepCharge(clock.Steady(), c, phaseCall) {
-			h.ServeHTTP(w, r)
+		if !c.listener.limiter.keepCharge(clock.Steady(), c, phaseCall) {
+			panic(http.ErrAbortHandler) // a handler that returns without an answer sends an empty 200
 		}
+		h.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/connlimit/http_test.go
+++ b/internal/connlimit/http_test.go
@@ -126,6 +126,57 @@
 	}
 }
 
+// Guards against an empty 200 to a request that the handler has not seen, whose connection is about to be closed for a limit.
+func TestConnectionDroppedForALimitGetsNoAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// sent is sent before the connection is dropped, rest afterwards.
+		sent, rest string
+	}{
+		{"the end of a body", withLength(100, 99), "b"},
+		{"the end of a body in chunks", chunked + inChunks(100), "0\r\n\r\n"},
+		{"a request without a body", "", "GET / HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"a deletion", "", "DELETE / HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"an empty body", "", withLength(0, 0)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := new(testServer)
+			startServer(t, s)
+			conn := s.dial(t)
+			_, _ = io.WriteString(conn, tc.sent)
+			want := phaseHead
+			if tc.sent != "" {
+				want = phaseBody
+			}
+			s.dropInPhase(t, want)
+			_, _ = io.WriteString(conn, tc.rest)
+			if status, text := answer(bufio.NewReader(conn)); status != 0 {
+				t.Errorf("status: got %d (%s), want none", status, text)
+			}
+			if got := s.handled.Load(); got != 0 {
+				t.Errorf("handled requests: got %d, want 0", got)
+			}
+		})
+	}
+}
+
+// dropInPhase drops the only connection as the limiter does before it closes it, once the connection is in a phase.
+func (s *testServer) dropInPhase(t *testing.T, want phase) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		s.limiter.mu.Lock()
+		for c := range s.limiter.conns {
+			if c.phase == want {
+				s.limiter.drop(c)
+				s.limiter.mu.Unlock()
+				return
+			}
+		}
+		s.limiter.mu.Unlock()
+	}
+	t.Fatal("no connection to drop")
+}
+
 // Guards against a body that counts as whole although its client has ended the connection.
 func TestTruncatedBodies(t *testing.T) {
 	for _, request := range []string{withLength(100, 99), chunked, chunked + inChunks(100), chunked + "64\r\nbbb", chunked + inChunks(4096) + "0\r\n"} {
