Reserve a worker for a long-running task among small ones of its priority

Cause: the task needs its room at one worker at one moment. Each small task that ended freed a part of it, which the next one took. Runs are stopped, and room is kept, only in favour of a higher priority.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -205,7 +205,7 @@
 				continue
 			}
 			if s.spec.LongRunning && now.Sub(t.waitingSince) >= preemptionWait {
-				sc.preemptFor(now, s, q)
+				sc.preemptFor(now, s, q, now.Sub(t.waitingSince))
 			}
 			return
 		}
--- a/pkg/dispatch/long_running_test.go
+++ b/pkg/dispatch/long_running_test.go
@@ -270,3 +270,44 @@
 	p.run(20 * time.Second)
 	p.expectAtWork()
 }
+
+// A long-running task that is lost while small tasks of its priority fill the service gets a run before these are used up.
+func TestLongRunningTaskGetsRoomAmongSmallTasksOfItsPriority(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		workers []string
+		// lengths are the times that small tasks take, in turn.
+		lengths []time.Duration
+		// large is the number of long-running tasks.
+		large int
+	}{
+		{"uneven tasks", []string{"w1", "w2", "w3"}, []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 900 * time.Millisecond, 1100 * time.Millisecond, 700 * time.Millisecond}, 1},
+		{"longer tasks than expected", []string{"w1", "w2", "w3"}, []time.Duration{2 * time.Second, 3 * time.Second, 2500 * time.Millisecond}, 1},
+		{"several long-running tasks", []string{"w1", "w2", "w3"}, []time.Duration{500 * time.Millisecond, 900 * time.Millisecond, 700 * time.Millisecond}, 3},
+		{"a single worker", []string{"w1"}, []time.Duration{500 * time.Millisecond, 1300 * time.Millisecond, 800 * time.Millisecond}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPlay(t, tc.workers...)
+			started := 0
+			for _, w := range p.workers {
+				w.lasts = func(s *Start) (time.Duration, Outcome) {
+					if s.Task.Job != "fill" {
+						return 0, 0
+					}
+					started++
+					return tc.lengths[started%len(tc.lengths)], OutcomeDone
+				}
+			}
+			p.admitTo("fits", "fill", workflow.Step{Count: 6000, Size: worker.Resources{MilliCPU: 240, MemoryMB: 100}, EstimateMS: 1000})
+			p.run(3 * time.Second)
+			lasting := longRunning(12000)
+			lasting.Count = tc.large
+			p.admit("s", lasting)
+			p.run(20 * time.Second)
+			p.expectAtWork()
+			if got, want := started, 500; got < want {
+				t.Errorf("small tasks started: got %d, want at least %d", got, want)
+			}
+		})
+	}
+}
--- a/pkg/dispatch/placement_test.go
+++ b/pkg/dispatch/placement_test.go
@@ -63,7 +63,7 @@
 		}
 		if w == nil {
 			if s.spec.LongRunning && now.Sub(t.waitingSince) >= preemptionWait {
-				sc.preemptFor(now, s, q)
+				sc.preemptFor(now, s, q, now.Sub(t.waitingSince))
 			}
 			return
 		}
--- a/pkg/dispatch/score.go
+++ b/pkg/dispatch/score.go
@@ -139,10 +139,10 @@
 	return n
 }
 
-// preemptFor orders runs of lower priority to stop, so that a task of a long-running step fits once
-// they have ended. It chooses the worker where the fewest runs have to be stopped. It searches all runs,
-// and therefore at most once in preemptionInterval for each step.
-func (sc *Scheduler) preemptFor(now time.Time, s *stepState, q Queue) {
+// preemptFor orders runs of lower priority to stop, so that a task of a long-running step, which has waited for a time, fits once
+// they have ended. It chooses the worker where the fewest runs have to be stopped. If there is none, it reserves a worker. It searches
+// all runs, and therefore at most once in preemptionInterval for each step.
+func (sc *Scheduler) preemptFor(now time.Time, s *stepState, q Queue, waited time.Duration) {
 	if now.Before(s.nextPreemption) {
 		return
 	}
@@ -157,8 +157,11 @@
 			best, victims = w, v
 		}
 	}
-	if best != nil {
+	switch {
+	case best != nil:
 		sc.keepRoom(now, best)
+	case waited >= reservationWait:
+		sc.reserveFor(now, s, q)
 	}
 	for _, r := range victims {
 		sc.orderStop(now, r, "preempted by a long-running task")
--- a/pkg/dispatch/trial.go
+++ b/pkg/dispatch/trial.go
@@ -78,7 +78,7 @@
 			return true
 		}
 		if waited >= maxTrialWait {
-			sc.preemptFor(now, s, *q)
+			sc.preemptFor(now, s, *q, waited)
 		}
 		return true
 	}
--- a/pkg/dispatch/worker_state.go
+++ b/pkg/dispatch/worker_state.go
@@ -70,7 +70,7 @@
 	// longRunningMilliCPU is the processor time that long-running tasks reserve.
 	longRunningMilliCPU int64
 	health              workerHealth
-	// keptUntil is until when the worker gets no tasks but long-running ones, since runs were stopped for
+	// keptUntil is until when the worker gets no tasks but long-running ones, since it is reserved or runs were stopped for
 	// one of them.
 	keptUntil time.Time
 	// instance is the instance ID of the runner.
