Keep naming the term of a probe after a failed claim

An entry that answers the probe of a later dispatcher says which earlier dispatchers count it among their followers, and the later one concludes that they do not hear it as a follower any more. Its pings named the newest term that it had heard of, which BeginClaim forgets: if its own claim began before the probe and failed after it, it could go on pinging the earlier dispatcher as before, which would have kept its leases for longer than the later one waits.

Now the terms of Hellos are kept apart from those that a claim may forget. TestFollowerThatHasHeardOfALaterTermNamesIt begins a claim after the Hello; it got term 3, want 4, with the terms that BeginClaim forgets.

With it, names that would stop a reader: the reservation of a worker for room is no longer called like that of a trial, the number of unmatched cancellations not like their type.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -30,6 +30,8 @@
 	queryTimeout = 500 * time.Millisecond
 	// intakeRetryDelay is the delay between two attempts to store a caller's record.
 	intakeRetryDelay = 60 * time.Millisecond
+	// maxSubmitTime bounds the time in which an entry sends appends of one submission.
+	maxSubmitTime = 30 * time.Second
 )
 
 // Ready reports whether this entry accepts calls, for readiness checks.
--- a/internal/coordinator/followers_test.go
+++ b/internal/coordinator/followers_test.go
@@ -99,7 +99,8 @@
 	}
 }
 
-// An entry that has told a later dispatcher that it follows an earlier one must not be taken for one that knows no later term.
+// An entry that has told a later dispatcher that it follows an earlier one must not be taken for one that knows no later term, even
+// if its own claim fails meanwhile.
 func TestFollowerThatHasHeardOfALaterTermNamesIt(t *testing.T) {
 	c := newTestEntry(t, "entry-b", &standin.Store{})
 	c.candidate.ObserveClaim(clock.Steady(), leadership.Claim{Term: 3, Entry: "entry-a"})
@@ -107,6 +108,7 @@
 	here, there := net.Pipe()
 	defer func() { _, _ = here.Close(), there.Close() }()
 	c.handleHello(peer.NewConn(here), &peer.Hello{Role: peer.RoleEntry, Name: "entry-c", PeerAddress: "10.0.0.3:7000", NewestTerm: 4})
+	c.candidate.BeginClaim()
 	if got, want := c.candidate.NewestTerm(), uint64(4); got != want {
 		t.Errorf("term that its pings name: got %d, want %d", got, want)
 	}
--- a/internal/coordinator/late_submission_test.go
+++ b/internal/coordinator/late_submission_test.go
@@ -134,13 +134,13 @@
 	p.play(t, "dispatcher reads")
 	p.play(t, "unneeded records are deleted")
 	p.play(t, "dispatcher reads")
-	if got, want := p.dispatcher.jobs.UnmatchedCancellations(), 1; got != want {
+	if got, want := p.dispatcher.jobs.CountUnmatched(), 1; got != want {
 		t.Errorf("cancellations within their retention: got %d, want %d", got, want)
 	}
 	p.play(t, "retention passes")
 	p.play(t, "unneeded records are deleted")
 	p.play(t, "dispatcher reads")
-	if got, want := p.dispatcher.jobs.UnmatchedCancellations(), 0; got != want {
+	if got, want := p.dispatcher.jobs.CountUnmatched(), 0; got != want {
 		t.Errorf("cancellations after their retention: got %d, want %d", got, want)
 	}
 	p.play(t, "submission at another entry")
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -94,6 +94,9 @@
 		}
 	}
 	c.noteTerm(h.NewestTerm, h.Name)
+	if h.Role == peer.RoleEntry {
+		c.candidate.NoteHello(h.NewestTerm)
+	}
 	if h.Role == peer.RoleAgent && !c.noteAgentConn(now, conn, h) {
 		conn.Close()
 		return
--- a/internal/coordinator/unmatched_cancellations.go
+++ b/internal/coordinator/unmatched_cancellations.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// maxSubmitTime bounds the time in which an entry sends appends of one submission.
-	maxSubmitTime = 30 * time.Second
 	// unmatchedRetention is how long the cancellation of a job without a submission is kept after it was read. It exceeds the
 	// time in which the submission may still be stored, which is maxSubmitTime and lateAppendTime together.
 	unmatchedRetention = 90 * time.Second
@@ -34,7 +32,7 @@
 // begin reports whether this entry may store the cancellation of an unknown job. If so, the caller has to call end.
 func (u *unmatchedCancellations) begin(now time.Time, jobs *workflow.JobTable, id string) bool {
 	u.storing.expire(now)
-	if !jobs.HasUnmatchedCancellation(id) && jobs.UnmatchedCancellations()+len(u.storing.calls) >= maxUnmatchedCancellations {
+	if !jobs.HasUnmatchedCancellation(id) && jobs.CountUnmatched()+len(u.storing.calls) >= maxUnmatchedCancellations {
 		return false
 	}
 	u.storing.begin(id)
@@ -47,9 +45,9 @@
 }
 
 // cancelUnknown stores the cancellation of a job that this entry does not know. Its submission may still be stored: by a call
-// under way, or by one that the store carries out late. err is the reason why the job is not known; ErrJobNotFound is
+// under way, or by one that the store carries out late. unknown is the reason why the job is not known; ErrJobNotFound is
 // returned again.
-func (c *Coordinator) cancelUnknown(ctx context.Context, id string, err error) error {
+func (c *Coordinator) cancelUnknown(ctx context.Context, id string, unknown error) error {
 	c.mu.Lock()
 	ok := c.unmatched.begin(clock.Steady(), &c.jobs, id)
 	c.mu.Unlock()
@@ -57,16 +55,16 @@
 		c.count("cancellations-refused", 1)
 		return errors.Mark(errTooManyUnmatched, ErrRefused)
 	}
-	storeErr := c.storeCancellation(ctx, id)
+	err := c.storeCancellation(ctx, id)
 	c.mu.Lock()
-	c.unmatched.end(clock.Steady(), id, errors.Is(storeErr, ErrRefused))
+	c.unmatched.end(clock.Steady(), id, errors.Is(err, ErrRefused))
 	c.mu.Unlock()
 	switch {
-	case storeErr != nil:
-		return storeErr
-	case errors.Is(err, ErrJobNotFound):
-		c.count("unknown-jobs-cancelled", 1)
+	case err != nil:
 		return err
+	case errors.Is(unknown, ErrJobNotFound):
+		c.count("unknown-jobs-cancelled", 1)
+		return unknown
 	}
 	return nil
 }
@@ -76,5 +74,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unmatched.stored.Observe(now, &c.jobs)
-	c.gauge("unmatched-cancellations", int64(c.jobs.UnmatchedCancellations()))
+	c.gauge("unmatched-cancellations", int64(c.jobs.CountUnmatched()))
 }
--- a/internal/explore/term/followers.go
+++ b/internal/explore/term/followers.go
@@ -71,6 +71,7 @@
 			continue
 		}
 		o.candidate.HearOf(t.number)
+		o.candidate.NoteHello(t.number)
 		for term := range o.followed.Terms(o.clock()) {
 			t.followed[term] = true
 		}
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -16,9 +16,9 @@
 	maxReservation = 5 * time.Second
 )
 
-// reservation keeps a worker from other tasks until enough of its runs have ended for a long-running task. Small tasks of the same
+// roomReservation keeps a worker from other tasks until enough of its runs have ended for a long-running task. Small tasks of the same
 // priority would otherwise take whatever becomes free, one by one. The zero value reserves none.
-type reservation struct {
+type roomReservation struct {
 	step   *stepState
 	worker *workerState
 	// chosenAt is when the worker was chosen, and renewedAt when the step last found no room.
@@ -26,14 +26,14 @@
 }
 
 // active reports whether the reservation holds.
-func (r *reservation) active(now time.Time) bool {
+func (r *roomReservation) active(now time.Time) bool {
 	return r.worker != nil && now.Sub(r.renewedAt) < keptRoomTime
 }
 
 // reserveFor reserves the worker that is expected to have room for a task of a long-running step first, unless one is reserved for
 // another step. It has to be called again while the task waits.
 func (sc *Scheduler) reserveFor(now time.Time, s *stepState, q Queue) {
-	r := &sc.reservation
+	r := &sc.roomReservation
 	active := r.active(now)
 	if active && r.step != s {
 		return
@@ -49,7 +49,7 @@
 	if w == nil {
 		return
 	}
-	*r = reservation{step: s, worker: w, chosenAt: now, renewedAt: now}
+	*r = roomReservation{step: s, worker: w, chosenAt: now, renewedAt: now}
 	sc.keepRoom(now, w)
 }
 
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -93,8 +93,8 @@
 	suspiciousTasks map[*taskState]struct{}
 	// heldWorkers are held by trials or kept for long-running tasks, or were at the last decision.
 	heldWorkers map[*workerState]struct{}
-	// reservation is the worker that is reserved for a long-running task.
-	reservation reservation
+	// roomReservation is the worker that is reserved for a long-running task without room.
+	roomReservation roomReservation
 	// abandonedTasks are the tasks that the next call of TakeAbandonedTasks returns.
 	abandonedTasks []AbandonedTask
 	// healthChanges are the changes that the next call of TakeHealthChanges returns.
@@ -160,7 +160,7 @@
 	sc.full = make(fullFleet)
 	sc.suspects = make(map[*workerState]struct{})
 	sc.suspiciousTasks = make(map[*taskState]struct{})
-	sc.heldWorkers, sc.reservation = make(map[*workerState]struct{}), reservation{}
+	sc.heldWorkers, sc.roomReservation = make(map[*workerState]struct{}), roomReservation{}
 	sc.unreported = make(map[string]bool)
 	sc.readySteps = make(map[*stepState]struct{})
 	sc.changedJobs = make(map[*jobState]struct{})
--- a/pkg/leadership/followers.go
+++ b/pkg/leadership/followers.go
@@ -39,7 +39,8 @@
 	f.entries[entry] = follower{answeredAt: later(e.answeredAt, now), sentAfter: later(e.sentAfter, sentAfter)}
 }
 
-// InContact reports whether all followers have been heard lately. None of them had begun a later term then.
+// InContact reports whether all followers have been heard lately. None of them had begun a later term then. It drops those that have
+// sent no ping for followerRetention.
 func (f *Followers) InContact(now time.Time) bool {
 	for name, e := range f.entries {
 		switch {
@@ -72,6 +73,18 @@
 	}
 }
 
+// Terms returns the terms whose dispatchers count this entry among their followers until their leadership leases have expired, if
+// a term of its own begins now.
+func (f *Followed) Terms(now time.Time) map[uint64]bool {
+	terms := make(map[uint64]bool)
+	for t, at := range f.pingSent {
+		if now.Sub(at) <= maxFollowedAge {
+			terms[t] = true
+		}
+	}
+	return terms
+}
+
 // AllFollowed reports whether the dispatchers of the watched claims, see MayServe, count certain entries among their followers.
 // followed holds the terms for which that is so, see Followed.Terms. Of the earlier claims of a process only the newest one may be
 // served.
@@ -90,18 +103,6 @@
 	return true
 }
 
-// Terms returns the terms whose dispatchers count this entry among their followers until their leadership leases have expired, if
-// a term of its own begins now.
-func (f *Followed) Terms(now time.Time) map[uint64]bool {
-	terms := make(map[uint64]bool)
-	for t, at := range f.pingSent {
-		if now.Sub(at) <= maxFollowedAge {
-			terms[t] = true
-		}
-	}
-	return terms
-}
-
 // UnheardFrom returns the time from which on a dispatcher hears no ping of a follower as one that knows no later term, if the
-// follower had heard of a later term by the given time.
+// follower had been told of a later term by the given time.
 func UnheardFrom(heardBy time.Time) time.Time { return heardBy.Add(withMargin(maxFollowerAge)) }
--- a/pkg/leadership/leadership.go
+++ b/pkg/leadership/leadership.go
@@ -82,6 +82,8 @@
 	resignedAt time.Time
 	// heardOf is the newest term that was heard of since this process last began to claim.
 	heardOf uint64
+	// greetedBy is the newest term that an entry has named in a Hello.
+	greetedBy uint64
 }
 
 // Standing is the place of an entry among those that may claim leadership.
@@ -144,9 +146,13 @@
 // HearOf records that a peer or a record has named a term.
 func (c *Candidate) HearOf(term uint64) { c.heardOf = max(c.heardOf, term) }
 
-// NewestTerm returns the newest term that is known from a claim or was heard of. A process that names it in its pings is no
-// follower of an earlier dispatcher.
-func (c *Candidate) NewestTerm() uint64 { return max(c.claim.Term, c.heardOf) }
+// NoteHello records that an entry has named a term in a Hello. A later dispatcher may conclude from the answer that this process is
+// no follower of an earlier one any more, see NewestTerm.
+func (c *Candidate) NoteHello(term uint64) { c.greetedBy = max(c.greetedBy, term) }
+
+// NewestTerm returns the newest term that is known from a claim or a Hello. A process that names it in its pings is no follower of an
+// earlier dispatcher.
+func (c *Candidate) NewestTerm() uint64 { return max(c.claim.Term, c.greetedBy) }
 
 // MayBegin reports whether this process may begin a term that it has claimed. A process that has heard of
 // a later term never does: a later dispatcher that names its term in a probe, and is answered that this
--- a/pkg/workflow/job_table.go
+++ b/pkg/workflow/job_table.go
@@ -269,9 +269,9 @@
 	(*set)[id] = struct{}{}
 }
 
-// UnmatchedCancellations returns the number of jobs that have a cancellation and no submission. The submission may be stored
+// CountUnmatched returns the number of jobs that have a cancellation and no submission. The submission may be stored
 // later, which then is that of a cancelled job.
-func (t *JobTable) UnmatchedCancellations() int { return len(t.unmatched) }
+func (t *JobTable) CountUnmatched() int { return len(t.unmatched) }
 
 // HasUnmatchedCancellation reports whether a job has a cancellation and no submission.
 func (t *JobTable) HasUnmatchedCancellation(id string) bool {
