--- a/pkg/workflow/unmatched_cancellations.go
+++ b/pkg/workflow/unmatched_cancellations.go
@@ -1,6 +1,10 @@
 package workflow
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // UnmatchedCancellations tracks since when cancellations of jobs without a submission have been known. The zero value tracks
 // none.
@@ -41,10 +45,11 @@
 // have: it may be a later cancellation, or the submission.
 func (u *UnmatchedCancellations) Expired(now time.Time, jobs *JobTable, retention time.Duration, limit int) []Record {
 	var deletions []Record
-	for id, c := range u.seen {
+	for _, id := range slices.Sorted(maps.Keys(u.seen)) {
 		if len(deletions) == limit {
 			break
 		}
+		c := u.seen[id]
 		if _, ok := jobs.unmatched[id]; ok && jobs.jobs[id].cancellationOffset == c.offset && now.Sub(c.at) > retention {
 			deletions = append(deletions, Record{Key: prefixCancellation + id})
 		}
